--- /dev/null
+++ b/standin/block_cache.cc
@@ -0,0 +1,49 @@
+#include "standin/block_cache.h"
+
+#include "waxwing/hash.h"
+
+namespace standin {
+
+std::vector<std::uint64_t> BlockHashes(std::string_view prompt,
+                                       std::uint64_t salt) {
+  std::vector<std::uint64_t> chain;
+  std::uint64_t hash = salt;
+  while (prompt.size() >= kBytesPerBlock) {
+    hash = waxwing::Hash64(prompt.substr(0, kBytesPerBlock), hash);
+    chain.push_back(hash);
+    prompt.remove_prefix(kBytesPerBlock);
+  }
+  return chain;
+}
+
+std::size_t CachedBlocks(const block_cache& cache,
+                         std::span<const std::uint64_t> chain) {
+  std::size_t count = 0;
+  while (count < chain.size() && cache.blocks.contains(chain[count]))
+    ++count;
+  return count;
+}
+
+void UseBlocks(block_cache& cache,
+               std::span<const std::uint64_t> chain,
+               std::vector<std::uint64_t>& stored,
+               std::vector<std::uint64_t>& evicted) {
+  // From the end, so that the start of the prompt is the last to be evicted.
+  for (std::size_t i = chain.size(); i-- > 0;) {
+    const auto found = cache.blocks.find(chain[i]);
+    if (found != cache.blocks.end()) {
+      cache.order.splice(cache.order.begin(), cache.order, found->second);
+      continue;
+    }
+    cache.order.push_front(chain[i]);
+    cache.blocks[chain[i]] = cache.order.begin();
+    stored.push_back(chain[i]);
+  }
+  while (cache.blocks.size() > cache.capacity) {
+    evicted.push_back(cache.order.back());
+    cache.blocks.erase(cache.order.back());
+    cache.order.pop_back();
+  }
+}
+
+}  // namespace standin
--- /dev/null
+++ b/standin/platform.cc
@@ -0,0 +1,311 @@
+#include "standin/platform.h"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <map>
+#include <random>
+#include <utility>
+
+#include "waxwing/http_server.h"
+#include "waxwing/json.h"
+
+namespace standin {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using waxwing::FindHeader;
+using waxwing::http_exchange;
+using waxwing::http_response;
+using waxwing::JsonResponse;
+using waxwing::milliseconds;
+
+namespace {
+
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::string_view kObjectsPath = "/v1/objects/";
+constexpr milliseconds kLongestWatch{30'000};
+
+struct object {
+  std::string value;
+  std::uint64_t version = 0;
+};
+
+}  // namespace
+
+struct platform_state {
+  asio::any_io_executor executor;
+  platform_options options;
+  platform_faults faults;
+  platform_counts counts;
+  std::mt19937_64 random;
+  waxwing::http_server server;
+  std::map<std::string, object> objects;
+  std::uint64_t revision = 0;
+  // Revision of the last change of each key, deleted ones included.
+  std::map<std::string, std::uint64_t> changed_at;
+  // VM name to the body it last registered with and when that was.
+  struct vm_entry {
+    std::string state;
+    waxwing::instant since;
+    std::string earlier_state;
+  };
+  std::map<std::string, vm_entry> vms;
+  bool stopped = false;
+};
+
+namespace {
+
+using state_ptr = std::shared_ptr<platform_state>;
+
+bool Chance(platform_state& state, double share) {
+  return std::uniform_real_distribution<double>(0, 1)(state.random) < share;
+}
+
+asio::awaitable<void> Sleep(const state_ptr& state, waxwing::duration time) {
+  asio::steady_timer timer(state->executor, time);
+  co_await timer.async_wait(kUseTuple);
+}
+
+void NoteChange(platform_state& state, const std::string& key) {
+  state.changed_at[key] = ++state.revision;
+}
+
+http_response WithVersion(unsigned status,
+                          std::string body,
+                          std::uint64_t version) {
+  http_response out = JsonResponse(status, std::move(body));
+  out.headers.push_back({"X-Version", std::to_string(version)});
+  return out;
+}
+
+http_response Get(const platform_state& state, const std::string& key) {
+  const auto found = state.objects.find(key);
+  if (found == state.objects.end())
+    return JsonResponse(404, R"({"error":"absent"})");
+  return WithVersion(200, found->second.value, found->second.version);
+}
+
+// Puts or deletes, if the condition holds.
+http_response Write(platform_state& state,
+                    const std::string& key,
+                    const waxwing::http_request& request) {
+  if (request.body.size() > state.options.value_bytes)
+    return JsonResponse(413, R"({"error":"value too large"})");
+  const auto found = state.objects.find(key);
+  const std::uint64_t version =
+      found == state.objects.end() ? 0 : found->second.version;
+  const std::string condition(FindHeader(request.headers, "If-Version"));
+  if (!condition.empty() &&
+      std::strtoull(condition.c_str(), nullptr, 10) != version)
+    return WithVersion(409, R"({"error":"version differs"})", version);
+  if (request.method == "DELETE") {
+    state.objects.erase(key);
+    NoteChange(state, key);
+    return JsonResponse(200, "{}");
+  }
+  NoteChange(state, key);
+  state.objects[key] = {request.body, state.revision};
+  return WithVersion(200, "{}", state.revision);
+}
+
+http_response List(const platform_state& state, std::string_view prefix) {
+  json::array keys;
+  for (const auto& [key, entry] : state.objects) {
+    if (key.starts_with(prefix))
+      keys.push_back(json::object{{"key", key}, {"version", entry.version}});
+  }
+  return JsonResponse(200, json::serialize(json::object{
+                               {"revision", state.revision},
+                               {"objects", std::move(keys)}}));
+}
+
+bool ChangedSince(const platform_state& state,
+                  std::string_view prefix,
+                  std::uint64_t revision) {
+  for (const auto& [key, at] : state.changed_at) {
+    if (at > revision && key.starts_with(prefix))
+      return true;
+  }
+  return false;
+}
+
+asio::awaitable<http_response> Watch(const state_ptr& state,
+                                     const std::string& target) {
+  ++state->counts.watches;
+  const std::string prefix(waxwing::QueryValue(target, "prefix"));
+  const std::string revision_text(waxwing::QueryValue(target, "revision"));
+  const std::string timeout_text(waxwing::QueryValue(target, "timeout_ms"));
+  const std::uint64_t revision =
+      std::strtoull(revision_text.c_str(), nullptr, 10);
+  const milliseconds timeout = std::min(
+      kLongestWatch,
+      milliseconds(std::strtoll(timeout_text.c_str(), nullptr, 10)));
+  const auto deadline = std::chrono::steady_clock::now() + timeout;
+  while (!state->stopped && !state->faults.outage &&
+         !ChangedSince(*state, prefix, revision) &&
+         std::chrono::steady_clock::now() < deadline) {
+    asio::steady_timer tick(state->executor,
+                            std::min(deadline, std::chrono::steady_clock::now() +
+                                                   milliseconds(20)));
+    co_await tick.async_wait(kUseTuple);
+  }
+  if (state->faults.outage)
+    co_return JsonResponse(503, R"({"error":"outage"})");
+  co_return JsonResponse(
+      200, json::serialize(json::object{{"revision", state->revision}}));
+}
+
+http_response HandleFaults(platform_state& state, const std::string& body) {
+  const auto wanted = waxwing::ParseObject(body);
+  if (!wanted)
+    return JsonResponse(400, R"({"error":"malformed faults"})");
+  platform_faults& faults = state.faults;
+  faults.latency = milliseconds(
+      waxwing::ReadIntegerOr(*wanted, "latency_ms", 0, 60'000,
+                             faults.latency.count())
+          .value_or(0));
+  faults.outage =
+      waxwing::ReadBoolOr(*wanted, "outage", faults.outage).value_or(false);
+  faults.reject =
+      waxwing::ReadNumberOr(*wanted, "reject", 0, 1, faults.reject).value_or(0);
+  faults.lose_answer =
+      waxwing::ReadNumberOr(*wanted, "lose_answer", 0, 1, faults.lose_answer)
+          .value_or(0);
+  return JsonResponse(200, "{}");
+}
+
+http_response HandleStats(const platform_state& state) {
+  return JsonResponse(
+      200, json::serialize(json::object{
+               {"reads", state.counts.reads},
+               {"writes", state.counts.writes},
+               {"watches", state.counts.watches},
+               {"lost_answers", state.counts.lost_answers},
+               {"objects", state.objects.size()}}));
+}
+
+// The platform's own knowledge of a VM, told by tests in place of the machine.
+http_response SetVm(platform_state& state, const waxwing::http_request& from) {
+  const std::string name(waxwing::QueryValue(from.target, "name"));
+  auto& entry = state.vms[name];
+  entry.earlier_state = entry.state;
+  entry.state = std::string(waxwing::QueryValue(from.target, "state"));
+  entry.since = std::chrono::steady_clock::now();
+  return JsonResponse(200, "{}");
+}
+
+http_response ListVms(const platform_state& state) {
+  const auto now = std::chrono::steady_clock::now();
+  json::array vms;
+  for (const auto& [name, entry] : state.vms) {
+    const bool visible = now - entry.since >= state.options.vm_list_lag;
+    const std::string& shown = visible ? entry.state : entry.earlier_state;
+    if (!shown.empty() && shown != "gone")
+      vms.push_back(json::object{{"name", name}, {"state", shown}});
+  }
+  return JsonResponse(200,
+                      json::serialize(json::object{{"vms", std::move(vms)}}));
+}
+
+asio::awaitable<void> HandleObjects(const state_ptr& state,
+                                    http_exchange& exchange) {
+  const std::string& target = exchange.request.target;
+  const std::string key(
+      waxwing::PathOf(target).substr(kObjectsPath.size()));
+  http_response answer;
+  if (exchange.request.method == "GET") {
+    ++state->counts.reads;
+    answer = Get(*state, key);
+  } else {
+    ++state->counts.writes;
+    answer = Write(*state, key, exchange.request);
+    if (Chance(*state, state->faults.lose_answer)) {
+      ++state->counts.lost_answers;
+      waxwing::AbortExchange(exchange);
+      co_return;
+    }
+  }
+  co_await waxwing::Respond(exchange, answer);
+}
+
+asio::awaitable<void> Handle(state_ptr state, http_exchange& exchange) {
+  const std::string target = exchange.request.target;
+  const std::string_view path = waxwing::PathOf(target);
+  http_response answer = JsonResponse(404, R"({"error":"no such path"})");
+  if (path == "/standin/faults") {
+    answer = HandleFaults(*state, exchange.request.body);
+  } else if (path == "/standin/stats") {
+    answer = HandleStats(*state);
+  } else if (path == "/standin/vms") {
+    answer = SetVm(*state, exchange.request);
+  } else if (state->faults.outage) {
+    answer = JsonResponse(503, R"({"error":"outage"})");
+  } else if (Chance(*state, state->faults.reject)) {
+    answer = JsonResponse(429, R"({"error":"too many calls"})");
+  } else {
+    co_await Sleep(state, state->faults.latency);
+    if (path.starts_with(kObjectsPath)) {
+      co_await HandleObjects(state, exchange);
+      co_return;
+    }
+    if (path == "/v1/objects") {
+      ++state->counts.reads;
+      answer = List(*state, waxwing::QueryValue(target, "prefix"));
+    } else if (path == "/v1/vms") {
+      ++state->counts.reads;
+      answer = ListVms(*state);
+    } else if (path == "/v1/watch") {
+      answer = co_await Watch(state, target);
+    }
+  }
+  co_await waxwing::Respond(exchange, answer);
+}
+
+}  // namespace
+
+tl::expected<platform, std::string> StartPlatform(
+    asio::any_io_executor executor,
+    const platform_options& options) {
+  auto state = std::make_shared<platform_state>();
+  state->executor = executor;
+  state->options = options;
+  state->random.seed(options.seed);
+  std::weak_ptr<platform_state> weak = state;
+  waxwing::http_limits limits;
+  auto server = waxwing::StartHttpServer(
+      executor, options.address, limits,
+      [weak](http_exchange& exchange) -> asio::awaitable<void> {
+        if (auto locked = weak.lock())
+          co_await Handle(locked, exchange);
+      });
+  if (!server)
+    return tl::unexpected(server.error());
+  state->server = *server;
+  return platform{state, server->address};
+}
+
+void StopPlatform(platform& stopped) {
+  stopped.state->stopped = true;
+  waxwing::CloseServer(stopped.state->server);
+}
+
+platform_faults& FaultsOf(platform& of) {
+  return of.state->faults;
+}
+
+const platform_counts& CountsOf(const platform& of) {
+  return of.state->counts;
+}
+
+std::string ValueOf(const platform& of, const std::string& key) {
+  const auto found = of.state->objects.find(key);
+  return found == of.state->objects.end() ? std::string()
+                                          : found->second.value;
+}
+
+void SetValue(platform& of, const std::string& key, const std::string& value) {
+  NoteChange(*of.state, key);
+  of.state->objects[key] = {value, of.state->revision};
+}
+
+}  // namespace standin
--- /dev/null
+++ b/standin/service.h
@@ -0,0 +1,54 @@
+// A stand-in for a plain service, such as a game server's control panel or a
+// queue of burst reports. It counts how often each request ran.
+
+#ifndef STANDIN_SERVICE_H_
+#define STANDIN_SERVICE_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <tl/expected.hpp>
+
+#include "waxwing/types.h"
+
+namespace standin {
+
+struct service_options {
+  waxwing::endpoint address{"127.0.0.1", 0};
+  waxwing::milliseconds work{10};
+  std::uint64_t seed = 1;
+};
+
+struct service_faults {
+  // Share of requests that run and whose answer is then lost.
+  double lose_answer = 0;
+  // Share refused with status 503 without running.
+  double refuse = 0;
+};
+
+struct service_state;
+
+struct service {
+  std::shared_ptr<service_state> state;
+  waxwing::endpoint address;
+};
+
+tl::expected<service, std::string> StartService(
+    boost::asio::any_io_executor executor,
+    const service_options& options);
+
+void StopService(service& stopped);
+
+service_faults& FaultsOf(service& of);
+// Connections accepted up to now go silent for good; new ones work.
+void SilenceConnections(service& of);
+// How often the request with this body ran.
+std::uint64_t RunsOf(const service& of, const std::string& body);
+// Largest number of runs of any one body.
+std::uint64_t MostRuns(const service& of);
+
+}  // namespace standin
+
+#endif  // STANDIN_SERVICE_H_
--- /dev/null
+++ b/waxwing/admission.cc
@@ -0,0 +1,80 @@
+#include "waxwing/admission.h"
+
+#include <algorithm>
+
+namespace waxwing {
+namespace {
+
+// Above this number of accounts the finish times already passed are dropped.
+constexpr std::size_t kFinishTimesBeforeSweep = 1024;
+
+void Refill(token_bucket& bucket, instant now) {
+  if (now > bucket.updated)
+    bucket.level += bucket.rate * ToSeconds(now - bucket.updated);
+  bucket.level = std::min(bucket.level, bucket.burst);
+  bucket.updated = std::max(bucket.updated, now);
+}
+
+void SweepFinishTimes(fair_queue& queue) {
+  if (queue.account_finish.size() < kFinishTimesBeforeSweep)
+    return;
+  std::erase_if(queue.account_finish, [&](const auto& entry) {
+    return entry.second <= queue.virtual_time[entry.first.first];
+  });
+}
+
+}  // namespace
+
+token_bucket MakeTokenBucket(double rate, double burst, instant now) {
+  return {rate, burst, burst, now};
+}
+
+void SetLimit(token_bucket& bucket, double rate, double burst, instant now) {
+  Refill(bucket, now);
+  bucket.rate = rate;
+  bucket.burst = burst;
+  bucket.level = std::min(bucket.level, burst);
+}
+
+duration TakeTokens(token_bucket& bucket, double amount, instant now) {
+  if (bucket.rate <= 0)
+    return duration::zero();
+  Refill(bucket, now);
+  const double needed = std::min(amount, bucket.burst);
+  if (bucket.level >= needed) {
+    bucket.level -= amount;
+    return duration::zero();
+  }
+  const duration wait = FromSeconds((needed - bucket.level) / bucket.rate);
+  return std::max<duration>(wait, milliseconds(1));
+}
+
+void ReturnTokens(token_bucket& bucket, double amount) {
+  bucket.level = std::min(bucket.burst, bucket.level + amount);
+}
+
+queue_position Push(fair_queue& queue,
+                    std::string_view account,
+                    int priority,
+                    double cost,
+                    std::uint64_t id) {
+  SweepFinishTimes(queue);
+  const double now = queue.virtual_time[priority];
+  double& finish = queue.account_finish[{priority, std::string(account)}];
+  const queue_position position{priority, std::max(now, finish), id};
+  finish = position.start + cost;
+  queue.waiting.insert(position);
+  return position;
+}
+
+void Serve(fair_queue& queue, const queue_position& position) {
+  queue.waiting.erase(position);
+  double& now = queue.virtual_time[position.priority];
+  now = std::max(now, position.start);
+}
+
+void Drop(fair_queue& queue, const queue_position& position) {
+  queue.waiting.erase(position);
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/agent_client.cc
@@ -0,0 +1,181 @@
+// The router's connection to its VM's agent.
+
+#include <boost/asio.hpp>
+
+#include "waxwing/log.h"
+#include "waxwing/root.h"
+#include "waxwing/router_state.h"
+#include "waxwing/wire_convert.h"
+
+namespace waxwing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr milliseconds kAgentSilence{4'000};
+constexpr milliseconds kNoteTimeout{500};
+constexpr std::size_t kEntriesPerCopy = 256;
+
+// Gives the agent what this process knows, in case the agent has restarted.
+void SendLedger(router_state& state) {
+  wire::ledger_copyT copy;
+  for (const auto& [id, entry] : state.book.entries) {
+    if (entry.step == ledger_step::kClaimed)
+      continue;
+    copy.entries.push_back(
+        std::make_unique<wire::ledger_noteT>(ToWire(id, entry, 0)));
+    if (copy.entries.size() == kEntriesPerCopy) {
+      SendMessage(state.agent.link, std::move(copy));
+      copy = {};
+    }
+  }
+  copy.last = true;
+  SendMessage(state.agent.link, std::move(copy));
+}
+
+// Takes over what an earlier router of this VM left with the agent. A run that
+// this process knows nothing of was cut off by a restart.
+void TakeInLedger(router_state& state, const wire::ledger_copyT& copy) {
+  for (const auto& note : copy.entries) {
+    ticket_id id;
+    auto entry = FromWire(*note, id);
+    if (!entry)
+      continue;
+    const bool is_own = FindEntry(state.book, id) != nullptr;
+    if (!is_own && entry->step == ledger_step::kDispatched)
+      entry->step = ledger_step::kUnknown;
+    Restore(state.book, id, std::move(*entry), UnixNow());
+  }
+  if (copy.last)
+    state.agent.ready = true;
+}
+
+void TakeInView(router_state& state, const wire::router_viewT& view) {
+  if (state.vm_incarnation != 0 && state.vm_incarnation != view.incarnation)
+    LogWarning("vm_incarnation_changed",
+               {{"from", state.vm_incarnation}, {"to", view.incarnation}});
+  state.vm_incarnation = view.incarnation;
+  membership fresh;
+  fresh.self = state.options.vm;
+  for (const auto& record : view.members) {
+    if (const auto parsed = FromWire(*record))
+      fresh.members[parsed->vm] = {*parsed, instant{}};
+  }
+  state.members = std::move(fresh);
+}
+
+// Puts a new generation in force once all of its shards are here.
+void TakeInConfig(router_state& state, wire::config_updateT& update) {
+  auto& shards = state.agent.shards;
+  for (auto& shard : update.shards)
+    shards[shard->content_hash] = std::move(shard->text);
+  const auto root = ReadRoot(update.root);
+  if (!root || root->generation <= state.active->generation)
+    return;
+  const auto assembled = AssembleConfig(*root, shards);
+  if (!assembled) {
+    LogError("config_refused", {{"generation", root->generation},
+                                {"error", assembled.error().message}});
+    return;
+  }
+  InstallConfig(state, *assembled);
+  std::erase_if(shards, [&](const auto& shard) {
+    return std::find(root->shards.begin(), root->shards.end(), shard.first) ==
+           root->shards.end();
+  });
+}
+
+void TakeInDigests(router_state& state, const wire::target_digestsT& digests) {
+  const instant now = std::chrono::steady_clock::now();
+  for (const auto& digest : digests.targets) {
+    for (target_view& view : state.placement.targets) {
+      if (view.name != digest->name)
+        continue;
+      if (!digest->reachable)
+        view.avoid_until = std::max<instant>(view.avoid_until,
+                                             now + milliseconds(1'000));
+      else if (ApplyReport(view, FromWire(*digest)))
+        LogInfo("target_cache_dropped", {{"target", view.name},
+                                         {"boot_id", view.boot_id},
+                                         {"version", view.version}});
+    }
+  }
+  GrantTargets(state);
+}
+
+void TakeInAck(router_state& state, const wire::ledger_ackT& ack) {
+  const auto found = state.agent.pending.find(ack.number);
+  if (found == state.agent.pending.end())
+    return;
+  found->second->accepted = ack.accepted;
+  found->second->timer->cancel();
+}
+
+void TakeInFrame(router_state& state, wire::frameT& frame) {
+  auto& message = frame.message;
+  if (auto* view = message.Asrouter_view())
+    TakeInView(state, *view);
+  else if (auto* copy = message.Asledger_copy())
+    TakeInLedger(state, *copy);
+  else if (auto* update = message.Asconfig_update())
+    TakeInConfig(state, *update);
+  else if (auto* digests = message.Astarget_digests())
+    TakeInDigests(state, *digests);
+  else if (auto* ack = message.Asledger_ack())
+    TakeInAck(state, *ack);
+  SendMessage(state.agent.link, wire::appliedT{{}, state.active->generation});
+}
+
+// The agent is gone: the ledger in memory still holds, but no note is answered.
+void LoseAgent(router_state& state) {
+  for (const auto& [number, note] : state.agent.pending) {
+    note->accepted = false;
+    note->timer->cancel();
+  }
+  state.agent.pending.clear();
+}
+
+}  // namespace
+
+asio::awaitable<void> RunAgentClient(router_ptr state) {
+  const peer_identity self{peer_role::kRouter, state->options.vm,
+                           state->vm_incarnation};
+  const endpoint address = *state->options.agent;
+  auto link =
+      co_await DialPeer(state->executor, address, self, state->options.key);
+  if (!link)
+    co_return;
+  LogInfo("agent_connected", {{"agent", ToText(address)}});
+  state->agent.link = *link;
+  SendLedger(*state);
+  while (!IsStopping(state->root)) {
+    auto frame = co_await ReadFrame(*link, kAgentSilence);
+    if (!frame) {
+      LogWarning("agent_lost", {{"reason", NameOf(frame.error().failure)}});
+      break;
+    }
+    TakeInFrame(*state, *frame);
+  }
+  ClosePeer(*link);
+  LoseAgent(*state);
+}
+
+asio::awaitable<bool> NoteLedger(const router_ptr& state, const ticket_id& id) {
+  if (!state->options.agent)
+    co_return true;
+  const ledger_entry* entry = FindEntry(state->book, id);
+  if (!entry || !IsOpen(state->agent.link))
+    co_return false;
+  const std::uint64_t number = state->agent.next_note++;
+  asio::steady_timer timer(state->executor, kNoteTimeout);
+  agent_session::pending_note note{&timer, std::nullopt};
+  state->agent.pending[number] = &note;
+  SendMessage(state->agent.link, ToWire(id, *entry, number));
+  co_await timer.async_wait(kUseTuple);
+  state->agent.pending.erase(number);
+  co_return note.accepted.value_or(false);
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/api.h
@@ -0,0 +1,87 @@
+// The callers' API: what a request may say, and the one shape of every error.
+//
+// An error's JSON is {"error":{"type","message"},"ran":"no|yes|unknown"}. `ran`
+// is "no" only if no byte of the request can have reached a target. A refusal
+// that may pass later carries Retry-After.
+
+#ifndef WAXWING_API_H_
+#define WAXWING_API_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "waxwing/http.h"
+#include "waxwing/ledger.h"
+#include "waxwing/prefix.h"
+#include "waxwing/types.h"
+
+namespace waxwing {
+
+// Header fields of the callers' API.
+inline constexpr std::string_view kHeaderPriority = "X-Priority";
+inline constexpr std::string_view kHeaderDeadline = "X-Deadline-Ms";
+inline constexpr std::string_view kHeaderTicket = "X-Ticket";
+inline constexpr std::string_view kHeaderNonIdempotent = "X-Non-Idempotent";
+inline constexpr std::string_view kHeaderForwarded = "X-Waxwing-Forwarded";
+inline constexpr std::string_view kHeaderRequestId = "X-Request-Id";
+
+inline constexpr std::int64_t kMaxAnswerTokens = 32'768;
+inline constexpr std::size_t kMaxMessages = 1'024;
+inline constexpr milliseconds kDefaultDeadline{60'000};
+inline constexpr milliseconds kLongestDeadline{600'000};
+
+// A chat completion, checked.
+struct chat_request {
+  std::string model;
+  std::string adapter;
+  std::vector<chat_message> messages;
+  std::uint32_t max_tokens = 16;
+  bool stream = false;
+  // The body to send to a target: the caller's own, always streaming.
+  std::string target_body;
+};
+
+// What the header fields of any request say.
+struct request_options {
+  std::string account_key;
+  // -1 if not given.
+  int priority = -1;
+  milliseconds deadline = kDefaultDeadline;
+  bool non_idempotent = false;
+  std::string ticket;
+};
+
+// A refusal or failure, ready to be sent to the caller.
+struct api_error {
+  unsigned status = 400;
+  std::string type;
+  std::string message;
+  ran outcome = ran::kNo;
+  // Zero: no Retry-After.
+  duration retry_after{};
+};
+
+tl::expected<chat_request, api_error> ParseChatRequest(std::string_view body);
+
+tl::expected<request_options, api_error> ParseRequestOptions(
+    const http_headers& headers);
+
+// The error as a response.
+http_response ErrorResponse(const api_error& error);
+
+// The error as the last event of a stream.
+std::string ErrorEvent(const api_error& error);
+
+// The error's JSON.
+std::string ErrorJson(const api_error& error);
+
+// Estimated work of a request in tokens, for limits and fairness.
+double WorkTokens(std::uint32_t prompt_tokens, std::uint32_t answer_tokens);
+
+}  // namespace waxwing
+
+#endif  // WAXWING_API_H_
--- /dev/null
+++ b/waxwing/hash.h
@@ -0,0 +1,57 @@
+// Hashing: XXH3 for tables and rendezvous choices, HMAC-SHA-256 for anything
+// that an outsider must not be able to forge.
+
+#ifndef WAXWING_HASH_H_
+#define WAXWING_HASH_H_
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwing {
+
+// XXH3 of `text` with a seed.
+std::uint64_t Hash64(std::string_view text, std::uint64_t seed = 0);
+
+// Mixes two hashes into one; the order of the two matters.
+std::uint64_t MixHash(std::uint64_t a, std::uint64_t b);
+
+// Weight of `node` for `key` in rendezvous hashing: the nodes with the largest
+// weights own the key, so that a change of nodes moves only the keys of the
+// nodes that changed.
+inline std::uint64_t RendezvousWeight(std::uint64_t key, std::uint64_t node) {
+  std::uint64_t x = key ^ (node * 0x9e3779b97f4a7c15ULL);
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+// Indexes of the `count` entries of `nodes` with the largest weights for `key`,
+// largest first.
+std::vector<std::size_t> RendezvousPick(std::uint64_t key,
+                                        std::span<const std::uint64_t> nodes,
+                                        std::size_t count);
+
+using mac_bytes = std::array<std::uint8_t, 16>;
+
+// HMAC-SHA-256 of `text` under `key`, cut to 16 bytes.
+mac_bytes ComputeMac(std::string_view key, std::string_view text);
+
+// Compares in constant time.
+bool SameMac(const mac_bytes& a, const mac_bytes& b);
+
+// Sixteen hexadecimal digits.
+std::string ToHex(std::uint64_t value);
+
+// Hexadecimal SHA-256 of `text`; names immutable objects by their content.
+std::string ContentHash(std::string_view text);
+
+// A random number from the system's generator; names incarnations.
+std::uint64_t RandomId();
+
+}  // namespace waxwing
+
+#endif  // WAXWING_HASH_H_
--- /dev/null
+++ b/waxwing/http.h
@@ -0,0 +1,70 @@
+// HTTP messages as the rest of the code sees them, free of any library.
+//
+// The server half is in http_server.h, the client half in http_client.h.
+
+#ifndef WAXWING_HTTP_H_
+#define WAXWING_HTTP_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwing {
+
+// A header field. Names compare without regard to case.
+struct http_header {
+  std::string name;
+  std::string value;
+};
+
+using http_headers = std::vector<http_header>;
+
+struct http_request {
+  std::string method = "GET";
+  std::string target = "/";
+  http_headers headers;
+  std::string body;
+};
+
+struct http_response {
+  unsigned status = 200;
+  http_headers headers;
+  std::string body;
+};
+
+// Why a call failed, as far as the client can tell.
+enum class http_failure {
+  kConnect,    // no connection; no byte of the request has left
+  kTimeout,    // the peer was silent for too long
+  kClosed,     // the connection broke
+  kMalformed,  // the peer's bytes are not HTTP, or exceed a limit
+};
+
+struct http_error {
+  http_failure failure = http_failure::kConnect;
+  // True if any byte of the request can have reached the peer.
+  bool sent = false;
+  std::string detail;
+};
+
+// The value of the first field called `name`, or an empty view.
+std::string_view FindHeader(const http_headers& headers, std::string_view name);
+
+// The path of a request target, without its query.
+std::string_view PathOf(std::string_view target);
+
+// The value of `name` in a target's query, or an empty view. No decoding.
+std::string_view QueryValue(std::string_view target, std::string_view name);
+
+// The standard reason phrase of a status code.
+std::string_view ReasonOf(unsigned status);
+
+// A response with a JSON body.
+http_response JsonResponse(unsigned status, std::string body);
+
+// Short word for a failure, for logs.
+std::string_view NameOf(http_failure failure);
+
+}  // namespace waxwing
+
+#endif  // WAXWING_HTTP_H_
--- /dev/null
+++ b/waxwing/http_client.cc
@@ -0,0 +1,247 @@
+#include "waxwing/http_client.h"
+
+#include <array>
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace waxwing {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace detail {
+
+struct http_call_state {
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  std::optional<http::response_parser<http::buffer_body>> parser;
+  endpoint address;
+  bool reused = false;
+
+  explicit http_call_state(beast::tcp_stream s) : stream(std::move(s)) {}
+};
+
+struct idle_connection {
+  beast::tcp_stream stream;
+  instant since;
+};
+
+struct http_pool_state {
+  asio::any_io_executor executor;
+  http_pool_limits limits;
+  // Newest last, so that the youngest is used first.
+  std::map<endpoint, std::vector<idle_connection>> idle;
+};
+
+}  // namespace detail
+
+namespace {
+
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kReadBytes = 16 * 1024;
+
+using state_ptr = std::shared_ptr<detail::http_call_state>;
+
+http_error MakeError(const beast::error_code& error, bool sent) {
+  http_failure failure = http_failure::kMalformed;
+  if (error == beast::error::timeout)
+    failure = http_failure::kTimeout;
+  else if (error.category() == asio::error::get_system_category() ||
+           error.category() == asio::error::get_misc_category() ||
+           error == http::error::end_of_stream ||
+           error == http::error::partial_message)
+    failure = http_failure::kClosed;
+  return {failure, sent, error.message()};
+}
+
+// Takes a young idle connection out of the pool, if there is one.
+std::optional<beast::tcp_stream> TakeIdle(detail::http_pool_state& pool,
+                                          const endpoint& address) {
+  const auto found = pool.idle.find(address);
+  if (found == pool.idle.end() || found->second.empty())
+    return std::nullopt;
+  detail::idle_connection last = std::move(found->second.back());
+  found->second.pop_back();
+  if (std::chrono::steady_clock::now() - last.since > pool.limits.idle_age) {
+    found->second.clear();
+    return std::nullopt;
+  }
+  return std::move(last.stream);
+}
+
+void ReturnIdle(detail::http_pool_state& pool, detail::http_call_state& call) {
+  auto& list = pool.idle[call.address];
+  if (list.size() >= pool.limits.idle_per_address)
+    return;
+  call.stream.expires_never();
+  list.push_back({std::move(call.stream), std::chrono::steady_clock::now()});
+}
+
+asio::awaitable<tl::expected<state_ptr, http_error>> Dial(
+    const http_pool& pool,
+    const endpoint& address) {
+  auto call = std::make_shared<detail::http_call_state>(
+      beast::tcp_stream(pool.state->executor));
+  call->address = address;
+  beast::error_code bad;
+  const asio::ip::tcp::endpoint remote(
+      asio::ip::make_address(address.host, bad), address.port);
+  if (bad)
+    co_return tl::unexpected(
+        http_error{http_failure::kConnect, false, bad.message()});
+  call->stream.expires_after(pool.state->limits.connect_timeout);
+  auto [error] = co_await call->stream.async_connect(remote, kUseTuple);
+  if (error)
+    co_return tl::unexpected(
+        http_error{http_failure::kConnect, false, error.message()});
+  call->stream.socket().set_option(asio::ip::tcp::no_delay(true), bad);
+  co_return call;
+}
+
+http::request<http::string_body> ToBeast(const http_request& request,
+                                         const endpoint& address) {
+  http::request<http::string_body> out;
+  out.method_string(request.method);
+  out.target(request.target);
+  out.version(11);
+  out.set(http::field::host, ToText(address));
+  for (const http_header& header : request.headers)
+    out.set(header.name, header.value);
+  out.body() = request.body;
+  out.prepare_payload();
+  return out;
+}
+
+http_response HeadOf(const http::response_parser<http::buffer_body>& parser) {
+  http_response head;
+  head.status = parser.get().result_int();
+  for (const auto& field : parser.get())
+    head.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  return head;
+}
+
+// Writes the request and reads the header of the answer on one connection.
+asio::awaitable<tl::expected<http_call, http_error>> Exchange(
+    state_ptr call,
+    const http_request& request,
+    std::size_t response_bytes,
+    milliseconds timeout) {
+  const auto message = ToBeast(request, call->address);
+  call->stream.expires_after(timeout);
+  auto [write_error, written] =
+      co_await http::async_write(call->stream, message, kUseTuple);
+  if (write_error)
+    co_return tl::unexpected(MakeError(write_error, true));
+  call->parser.emplace();
+  call->parser->body_limit(response_bytes);
+  auto [read_error, read] = co_await http::async_read_header(
+      call->stream, call->buffer, *call->parser, kUseTuple);
+  if (read_error)
+    co_return tl::unexpected(MakeError(read_error, true));
+  http_call out;
+  out.head = HeadOf(*call->parser);
+  out.state = call;
+  co_return out;
+}
+
+}  // namespace
+
+http_pool MakeHttpPool(asio::any_io_executor executor,
+                       const http_pool_limits& limits) {
+  auto state = std::make_shared<detail::http_pool_state>();
+  state->executor = executor;
+  state->limits = limits;
+  return {state};
+}
+
+asio::awaitable<tl::expected<http_call, http_error>> StartCall(
+    const http_pool& pool,
+    const endpoint& address,
+    const http_request& request,
+    const http_call_options& options) {
+  if (options.reuse) {
+    auto idle = TakeIdle(*pool.state, address);
+    if (idle) {
+      auto call = std::make_shared<detail::http_call_state>(std::move(*idle));
+      call->address = address;
+      call->reused = true;
+      auto answer =
+          co_await Exchange(call, request, pool.state->limits.response_bytes,
+                            options.header_timeout);
+      if (answer)
+        co_return answer;
+      // The idle connection was dead. If it was silent, so may the others be.
+      if (answer.error().failure == http_failure::kTimeout)
+        pool.state->idle.erase(address);
+    }
+  }
+  auto dialled = co_await Dial(pool, address);
+  if (!dialled)
+    co_return tl::unexpected(dialled.error());
+  auto answer = co_await Exchange(*dialled, request,
+                                  pool.state->limits.response_bytes,
+                                  options.header_timeout);
+  co_return answer;
+}
+
+asio::awaitable<tl::expected<bool, http_error>> ReadPiece(
+    const http_pool& pool,
+    http_call& call,
+    milliseconds timeout,
+    std::string& out) {
+  detail::http_call_state& state = *call.state;
+  auto& parser = *state.parser;
+  std::array<char, kReadBytes> piece;
+  state.stream.expires_after(timeout);
+  while (!parser.is_done()) {
+    parser.get().body().data = piece.data();
+    parser.get().body().size = piece.size();
+    parser.get().body().more = true;
+    auto [error, bytes] = co_await http::async_read_some(
+        state.stream, state.buffer, parser, kUseTuple);
+    if (error && error != http::error::need_buffer) {
+      if (error == beast::error::timeout)
+        pool.state->idle.erase(state.address);
+      co_return tl::unexpected(MakeError(error, true));
+    }
+    const std::size_t count = piece.size() - parser.get().body().size;
+    out.append(piece.data(), count);
+    if (count > 0)
+      co_return true;
+  }
+  if (parser.keep_alive())
+    ReturnIdle(*pool.state, state);
+  co_return false;
+}
+
+void CancelCall(http_call& call) {
+  beast::error_code ignored;
+  call.state->stream.socket().close(ignored);
+}
+
+asio::awaitable<tl::expected<http_response, http_error>> Fetch(
+    const http_pool& pool,
+    const endpoint& address,
+    const http_request& request,
+    const http_call_options& options) {
+  auto call = co_await StartCall(pool, address, request, options);
+  if (!call)
+    co_return tl::unexpected(call.error());
+  http_response answer = call->head;
+  while (true) {
+    auto more =
+        co_await ReadPiece(pool, *call, options.header_timeout, answer.body);
+    if (!more)
+      co_return tl::unexpected(more.error());
+    if (!*more)
+      co_return answer;
+  }
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/http_client.h
@@ -0,0 +1,86 @@
+// An HTTP/1.1 client with a pool of connections for each address.
+//
+// Idle connections can go silent for good while new ones work. Therefore an
+// idle connection is reused only while it is young, the first timeout on any
+// connection drops all idle ones to that address, and a call that must not be
+// repeated always dials anew, so that a failure to connect means that no byte
+// of it has left.
+
+#ifndef WAXWING_HTTP_CLIENT_H_
+#define WAXWING_HTTP_CLIENT_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstddef>
+#include <memory>
+
+#include <tl/expected.hpp>
+
+#include "waxwing/http.h"
+#include "waxwing/types.h"
+
+namespace waxwing {
+
+struct http_pool_limits {
+  std::size_t idle_per_address = 256;
+  milliseconds idle_age{4'000};
+  milliseconds connect_timeout{500};
+  std::size_t response_bytes = 64 * 1024 * 1024;
+};
+
+namespace detail {
+struct http_pool_state;
+struct http_call_state;
+}  // namespace detail
+
+// Connections to any number of addresses.
+struct http_pool {
+  std::shared_ptr<detail::http_pool_state> state;
+};
+
+// A call whose answer's header has been read and whose body is being read.
+struct http_call {
+  // Status and header fields; the body stays empty.
+  http_response head;
+  std::shared_ptr<detail::http_call_state> state;
+};
+
+http_pool MakeHttpPool(boost::asio::any_io_executor executor,
+                       const http_pool_limits& limits);
+
+// How one call is made.
+struct http_call_options {
+  // Longest silence before the answer's header.
+  milliseconds header_timeout{2'000};
+  // May use an idle connection, and be sent again if that one proves dead.
+  bool reuse = true;
+};
+
+// Sends a request and reads the header of its answer.
+boost::asio::awaitable<tl::expected<http_call, http_error>> StartCall(
+    const http_pool& pool,
+    const endpoint& address,
+    const http_request& request,
+    const http_call_options& options);
+
+// Appends the next piece of the body to `out`. False at the end of the body,
+// when the connection goes back to its pool.
+boost::asio::awaitable<tl::expected<bool, http_error>> ReadPiece(
+    const http_pool& pool,
+    http_call& call,
+    milliseconds timeout,
+    std::string& out);
+
+// Breaks the call's connection; a pending read ends with an error.
+void CancelCall(http_call& call);
+
+// Makes a call and reads its whole answer, within `timeout` for each step.
+boost::asio::awaitable<tl::expected<http_response, http_error>> Fetch(
+    const http_pool& pool,
+    const endpoint& address,
+    const http_request& request,
+    const http_call_options& options);
+
+}  // namespace waxwing
+
+#endif  // WAXWING_HTTP_CLIENT_H_
--- /dev/null
+++ b/waxwing/http_server.cc
@@ -0,0 +1,320 @@
+#include "waxwing/http_server.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "waxwing/log.h"
+
+namespace waxwing {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace detail {
+
+struct http_connection {
+  beast::tcp_stream stream;
+  const http_limits* limits = nullptr;
+  bool keep_alive = true;
+  bool busy = false;
+};
+
+struct http_listener {
+  asio::any_io_executor executor;
+  asio::ip::tcp::acceptor acceptor;
+  http_limits limits;
+  http_handler handler;
+  bool stopping = false;
+  std::size_t open_exchanges = 0;
+  std::set<http_connection*> connections;
+
+  http_listener(asio::any_io_executor e,
+                const http_limits& l,
+                http_handler h)
+      : executor(e), acceptor(e), limits(l), handler(std::move(h)) {}
+};
+
+}  // namespace detail
+
+namespace {
+
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+
+using listener_ptr = std::shared_ptr<detail::http_listener>;
+using request_parser = http::request_parser<http::string_body>;
+
+// The status and text to answer when a request could not be parsed.
+http_response ParseFailureResponse(const beast::error_code& error) {
+  if (error == http::error::body_limit)
+    return JsonResponse(413, R"({"error":{"type":"body_too_large"},"ran":"no"})");
+  if (error == http::error::header_limit)
+    return JsonResponse(431,
+                        R"({"error":{"type":"header_too_large"},"ran":"no"})");
+  if (error == beast::error::timeout)
+    return JsonResponse(408, R"({"error":{"type":"request_timeout"},"ran":"no"})");
+  return JsonResponse(400, R"({"error":{"type":"malformed_request"},"ran":"no"})");
+}
+
+http_request TakeRequest(request_parser& parser) {
+  auto message = parser.release();
+  http_request out;
+  out.method = std::string(message.method_string());
+  out.target = std::string(message.target());
+  for (const auto& field : message)
+    out.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  out.body = std::move(message.body());
+  return out;
+}
+
+// Waits for the next request. False if the connection is done; a parse failure
+// has been answered by then.
+asio::awaitable<bool> ReadRequest(http_exchange& exchange,
+                                  beast::flat_buffer& buffer) {
+  detail::http_connection& connection = *exchange.connection;
+  request_parser parser;
+  parser.header_limit(static_cast<std::uint32_t>(connection.limits->header_bytes));
+  parser.body_limit(connection.limits->body_bytes);
+  connection.stream.expires_after(connection.limits->idle_timeout);
+  if (buffer.size() == 0) {
+    auto [wait_error] = co_await connection.stream.socket().async_wait(
+        asio::ip::tcp::socket::wait_read, kUseTuple);
+    if (wait_error)
+      co_return false;
+  }
+  connection.busy = true;
+  connection.stream.expires_after(connection.limits->read_timeout);
+  auto [error, bytes] =
+      co_await http::async_read(connection.stream, buffer, parser, kUseTuple);
+  if (error) {
+    if (error != http::error::end_of_stream &&
+        error != asio::error::connection_reset &&
+        error != asio::error::operation_aborted) {
+      connection.keep_alive = false;
+      http_response failure = ParseFailureResponse(error);
+      co_await Respond(exchange, std::move(failure));
+      // Takes in what the caller still sends, within bounds, so that closing
+      // does not reset the connection before the answer has been read.
+      beast::error_code ignored;
+      connection.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send,
+                                          ignored);
+      std::string sink(16 * 1024, '\0');
+      connection.stream.expires_after(milliseconds(500));
+      for (int i = 0; i < 1024; ++i) {
+        auto [drain_error, drained] = co_await connection.stream.async_read_some(
+            asio::buffer(sink), kUseTuple);
+        if (drain_error)
+          break;
+      }
+    }
+    co_return false;
+  }
+  connection.keep_alive = parser.keep_alive();
+  exchange.request = TakeRequest(parser);
+  co_return true;
+}
+
+asio::awaitable<void> RunHandler(const listener_ptr& listener,
+                                 http_exchange& exchange) {
+  ++listener->open_exchanges;
+  try {
+    co_await listener->handler(exchange);
+  } catch (const std::exception& error) {
+    LogError("handler_failed",
+             {{"target", exchange.request.target}, {"error", error.what()}});
+    if (exchange.streaming)
+      AbortExchange(exchange);
+  }
+  if (!exchange.answered && !exchange.broken) {
+    http_response failure =
+        JsonResponse(500, R"({"error":{"type":"internal"},"ran":"unknown"})");
+    co_await Respond(exchange, std::move(failure));
+  }
+  --listener->open_exchanges;
+}
+
+asio::awaitable<void> ServeConnection(listener_ptr listener,
+                                      asio::ip::tcp::socket socket) {
+  detail::http_connection connection{beast::tcp_stream(std::move(socket)),
+                                     &listener->limits};
+  listener->connections.insert(&connection);
+  beast::error_code ignored;
+  connection.stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  const auto remote = connection.stream.socket().remote_endpoint(ignored);
+  const instant accepted = std::chrono::steady_clock::now();
+  const std::string peer =
+      remote.address().to_string() + ":" + std::to_string(remote.port());
+  beast::flat_buffer buffer;
+  while (connection.keep_alive && !listener->stopping) {
+    http_exchange exchange;
+    exchange.connection = &connection;
+    exchange.peer = peer;
+    exchange.accepted = accepted;
+    connection.busy = false;
+    if (!co_await ReadRequest(exchange, buffer))
+      break;
+    co_await RunHandler(listener, exchange);
+    if (exchange.broken)
+      break;
+  }
+  listener->connections.erase(&connection);
+  connection.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both,
+                                      ignored);
+}
+
+asio::awaitable<void> AcceptLoop(listener_ptr listener) {
+  while (!listener->stopping) {
+    auto [error, socket] = co_await listener->acceptor.async_accept(kUseTuple);
+    if (error == asio::error::operation_aborted || listener->stopping)
+      co_return;
+    if (error) {
+      // Out of descriptors, most likely: wait for some to be freed.
+      LogWarning("accept_failed", {{"error", error.message()}});
+      asio::steady_timer pause(listener->executor, milliseconds(50));
+      co_await pause.async_wait(kUseTuple);
+      continue;
+    }
+    if (listener->connections.size() >= listener->limits.connections) {
+      LogWarning("connection_refused",
+                 {{"connections", listener->connections.size()}});
+      continue;
+    }
+    asio::co_spawn(listener->executor,
+                   ServeConnection(listener, std::move(socket)),
+                   asio::detached);
+  }
+}
+
+// Writes the header of an answer whose body follows in chunks.
+http::response<http::empty_body> StreamHead(const http_response& head,
+                                            bool keep_alive) {
+  http::response<http::empty_body> out;
+  out.result(head.status);
+  for (const http_header& header : head.headers)
+    out.set(header.name, header.value);
+  out.chunked(true);
+  out.keep_alive(keep_alive);
+  return out;
+}
+
+bool NoteWrite(http_exchange& exchange, const beast::error_code& error) {
+  if (error)
+    exchange.broken = true;
+  return !error;
+}
+
+}  // namespace
+
+tl::expected<http_server, std::string> StartHttpServer(
+    asio::any_io_executor executor,
+    const endpoint& address,
+    const http_limits& limits,
+    http_handler handler) {
+  auto listener = std::make_shared<detail::http_listener>(executor, limits,
+                                                          std::move(handler));
+  beast::error_code error;
+  const asio::ip::tcp::endpoint local(
+      asio::ip::make_address(address.host, error), address.port);
+  if (!error)
+    listener->acceptor.open(local.protocol(), error);
+  if (!error)
+    listener->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error)
+    listener->acceptor.bind(local, error);
+  if (!error)
+    listener->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error)
+    return tl::unexpected("can't listen at " + ToText(address) + ": " +
+                          error.message());
+  const std::uint16_t port = listener->acceptor.local_endpoint().port();
+  asio::co_spawn(executor, AcceptLoop(listener), asio::detached);
+  return http_server{listener, endpoint{address.host, port}};
+}
+
+void StopAccepting(http_server& server) {
+  server.listener->stopping = true;
+  beast::error_code ignored;
+  server.listener->acceptor.close(ignored);
+  for (detail::http_connection* connection : server.listener->connections) {
+    if (!connection->busy)
+      connection->stream.cancel();
+  }
+}
+
+void CloseServer(http_server& server) {
+  StopAccepting(server);
+  beast::error_code ignored;
+  for (detail::http_connection* connection : server.listener->connections)
+    connection->stream.socket().close(ignored);
+}
+
+std::size_t OpenExchanges(const http_server& server) {
+  return server.listener->open_exchanges;
+}
+
+asio::awaitable<bool> Respond(http_exchange& exchange, http_response response) {
+  detail::http_connection& connection = *exchange.connection;
+  exchange.answered = true;
+  http::response<http::string_body> message;
+  message.result(response.status);
+  for (const http_header& header : response.headers)
+    message.set(header.name, header.value);
+  message.keep_alive(connection.keep_alive);
+  message.body() = std::move(response.body);
+  message.prepare_payload();
+  connection.stream.expires_after(connection.limits->write_timeout);
+  auto [error, bytes] =
+      co_await http::async_write(connection.stream, message, kUseTuple);
+  co_return NoteWrite(exchange, error);
+}
+
+asio::awaitable<bool> BeginStream(http_exchange& exchange, http_response head) {
+  detail::http_connection& connection = *exchange.connection;
+  exchange.answered = true;
+  exchange.streaming = true;
+  auto message = StreamHead(head, connection.keep_alive);
+  http::response_serializer<http::empty_body> serializer(message);
+  connection.stream.expires_after(connection.limits->write_timeout);
+  auto [error, bytes] = co_await http::async_write_header(
+      connection.stream, serializer, kUseTuple);
+  co_return NoteWrite(exchange, error);
+}
+
+asio::awaitable<bool> WriteStream(http_exchange& exchange,
+                                  std::string_view piece) {
+  if (exchange.broken)
+    co_return false;
+  if (piece.empty())
+    co_return true;
+  detail::http_connection& connection = *exchange.connection;
+  const auto chunk =
+      http::make_chunk(asio::const_buffer(piece.data(), piece.size()));
+  connection.stream.expires_after(connection.limits->write_timeout);
+  auto [error, bytes] =
+      co_await asio::async_write(connection.stream, chunk, kUseTuple);
+  co_return NoteWrite(exchange, error);
+}
+
+asio::awaitable<bool> EndStream(http_exchange& exchange) {
+  if (exchange.broken)
+    co_return false;
+  detail::http_connection& connection = *exchange.connection;
+  const auto last = http::make_chunk_last();
+  connection.stream.expires_after(connection.limits->write_timeout);
+  auto [error, bytes] =
+      co_await asio::async_write(connection.stream, last, kUseTuple);
+  co_return NoteWrite(exchange, error);
+}
+
+void AbortExchange(http_exchange& exchange) {
+  exchange.broken = true;
+  exchange.answered = true;
+  beast::error_code ignored;
+  exchange.connection->stream.socket().close(ignored);
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/json.h
@@ -0,0 +1,69 @@
+// Typed reading of JSON received from outside: callers, operators, platform.
+//
+// Every reader names the field that is missing or of the wrong type, so that
+// the error can be shown to whoever sent it. Boost.JSON's own depth limit (32)
+// bounds nested input.
+
+#ifndef WAXWING_JSON_H_
+#define WAXWING_JSON_H_
+
+#include <boost/json/fwd.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <tl/expected.hpp>
+
+namespace waxwing {
+
+// What is wrong with a JSON text, for its sender.
+struct json_error {
+  // Dotted path of the field, empty for the whole text.
+  std::string field;
+  std::string problem;
+};
+
+// Parses a text whose top level must be an object.
+tl::expected<boost::json::object, json_error> ParseObject(
+    std::string_view text);
+
+// Required fields.
+tl::expected<std::string, json_error> ReadText(const boost::json::object& from,
+                                               std::string_view field);
+tl::expected<std::int64_t, json_error> ReadInteger(
+    const boost::json::object& from,
+    std::string_view field,
+    std::int64_t minimum,
+    std::int64_t maximum);
+
+// Optional fields: the fallback stands in for a missing one, never for one of
+// the wrong type.
+tl::expected<std::string, json_error> ReadTextOr(
+    const boost::json::object& from,
+    std::string_view field,
+    std::string_view fallback);
+tl::expected<std::int64_t, json_error> ReadIntegerOr(
+    const boost::json::object& from,
+    std::string_view field,
+    std::int64_t minimum,
+    std::int64_t maximum,
+    std::int64_t fallback);
+tl::expected<double, json_error> ReadNumberOr(const boost::json::object& from,
+                                              std::string_view field,
+                                              double minimum,
+                                              double maximum,
+                                              double fallback);
+tl::expected<bool, json_error> ReadBoolOr(const boost::json::object& from,
+                                          std::string_view field,
+                                          bool fallback);
+
+// The member `field` if it is an array, else null.
+const boost::json::array* FindArray(const boost::json::object& from,
+                                    std::string_view field);
+
+// "field: problem", or the problem alone.
+std::string ToText(const json_error& error);
+
+}  // namespace waxwing
+
+#endif  // WAXWING_JSON_H_
--- /dev/null
+++ b/waxwing/log.cc
@@ -0,0 +1,127 @@
+#include "waxwing/log.h"
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <iostream>
+
+namespace waxwing {
+namespace {
+
+struct log_state {
+  std::string program = "waxwing";
+  log_level lowest = log_level::kWarning;
+  boost::log::sources::logger logger;
+};
+
+log_state& State() {
+  static log_state state;
+  return state;
+}
+
+std::string Timestamp() {
+  const auto now = std::chrono::system_clock::now();
+  const std::time_t whole = std::chrono::system_clock::to_time_t(now);
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                      now.time_since_epoch())
+                      .count() %
+                  1000;
+  std::tm parts{};
+  gmtime_r(&whole, &parts);
+  char text[48];
+  std::snprintf(text, sizeof text, "%04d-%02d-%02dT%02d:%02d:%02d.%03dZ",
+                parts.tm_year + 1900, parts.tm_mon + 1, parts.tm_mday,
+                parts.tm_hour, parts.tm_min, parts.tm_sec,
+                static_cast<int>(ms));
+  return text;
+}
+
+void Write(log_level level,
+           std::string_view level_name,
+           std::string_view event,
+           std::initializer_list<log_field> fields) {
+  log_state& state = State();
+  if (level < state.lowest)
+    return;
+  std::string line = "ts=" + Timestamp() + " level=";
+  line += level_name;
+  line += " program=" + state.program + " event=";
+  line += event;
+  for (const log_field& field : fields) {
+    line += ' ';
+    line += field.key;
+    line += '=';
+    line += detail::EscapeLogValue(field.value);
+  }
+  BOOST_LOG(state.logger) << line;
+}
+
+}  // namespace
+
+void StartLog(std::string_view program, log_level lowest) {
+  State().program = program;
+  State().lowest = lowest;
+  boost::log::add_console_log(
+      std::cerr, boost::log::keywords::format = boost::log::expressions::stream
+                                                << boost::log::expressions::smessage,
+      boost::log::keywords::auto_flush = true);
+}
+
+log_level ParseLogLevel(std::string_view text) {
+  if (text == "debug")
+    return log_level::kDebug;
+  if (text == "warning")
+    return log_level::kWarning;
+  if (text == "error")
+    return log_level::kError;
+  return log_level::kInfo;
+}
+
+void LogDebug(std::string_view event, std::initializer_list<log_field> fields) {
+  Write(log_level::kDebug, "debug", event, fields);
+}
+
+void LogInfo(std::string_view event, std::initializer_list<log_field> fields) {
+  Write(log_level::kInfo, "info", event, fields);
+}
+
+void LogWarning(std::string_view event,
+                std::initializer_list<log_field> fields) {
+  Write(log_level::kWarning, "warning", event, fields);
+}
+
+void LogError(std::string_view event, std::initializer_list<log_field> fields) {
+  Write(log_level::kError, "error", event, fields);
+}
+
+namespace detail {
+
+std::string EscapeLogValue(std::string_view value) {
+  bool plain = !value.empty();
+  for (const char c : value)
+    plain = plain && c > ' ' && c < 0x7f && c != '"' && c != '=';
+  if (plain)
+    return std::string(value);
+  std::string out = "\"";
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      out += '\\';
+      out += c;
+    } else if (static_cast<unsigned char>(c) < 0x20 || c == 0x7f) {
+      char hex[8];
+      std::snprintf(hex, sizeof hex, "\\x%02x", static_cast<unsigned char>(c));
+      out += hex;
+    } else {
+      out += c;
+    }
+  }
+  return out + "\"";
+}
+
+}  // namespace detail
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/metrics.cc
@@ -0,0 +1,110 @@
+#include "waxwing/metrics.h"
+
+#include <boost/histogram.hpp>
+#include <cstdio>
+#include <utility>
+
+namespace waxwing {
+
+namespace bh = boost::histogram;
+
+namespace {
+
+using log_axis = bh::axis::regular<double, bh::axis::transform::log>;
+using histogram_type = decltype(bh::make_histogram(std::declval<log_axis>()));
+
+constexpr double kLowestSeconds = 1e-4;
+constexpr double kHighestSeconds = 1e3;
+constexpr unsigned kBins = 140;
+
+}  // namespace
+
+namespace detail {
+
+struct histogram_data {
+  histogram_type bins =
+      bh::make_histogram(log_axis(kBins, kLowestSeconds, kHighestSeconds));
+  std::uint64_t count = 0;
+  double sum_seconds = 0;
+};
+
+}  // namespace detail
+
+latency_histogram MakeLatencyHistogram() {
+  return {std::make_shared<detail::histogram_data>()};
+}
+
+void Observe(latency_histogram& histogram, duration value) {
+  const double s = ToSeconds(value);
+  histogram.data->bins(s);
+  histogram.data->sum_seconds += s;
+  ++histogram.data->count;
+}
+
+double Quantile(const latency_histogram& histogram, double q) {
+  const detail::histogram_data& data = *histogram.data;
+  if (data.count == 0)
+    return 0;
+  const double wanted = q * static_cast<double>(data.count);
+  double seen = data.bins.at(-1);
+  if (seen >= wanted)
+    return kLowestSeconds;
+  for (int i = 0; i < static_cast<int>(kBins); ++i) {
+    seen += data.bins.at(i);
+    if (seen >= wanted)
+      return data.bins.axis(0).bin(i).upper();
+  }
+  return kHighestSeconds;
+}
+
+std::uint64_t CountOf(const latency_histogram& histogram) {
+  return histogram.data->count;
+}
+
+void Merge(latency_histogram& into, const latency_histogram& from) {
+  into.data->bins += from.data->bins;
+  into.data->count += from.data->count;
+  into.data->sum_seconds += from.data->sum_seconds;
+}
+
+void Count(metrics& all, std::string_view name, std::uint64_t n) {
+  const auto found = all.counters.find(name);
+  if (found != all.counters.end())
+    found->second += n;
+  else
+    all.counters.emplace(std::string(name), n);
+}
+
+void Observe(metrics& all, std::string_view name, duration value) {
+  auto found = all.histograms.find(name);
+  if (found == all.histograms.end())
+    found =
+        all.histograms.emplace(std::string(name), MakeLatencyHistogram()).first;
+  Observe(found->second, value);
+}
+
+std::string PrometheusText(const metrics& all) {
+  std::string out;
+  char line[256];
+  for (const auto& [name, value] : all.counters)
+    out += name + " " + std::to_string(value) + "\n";
+  for (const auto& [name, value] : all.gauges) {
+    std::snprintf(line, sizeof line, "%s %.9g\n", name.c_str(), value);
+    out += line;
+  }
+  for (const auto& [name, histogram] : all.histograms) {
+    out += "# TYPE " + name + " summary\n";
+    for (const double q : {0.5, 0.95, 0.99}) {
+      std::snprintf(line, sizeof line, "%s{quantile=\"%g\"} %.6g\n",
+                    name.c_str(), q, Quantile(histogram, q));
+      out += line;
+    }
+    std::snprintf(line, sizeof line, "%s_sum %.6g\n%s_count %llu\n",
+                  name.c_str(), histogram.data->sum_seconds, name.c_str(),
+                  static_cast<unsigned long long>(histogram.data->count));
+    out += line;
+  }
+  return out;
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/placement.cc
@@ -0,0 +1,249 @@
+#include "waxwing/placement.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+#include "waxwing/hash.h"
+
+namespace waxwing {
+namespace {
+
+// Recomputing a token costs its own time and pushes another prefix out.
+constexpr double kRecomputeWeight = 2.0;
+// Homes that are presumed to hold an unknown prefix, best first, and the share
+// of the prompt that each is presumed to hold.
+constexpr std::array<double, 3> kPresumedShare = {0.5, 0.3, 0.15};
+// A counted answer may fall short of the last checkpoint by a block.
+constexpr std::uint32_t kTokenSlack = 32;
+
+struct candidate {
+  std::uint32_t target = 0;
+  std::uint32_t cached = 0;
+  instant since;
+  double cost = std::numeric_limits<double>::infinity();
+};
+
+bool Serves(const target_view& view,
+            const placement_request& request,
+            instant now) {
+  return IsUsable(view, now) && view.serves == request.serves &&
+         (request.version.empty() || view.version == request.version);
+}
+
+// Fills `state.scratch` with the holders that can still be relied on.
+void FindLiveHolders(placement_state& state,
+                     const placement_request& request,
+                     instant now) {
+  state.scratch.clear();
+  FindHolders(state.index, *request.chain, state.scratch);
+  std::erase_if(state.scratch, [&](const prefix_depth& depth) {
+    if (depth.target >= state.targets.size())
+      return true;
+    const target_view& view = state.targets[depth.target];
+    return depth.epoch != view.epoch || now - depth.last_used > view.horizon;
+  });
+}
+
+// The targets with the largest rendezvous weights among those that serve the
+// request, best first; -1 where there are fewer.
+std::array<int, kPresumedShare.size()> FindHomes(
+    const placement_state& state,
+    const placement_request& request,
+    instant now) {
+  std::array<int, kPresumedShare.size()> homes;
+  std::array<std::uint64_t, kPresumedShare.size()> weights{};
+  homes.fill(-1);
+  for (std::size_t i = 0; i < state.targets.size(); ++i) {
+    const target_view& view = state.targets[i];
+    if (!Serves(view, request, now))
+      continue;
+    int home = static_cast<int>(i);
+    std::uint64_t weight =
+        RendezvousWeight(request.chain->head, view.name_hash);
+    for (std::size_t rank = 0; rank < homes.size(); ++rank) {
+      if (homes[rank] < 0 || weight > weights[rank]) {
+        std::swap(homes[rank], home);
+        std::swap(weights[rank], weight);
+      }
+    }
+  }
+  return homes;
+}
+
+std::uint32_t CachedAt(const placement_state& state,
+                       std::uint32_t target,
+                       instant& since) {
+  for (const prefix_depth& depth : state.scratch) {
+    if (depth.target == target) {
+      since = depth.last_used;
+      return depth.tokens;
+    }
+  }
+  return 0;
+}
+
+double CostOf(const placement_state& state,
+              const placement_request& request,
+              std::uint32_t target,
+              double cached) {
+  const target_view& view = state.targets[target];
+  const int queued =
+      target < state.queued.size() ? state.queued[target] : 0;
+  const double missed = std::max(0.0, request.chain->tokens - cached);
+  double cost = ToSeconds(ExpectedWait(view, queued)) +
+                ToSeconds(view.distance) +
+                kRecomputeWeight * missed / view.prefill_tokens_per_second;
+  // The target that has just failed is taken only if there is no other.
+  if (static_cast<int>(target) == request.avoid)
+    cost += 1e6;
+  return cost;
+}
+
+std::optional<placement> PlaceByCost(placement_state& state,
+                                     const placement_request& request,
+                                     bool homes_in_use,
+                                     instant now) {
+  FindLiveHolders(state, request, now);
+  std::array<int, kPresumedShare.size()> homes;
+  homes.fill(-1);
+  // Holders of a part shallower than the head say nothing about the homes.
+  if (homes_in_use && state.scratch.empty())
+    homes = FindHomes(state, request, now);
+  candidate best;
+  bool found = false;
+  for (std::uint32_t i = 0; i < state.targets.size(); ++i) {
+    if (!Serves(state.targets[i], request, now))
+      continue;
+    candidate option{i, 0, now};
+    option.cached = CachedAt(state, i, option.since);
+    double presumed = option.cached;
+    for (std::size_t rank = 0; rank < homes.size(); ++rank) {
+      if (homes[rank] == static_cast<int>(i))
+        presumed = kPresumedShare[rank] * request.chain->tokens;
+    }
+    option.cost = CostOf(state, request, i, presumed);
+    if (!found || option.cost < best.cost)
+      best = option;
+    found = true;
+  }
+  if (!found)
+    return std::nullopt;
+  return placement{best.target, best.cached, best.since,
+                   HasRoom(state.targets[best.target])};
+}
+
+// Walks the usable targets from `start` and gives the first that is best by
+// `better`.
+template <typename Better>
+std::optional<placement> PlaceByOrder(const placement_state& state,
+                                      const placement_request& request,
+                                      std::uint64_t start,
+                                      instant now,
+                                      Better better) {
+  std::optional<std::uint32_t> best;
+  const std::size_t count = state.targets.size();
+  for (std::size_t step = 0; step < count; ++step) {
+    const auto i = static_cast<std::uint32_t>((start + step) % count);
+    const bool avoided = static_cast<int>(i) == request.avoid;
+    if (!Serves(state.targets[i], request, now) || avoided)
+      continue;
+    if (!best || better(state.targets[i], state.targets[*best]))
+      best = i;
+  }
+  if (!best && request.avoid >= 0 &&
+      Serves(state.targets[static_cast<std::size_t>(request.avoid)], request,
+             now))
+    best = static_cast<std::uint32_t>(request.avoid);
+  if (!best)
+    return std::nullopt;
+  return placement{*best, 0, now, HasRoom(state.targets[*best])};
+}
+
+}  // namespace
+
+std::optional<placement_policy> ParsePlacementPolicy(std::string_view word) {
+  if (word == "homes-and-cost")
+    return placement_policy::kHomesAndCost;
+  if (word == "cost-only")
+    return placement_policy::kCostOnly;
+  if (word == "pure-hash")
+    return placement_policy::kPureHash;
+  if (word == "least-loaded")
+    return placement_policy::kLeastLoaded;
+  if (word == "round-robin")
+    return placement_policy::kRoundRobin;
+  if (word == "random")
+    return placement_policy::kRandom;
+  return std::nullopt;
+}
+
+std::optional<placement> Place(placement_state& state,
+                               const placement_request& request,
+                               instant now) {
+  const auto first = [](const target_view&, const target_view&) {
+    return false;
+  };
+  switch (state.policy) {
+    case placement_policy::kHomesAndCost:
+      return PlaceByCost(state, request, true, now);
+    case placement_policy::kCostOnly:
+      return PlaceByCost(state, request, false, now);
+    case placement_policy::kPureHash:
+      return PlaceByOrder(
+          state, request, 0, now,
+          [&](const target_view& a, const target_view& b) {
+            return RendezvousWeight(request.chain->head, a.name_hash) >
+                   RendezvousWeight(request.chain->head, b.name_hash);
+          });
+    case placement_policy::kLeastLoaded:
+      return PlaceByOrder(state, request, request.random, now,
+                          [](const target_view& a, const target_view& b) {
+                            return InFlight(a) < InFlight(b);
+                          });
+    case placement_policy::kRoundRobin:
+      return PlaceByOrder(state, request, state.next_turn++, now, first);
+    case placement_policy::kRandom:
+      return PlaceByOrder(state, request, request.random, now, first);
+  }
+  return std::nullopt;
+}
+
+void NoteDispatch(placement_state& state,
+                  const placement& chosen,
+                  std::uint32_t missed) {
+  target_view& view = state.targets[chosen.target];
+  ++view.own_in_flight;
+  view.own_prefill_backlog += missed;
+}
+
+void NotePrefilled(placement_state& state,
+                   const placement& chosen,
+                   std::uint32_t missed) {
+  target_view& view = state.targets[chosen.target];
+  view.own_prefill_backlog = std::max(0.0, view.own_prefill_backlog - missed);
+}
+
+void NoteFinished(placement_state& state, const placement& chosen) {
+  target_view& view = state.targets[chosen.target];
+  view.own_in_flight = std::max(0, view.own_in_flight - 1);
+}
+
+void LearnFromAnswer(placement_state& state,
+                     const placement& chosen,
+                     std::uint32_t epoch,
+                     const prefix_chain& chain,
+                     std::uint32_t cached_tokens,
+                     instant now) {
+  target_view& view = state.targets[chosen.target];
+  if (epoch != view.epoch)
+    return;
+  if (chosen.cached_tokens > 0) {
+    const bool was_cached = cached_tokens + kTokenSlack >= chosen.cached_tokens;
+    LearnHorizon(view, now - chosen.cached_since, was_cached);
+  }
+  // The target has computed the whole prompt by now.
+  RecordUse(state.index, chain, chain.tokens, chosen.target, epoch, now);
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/prefix.cc
@@ -0,0 +1,70 @@
+#include "waxwing/prefix.h"
+
+#include <algorithm>
+
+#include "waxwing/hash.h"
+
+namespace waxwing {
+namespace {
+
+constexpr std::size_t kHeadMessages = 2;
+
+// Each part is hashed with the chain so far, so that ("ab", "c") and
+// ("a", "bc") differ.
+std::uint64_t ScopeSeed(const cache_scope& scope) {
+  std::uint64_t seed = Hash64(scope.account);
+  seed = Hash64(scope.model, seed);
+  seed = Hash64(scope.version, seed);
+  return Hash64(scope.adapter, seed);
+}
+
+void AppendMessage(const chat_message& message, std::string& text) {
+  text += message.role;
+  text += '\n';
+  text += message.content;
+  text += '\n';
+}
+
+}  // namespace
+
+std::string PromptText(std::span<const chat_message> messages) {
+  std::string text;
+  for (const chat_message& message : messages)
+    AppendMessage(message, text);
+  return text;
+}
+
+prefix_chain ComputePrefix(const cache_scope& scope,
+                           std::span<const chat_message> messages) {
+  prefix_chain out;
+  std::uint64_t hash = ScopeSeed(scope);
+  out.head = hash;
+  std::string text;
+  std::size_t done = 0;
+  const std::size_t head_messages =
+      std::min(kHeadMessages, messages.empty() ? 0 : messages.size() - 1);
+  const auto cut = [&](std::size_t end) {
+    hash = Hash64(std::string_view(text).substr(done, end - done), hash);
+    done = end;
+    out.checkpoints.push_back(
+        {hash, static_cast<std::uint32_t>(end / kBytesPerToken)});
+  };
+  for (std::size_t i = 0; i < messages.size(); ++i) {
+    AppendMessage(messages[i], text);
+    // Checkpoints depend on the text since the last message end only, so that
+    // equal prefixes have equal checkpoints whatever follows.
+    while (text.size() - done > kCheckpointBytes)
+      cut(done + kCheckpointBytes);
+    cut(text.size());
+    if (i + 1 == head_messages)
+      out.head = hash;
+  }
+  // A prompt of one message has its first checkpoint as head.
+  if (head_messages == 0 && !out.checkpoints.empty())
+    out.head = out.checkpoints.front().hash;
+  out.tokens = static_cast<std::uint32_t>(
+      (text.size() + kBytesPerToken - 1) / kBytesPerToken);
+  return out;
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/prefix.h
@@ -0,0 +1,60 @@
+// Identity of cached prompt prefixes.
+//
+// A prompt is cut at checkpoints: every kCheckpointBytes of its text, and at
+// the end of each message. The chain hash at a checkpoint covers everything up
+// to it and is seeded with the client account, model, weights version and
+// adapter, so that no entry can match another account's prompt or older
+// weights.
+
+#ifndef WAXWING_PREFIX_H_
+#define WAXWING_PREFIX_H_
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace waxwing {
+
+// Bytes of prompt text that make about one token.
+inline constexpr std::size_t kBytesPerToken = 4;
+inline constexpr std::size_t kCheckpointBytes = 1024;
+
+// What a cache entry belongs to. Entries of different scopes never match.
+struct cache_scope {
+  std::string_view account;
+  std::string_view model;
+  std::string_view version;
+  std::string_view adapter;
+};
+
+struct chat_message {
+  std::string role;
+  std::string content;
+};
+
+struct checkpoint {
+  std::uint64_t hash = 0;
+  // Tokens from the start of the prompt up to here.
+  std::uint32_t tokens = 0;
+};
+
+struct prefix_chain {
+  // In the order of the prompt; tokens never fall.
+  std::vector<checkpoint> checkpoints;
+  // Hash that chooses the homes: the shared outer levels of the prompt, which
+  // are all messages but the last, two at the most.
+  std::uint64_t head = 0;
+  std::uint32_t tokens = 0;
+};
+
+// The prompt's text as the model sees it; engines cache prefixes of it.
+std::string PromptText(std::span<const chat_message> messages);
+
+prefix_chain ComputePrefix(const cache_scope& scope,
+                           std::span<const chat_message> messages);
+
+}  // namespace waxwing
+
+#endif  // WAXWING_PREFIX_H_
--- /dev/null
+++ b/waxwing/prefix_index.cc
@@ -0,0 +1,146 @@
+#include "waxwing/prefix_index.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace waxwing {
+namespace {
+
+const prefix_entry* Find(const prefix_index& index, std::uint64_t hash) {
+  const auto recent = index.recent.find(hash);
+  if (recent != index.recent.end())
+    return &recent->second;
+  const auto older = index.older.find(hash);
+  return older == index.older.end() ? nullptr : &older->second;
+}
+
+// The entry in the younger generation, moved or made there.
+prefix_entry& Touch(prefix_index& index, std::uint64_t hash) {
+  if (index.recent.size() * 2 >= index.capacity &&
+      !index.recent.contains(hash)) {
+    index.older = std::move(index.recent);
+    index.recent.clear();
+  }
+  const auto [entry, fresh] = index.recent.try_emplace(hash);
+  if (fresh) {
+    const auto older = index.older.find(hash);
+    if (older != index.older.end()) {
+      entry->second = older->second;
+      index.older.erase(older);
+    }
+  }
+  return entry->second;
+}
+
+void SetHolder(prefix_entry& entry, const prefix_holder& holder) {
+  const auto begin = entry.holders.begin();
+  const auto end = begin + entry.count;
+  auto slot = std::find_if(begin, end, [&](const prefix_holder& h) {
+    return h.target == holder.target;
+  });
+  if (slot == end) {
+    if (entry.count < kHoldersPerPrefix) {
+      ++entry.count;
+    } else {
+      slot = std::min_element(
+          begin, end, [](const prefix_holder& a, const prefix_holder& b) {
+            return a.last_used < b.last_used;
+          });
+    }
+  }
+  *slot = holder;
+}
+
+void RemoveHolder(prefix_entry& entry, std::uint32_t target) {
+  for (std::uint32_t i = 0; i < entry.count; ++i) {
+    if (entry.holders[i].target == target) {
+      entry.holders[i] = entry.holders[--entry.count];
+      return;
+    }
+  }
+}
+
+// Number of leading checkpoints that are in the index.
+std::size_t CountPresent(const prefix_index& index,
+                         const prefix_chain& chain) {
+  std::size_t low = 0;
+  std::size_t high = chain.checkpoints.size();
+  while (low < high) {
+    const std::size_t middle = (low + high) / 2;
+    if (Find(index, chain.checkpoints[middle].hash))
+      low = middle + 1;
+    else
+      high = middle;
+  }
+  return low;
+}
+
+void AddDepths(const prefix_entry& entry,
+               std::uint32_t tokens,
+               std::size_t first,
+               std::vector<prefix_depth>& out) {
+  for (std::uint32_t i = 0; i < entry.count; ++i) {
+    const prefix_holder& holder = entry.holders[i];
+    const bool known = std::any_of(
+        out.begin() + static_cast<std::ptrdiff_t>(first), out.end(),
+        [&](const prefix_depth& d) {
+          return d.target == holder.target && d.epoch == holder.epoch;
+        });
+    if (!known)
+      out.push_back({holder.target, holder.epoch, tokens, holder.last_used});
+  }
+}
+
+}  // namespace
+
+void RecordUse(prefix_index& index,
+               const prefix_chain& chain,
+               std::uint32_t tokens,
+               std::uint32_t target,
+               std::uint32_t epoch,
+               instant now) {
+  for (const checkpoint& point : chain.checkpoints) {
+    if (point.tokens > tokens)
+      break;
+    SetHolder(Touch(index, point.hash), {target, epoch, now});
+  }
+}
+
+void ForgetBelow(prefix_index& index,
+                 const prefix_chain& chain,
+                 std::uint32_t tokens,
+                 std::uint32_t target) {
+  for (const checkpoint& point : chain.checkpoints) {
+    if (point.tokens <= tokens)
+      continue;
+    const auto recent = index.recent.find(point.hash);
+    if (recent != index.recent.end())
+      RemoveHolder(recent->second, target);
+    const auto older = index.older.find(point.hash);
+    if (older != index.older.end())
+      RemoveHolder(older->second, target);
+  }
+}
+
+void FindHolders(const prefix_index& index,
+                 const prefix_chain& chain,
+                 std::vector<prefix_depth>& out) {
+  const std::size_t first = out.size();
+  std::size_t at = CountPresent(index, chain);
+  // Steps towards the start double: a holder of a shallow part only matters
+  // roughly, and the deepest one is always found.
+  std::size_t step = 1;
+  while (at > 0) {
+    const checkpoint& point = chain.checkpoints[at - 1];
+    if (const prefix_entry* entry = Find(index, point.hash))
+      AddDepths(*entry, point.tokens, first, out);
+    at = at > step ? at - step : 0;
+    step *= 2;
+  }
+}
+
+std::size_t SizeOf(const prefix_index& index) {
+  return index.recent.size() + index.older.size();
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/retry.cc
@@ -0,0 +1,18 @@
+#include "waxwing/retry.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+void EarnRetry(retry_budget& budget) {
+  budget.balance = std::min(budget.most, budget.balance + budget.share);
+}
+
+bool SpendRetry(retry_budget& budget) {
+  if (budget.balance < 1)
+    return false;
+  budget.balance -= 1;
+  return true;
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/router.cc
@@ -0,0 +1,359 @@
+#include "waxwing/router.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include "waxwing/hash.h"
+#include "waxwing/log.h"
+#include "waxwing/router_state.h"
+
+namespace waxwing {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr milliseconds kQueueTick{20};
+constexpr milliseconds kLedgerSweep{1'000};
+constexpr milliseconds kDrainPoll{10};
+constexpr std::size_t kTicketsPerVm = 8;
+
+asio::awaitable<void> SendError(http_exchange& exchange,
+                                const api_error& error) {
+  http_response answer = ErrorResponse(error);
+  co_await Respond(exchange, answer);
+}
+
+// Finds the client account of a request and fills in what follows from it.
+tl::expected<admitted_request, api_error> Identify(router_state& state,
+                                                   const http_request& from) {
+  auto options = ParseRequestOptions(from.headers);
+  if (!options)
+    return tl::unexpected(options.error());
+  if (state.active->generation == 0)
+    return tl::unexpected(api_error{503, "starting",
+                                    "no configuration is in force yet",
+                                    ran::kNo, seconds(1)});
+  const auto name = state.account_of_key.find(options->account_key);
+  if (options->account_key.empty() || name == state.account_of_key.end())
+    return tl::unexpected(api_error{401, "unknown_account",
+                                    "the key belongs to no client account",
+                                    ran::kNo, {}});
+  admitted_request out;
+  out.account = name->second;
+  out.id = state.options.vm + "-" + ToHex(state.process_incarnation) + "-" +
+           std::to_string(state.next_request++);
+  out.arrived = std::chrono::steady_clock::now();
+  out.deadline = out.arrived + options->deadline;
+  const account_config& account = state.active->accounts.at(out.account);
+  const int allowed = PriorityOf(account, UnixNow());
+  // A caller may lower its priority, never raise it.
+  out.priority = options->priority < 0 ? allowed
+                                       : std::min(options->priority, allowed);
+  out.options = std::move(*options);
+  EarnRetry(state.retries[out.account]);
+  return out;
+}
+
+asio::awaitable<void> HandleChat(const router_ptr& state,
+                                 http_exchange& exchange) {
+  const auto request = Identify(*state, exchange.request);
+  if (!request) {
+    co_await SendError(exchange, request.error());
+    co_return;
+  }
+  const auto chat = ParseChatRequest(exchange.request.body);
+  if (!chat) {
+    co_await SendError(exchange, chat.error());
+    co_return;
+  }
+  if (!state->active->models.contains(chat->model)) {
+    const api_error error{404, "unknown_model", "the model is not configured",
+                          ran::kNo, {}};
+    co_await SendError(exchange, error);
+    co_return;
+  }
+  std::optional<ticket_id> claimed;
+  if (request->options.non_idempotent) {
+    ticket_id id;
+    if (!co_await ClaimTicket(state, exchange, *request, id))
+      co_return;
+    claimed = id;
+  }
+  co_await RunChat(state, exchange, *request, *chat, claimed);
+}
+
+asio::awaitable<void> HandleService(const router_ptr& state,
+                                    http_exchange& exchange) {
+  const auto request = Identify(*state, exchange.request);
+  if (!request) {
+    co_await SendError(exchange, request.error());
+    co_return;
+  }
+  std::string_view path = PathOf(exchange.request.target);
+  path.remove_prefix(std::string_view("/v1/services/").size());
+  const std::size_t slash = std::min(path.find('/'), path.size());
+  const std::string name(path.substr(0, slash));
+  const std::string rest(path.substr(slash));
+  if (!state->active->services.contains(name)) {
+    const api_error error{404, "unknown_service",
+                          "the service is not configured", ran::kNo, {}};
+    co_await SendError(exchange, error);
+    co_return;
+  }
+  std::optional<ticket_id> claimed;
+  if (request->options.non_idempotent ||
+      IsNonIdempotentPath(*state->active, name, rest)) {
+    ticket_id id;
+    if (!co_await ClaimTicket(state, exchange, *request, id))
+      co_return;
+    claimed = id;
+  }
+  co_await RunService(state, exchange, *request, claimed);
+}
+
+// Where the account should connect, for how long that answer holds, and tickets
+// for its non-idempotent requests there.
+asio::awaitable<void> HandleEntry(const router_ptr& state,
+                                  http_exchange& exchange) {
+  const auto request = Identify(*state, exchange.request);
+  if (!request) {
+    co_await SendError(exchange, request.error());
+    co_return;
+  }
+  const auto vms =
+      ChooseEntryVms(state->members, request->account, state->options.zone,
+                     state->options.entry_vms);
+  json::array addresses;
+  json::array tickets;
+  for (const member& vm : vms) {
+    addresses.push_back(json::value(ToText(vm.router)));
+    for (std::size_t i = 0; i < kTicketsPerVm; ++i)
+      tickets.push_back(
+          json::value(MintTicket(*state, request->account, vm)));
+  }
+  const http_response answer = JsonResponse(
+      200, json::serialize(json::object{
+               {"addresses", std::move(addresses)},
+               {"lifetime_ms", state->options.entry_lifetime.count()},
+               {"tickets", std::move(tickets)}}));
+  co_await Respond(exchange, answer);
+}
+
+http_response HealthPage(const router_state& state) {
+  return JsonResponse(
+      200, json::serialize(json::object{
+               {"vm", state.options.vm},
+               {"generation", state.active->generation},
+               {"agent", IsOpen(state.agent.link)},
+               {"draining", state.draining},
+               {"waiting", state.queue.waiting.size()},
+               {"targets", state.placement.targets.size()}}));
+}
+
+http_response MetricsPage(router_state& state) {
+  state.stats.gauges["waxwing_generation"] =
+      static_cast<double>(state.active->generation);
+  state.stats.gauges["waxwing_waiting"] =
+      static_cast<double>(state.queue.waiting.size());
+  state.stats.gauges["waxwing_ledger_entries"] =
+      static_cast<double>(state.book.entries.size());
+  state.stats.gauges["waxwing_prefix_entries"] =
+      static_cast<double>(SizeOf(state.placement.index));
+  return {200,
+          {{"Content-Type", "text/plain; version=0.0.4"}},
+          PrometheusText(state.stats)};
+}
+
+asio::awaitable<void> Handle(router_ptr state, http_exchange& exchange) {
+  const std::string_view path = PathOf(exchange.request.target);
+  const bool is_post = exchange.request.method == "POST";
+  Count(state->stats, "waxwing_requests_total");
+  if (is_post && path == "/v1/chat/completions") {
+    co_await HandleChat(state, exchange);
+  } else if (path.starts_with("/v1/services/")) {
+    co_await HandleService(state, exchange);
+  } else if (path == "/v1/entry") {
+    co_await HandleEntry(state, exchange);
+  } else {
+    http_response answer = ErrorResponse(
+        {404, "no_such_path", "there is nothing at this path", ran::kNo, {}});
+    if (path == "/healthz")
+      answer = HealthPage(*state);
+    else if (path == "/metrics")
+      answer = MetricsPage(*state);
+    co_await Respond(exchange, answer);
+  }
+}
+
+// Requests may wait for a target to become usable again, which no event tells.
+asio::awaitable<void> QueueTicks(router_ptr state) {
+  while (co_await Pause(state->root, kQueueTick))
+    GrantTargets(*state);
+}
+
+asio::awaitable<void> LedgerSweeps(router_ptr state) {
+  while (co_await Pause(state->root, kLedgerSweep))
+    Prune(state->book, UnixNow());
+}
+
+target_view MakeView(const target_config& target, std::string_view own_zone) {
+  target_view view;
+  view.name = target.name;
+  view.name_hash = Hash64(target.name);
+  view.serves = target.serves;
+  view.version = target.version;
+  view.zone = target.zone;
+  view.address = target.address;
+  view.usable = !target.leaving;
+  if (target.zone != own_zone)
+    view.distance = milliseconds(1);
+  return view;
+}
+
+// Brings one target in line with the configuration. Places in the list stay,
+// since the prefix index refers to them.
+void InstallTarget(router_state& state, const target_config& target) {
+  for (target_view& view : state.placement.targets) {
+    if (view.name != target.name)
+      continue;
+    if (view.address != target.address || view.serves != target.serves) {
+      const std::uint32_t epoch = view.epoch;
+      const int in_flight = view.own_in_flight;
+      view = MakeView(target, state.options.zone);
+      view.epoch = epoch + 1;
+      view.own_in_flight = in_flight;
+    }
+    if (target.leaving)
+      view.usable = false;
+    return;
+  }
+  state.placement.targets.push_back(MakeView(target, state.options.zone));
+}
+
+void InstallAccounts(router_state& state) {
+  const instant now = std::chrono::steady_clock::now();
+  std::size_t alive = 0;
+  for (const auto& [vm, record] : state.members.members)
+    alive += record.data.status == member_status::kAlive;
+  // An account's load spreads evenly over its entry VMs.
+  const double shares = static_cast<double>(
+      std::clamp<std::size_t>(alive, 1, state.options.entry_vms));
+  state.account_of_key.clear();
+  for (const auto& [name, account] : state.active->accounts) {
+    state.account_of_key[account.key] = name;
+    const double rate =
+        static_cast<double>(account.tokens_per_second) / shares;
+    const double burst = static_cast<double>(account.burst_tokens) / shares;
+    const auto found = state.buckets.find(name);
+    if (found == state.buckets.end())
+      state.buckets[name] = MakeTokenBucket(rate, burst, now);
+    else
+      SetLimit(found->second, rate, burst, now);
+  }
+  std::erase_if(state.buckets, [&](const auto& bucket) {
+    return !state.active->accounts.contains(bucket.first);
+  });
+}
+
+router_ptr MakeState(asio::any_io_executor executor,
+                     const router_options& options) {
+  auto state = std::make_shared<router_state>();
+  state->executor = executor;
+  state->options = options;
+  state->started = std::chrono::steady_clock::now();
+  state->root = MakeSupervisor(executor, "router", {});
+  state->pool = MakeHttpPool(executor, {});
+  state->placement.policy = options.policy;
+  state->process_incarnation = RandomId();
+  // Without an agent nothing outlives the process.
+  if (!options.agent)
+    state->vm_incarnation = state->process_incarnation;
+  state->random.seed(options.seed != 0 ? options.seed : RandomId());
+  state->members.self = options.vm;
+  return state;
+}
+
+}  // namespace
+
+void InstallConfig(router_state& state, config fresh) {
+  if (fresh.generation <= state.active->generation)
+    return;
+  state.active = std::make_shared<const config>(std::move(fresh));
+  for (target_view& view : state.placement.targets) {
+    if (!state.active->targets.contains(view.name))
+      view.usable = false;
+  }
+  for (const auto& [name, target] : state.active->targets)
+    InstallTarget(state, target);
+  InstallAccounts(state);
+  GrantTargets(state);
+  LogInfo("config_in_force", {{"generation", state.active->generation},
+                              {"targets", state.active->targets.size()},
+                              {"accounts", state.active->accounts.size()}});
+}
+
+bool MayRetry(router_state& state, const std::string& account) {
+  const bool allowed = SpendRetry(state.retries[account]);
+  if (!allowed)
+    Count(state.stats, "waxwing_retries_refused_total");
+  return allowed;
+}
+
+tl::expected<router, std::string> StartRouter(asio::any_io_executor executor,
+                                              const router_options& options) {
+  router_ptr state = MakeState(executor, options);
+  auto server = StartHttpServer(
+      executor, options.address, options.limits,
+      [weak = std::weak_ptr<router_state>(state)](
+          http_exchange& exchange) -> asio::awaitable<void> {
+        if (auto locked = weak.lock())
+          co_await Handle(locked, exchange);
+      });
+  if (!server)
+    return tl::unexpected(server.error());
+  state->server = *server;
+  Supervise(state->root, "queue_ticks", [state] { return QueueTicks(state); });
+  Supervise(state->root, "ledger_sweeps",
+            [state] { return LedgerSweeps(state); });
+  if (options.agent)
+    Supervise(state->root, "agent_client",
+              [state] { return RunAgentClient(state); });
+  LogInfo("router_started",
+          {{"vm", options.vm}, {"address", ToText(server->address)}});
+  return router{state, server->address};
+}
+
+void ApplyConfig(router& of, config fresh) {
+  InstallConfig(*of.state, std::move(fresh));
+}
+
+asio::awaitable<bool> DrainRouter(router& of) {
+  const router_ptr state = of.state;
+  state->draining = true;
+  LogInfo("drain_started", {{"open", OpenExchanges(state->server)}});
+  StopAccepting(state->server);
+  const instant limit =
+      std::chrono::steady_clock::now() + state->options.drain_limit;
+  while (OpenExchanges(state->server) > 0 &&
+         std::chrono::steady_clock::now() < limit)
+    co_await Pause(state->root, kDrainPoll);
+  const std::size_t left = OpenExchanges(state->server);
+  LogInfo("drain_ended", {{"open", left}});
+  StopRouter(of);
+  co_return left == 0;
+}
+
+void StopRouter(router& of) {
+  StopSupervisor(of.state->root);
+  ClosePeer(of.state->agent.link);
+  CloseServer(of.state->server);
+}
+
+std::size_t OpenRequests(const router& of) {
+  return OpenExchanges(of.state->server);
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/target_view.h
@@ -0,0 +1,90 @@
+// What a router believes about one target: its load, its speed, and how long
+// it keeps cached prefixes.
+//
+// Reports arrive late. The view therefore adds this router's own dispatches
+// since, and takes from a report only the work of others.
+
+#ifndef WAXWING_TARGET_VIEW_H_
+#define WAXWING_TARGET_VIEW_H_
+
+#include <cstdint>
+#include <string>
+
+#include "waxwing/types.h"
+
+namespace waxwing {
+
+// A load report of a target, as the digest of its zone passes it on.
+struct target_report {
+  std::uint64_t boot_id = 0;
+  std::string version;
+  int slots = 0;
+  int in_flight = 0;
+  double prefill_tokens_per_second = 0;
+  bool leaving = false;
+};
+
+struct target_view {
+  std::string name;
+  std::uint64_t name_hash = 0;
+  std::string serves;
+  std::string version;
+  std::string zone;
+  endpoint address;
+  // In the configuration, and not leaving.
+  bool usable = true;
+  // Rises when the boot id or the weights version changes.
+  std::uint32_t epoch = 1;
+  std::uint64_t boot_id = 0;
+  // Requests that it runs at once; more would queue inside it.
+  int slots = 8;
+  int own_in_flight = 0;
+  int others_in_flight = 0;
+  // Prompt tokens that this router has sent and that are not computed yet.
+  double own_prefill_backlog = 0;
+  double prefill_tokens_per_second = 10'000;
+  // Time a request occupies a slot, a moving average.
+  duration mean_service = milliseconds(1'000);
+  // Age up to which an unused prefix is expected to be cached.
+  duration horizon = seconds(60);
+  // No new work before this time, after failures.
+  instant avoid_until;
+  int failures_in_a_row = 0;
+  // Added cost of reaching it, for targets in other zones.
+  duration distance{};
+};
+
+// Takes in a report. True if the epoch rose.
+bool ApplyReport(target_view& view, const target_report& report);
+
+// Notes the boot id and version that came with an answer. True if the epoch
+// rose.
+bool ApplyIdentity(target_view& view,
+                   std::uint64_t boot_id,
+                   const std::string& version);
+
+// Learns the eviction horizon: a prefix last used `age` ago was (not) cached.
+void LearnHorizon(target_view& view, duration age, bool was_cached);
+
+// Notes a failure of the target; avoids it for a time that doubles with each
+// further one.
+void NoteFailure(target_view& view, instant now);
+
+// Notes an answered request that held a slot for `service`.
+void NoteSuccess(target_view& view, duration service);
+
+// Requests it runs now, of all routers.
+int InFlight(const target_view& view);
+
+// True if the target takes new work at `now` at all.
+bool IsUsable(const target_view& view, instant now);
+
+// True if a new request would not queue inside it.
+bool HasRoom(const target_view& view);
+
+// Expected wait of a new request that has `queued` others before it here.
+duration ExpectedWait(const target_view& view, int queued);
+
+}  // namespace waxwing
+
+#endif  // WAXWING_TARGET_VIEW_H_
--- /dev/null
+++ b/waxwing/types.h
@@ -0,0 +1,57 @@
+// Basic vocabulary shared by every module: time and addresses.
+//
+// Decision code never reads a clock. It receives the current time as an
+// argument, so that tests can move time freely.
+
+#ifndef WAXWING_TYPES_H_
+#define WAXWING_TYPES_H_
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace waxwing {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A point on the process's own monotonic clock. Never compared between VMs.
+using instant = std::chrono::steady_clock::time_point;
+using duration = std::chrono::steady_clock::duration;
+
+// Milliseconds since the Unix epoch, by the VM's wall clock, which may step.
+using unix_ms = std::int64_t;
+
+// An IP number and a port.
+struct endpoint {
+  std::string host;
+  std::uint16_t port = 0;
+
+  auto operator<=>(const endpoint&) const = default;
+};
+
+// Writes `address` as "host:port".
+inline std::string ToText(const endpoint& address) {
+  return address.host + ":" + std::to_string(address.port);
+}
+
+inline unix_ms UnixNow() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+inline double ToSeconds(duration d) {
+  return std::chrono::duration<double>(d).count();
+}
+
+inline duration FromSeconds(double s) {
+  return std::chrono::duration_cast<duration>(std::chrono::duration<double>(s));
+}
+
+}  // namespace waxwing
+
+#endif  // WAXWING_TYPES_H_
--- /dev/null
+++ b/waxwing/waiting.cc
@@ -0,0 +1,161 @@
+// Limits of client accounts and the queue in front of the targets.
+//
+// Targets get no more requests than they run at once, so that waiting requests
+// stand here, where priorities can still reorder them. What can't be served by
+// its deadline is refused as soon as that is known.
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+#include "waxwing/router_state.h"
+
+namespace waxwing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+// Waiting requests looked at when a target has room.
+constexpr std::size_t kScanLimit = 128;
+// Longest wait for a target to become usable at all.
+constexpr milliseconds kNoTargetWait{1'500};
+constexpr milliseconds kShortestRetryAfter{1'000};
+
+api_error Refusal(unsigned status,
+                  std::string_view type,
+                  std::string_view message,
+                  duration retry_after) {
+  return {status, std::string(type), std::string(message), ran::kNo,
+          std::max<duration>(retry_after, kShortestRetryAfter)};
+}
+
+bool AnyRoom(const router_state& state, instant now) {
+  return std::any_of(state.placement.targets.begin(),
+                     state.placement.targets.end(),
+                     [&](const target_view& view) {
+                       return IsUsable(view, now) && HasRoom(view);
+                     });
+}
+
+// Prompt tokens that the chosen target is expected to compute.
+std::uint32_t MissedTokens(const waiting_request& request,
+                           const placement& chosen) {
+  const std::uint32_t tokens = request.wanted.chain->tokens;
+  return tokens - std::min(tokens, chosen.cached_tokens);
+}
+
+void Grant(router_state& state,
+           waiting_request& request,
+           const placement& chosen) {
+  NoteDispatch(state.placement, chosen, MissedTokens(request, chosen));
+  request.granted = chosen;
+  request.granted_or_late.cancel();
+}
+
+// Why a request that is not granted at once must be refused at once, if so.
+std::optional<api_error> RefuseEarly(router_state& state,
+                                     const waiting_request& request,
+                                     instant deadline,
+                                     instant now) {
+  const auto best = Place(state.placement, request.wanted, now);
+  if (!best)
+    return std::nullopt;
+  const target_view& view = state.placement.targets[best->target];
+  const int queued = state.placement.queued[best->target];
+  const duration wait = ExpectedWait(view, queued);
+  if (now + wait <= deadline)
+    return std::nullopt;
+  return Refusal(503, "would_miss_deadline",
+                 "the expected wait exceeds the deadline", wait);
+}
+
+}  // namespace
+
+tl::expected<void, api_error> TakeAccountTokens(router_state& state,
+                                                const std::string& account,
+                                                double work) {
+  const auto found = state.buckets.find(account);
+  if (found == state.buckets.end())
+    return {};
+  const duration wait =
+      TakeTokens(found->second, work, std::chrono::steady_clock::now());
+  if (wait == duration::zero())
+    return {};
+  Count(state.stats, "waxwing_refused_total{reason=\"account_limit\"}");
+  return tl::unexpected(Refusal(429, "account_limit",
+                                "the client account's limit is reached", wait));
+}
+
+void GrantTargets(router_state& state) {
+  const instant now = std::chrono::steady_clock::now();
+  if (state.queue.waiting.empty() || !AnyRoom(state, now))
+    return;
+  state.placement.queued.assign(state.placement.targets.size(), 0);
+  std::size_t looked_at = 0;
+  auto next = state.queue.waiting.begin();
+  while (next != state.queue.waiting.end() && looked_at++ < kScanLimit) {
+    const queue_position position = *next++;
+    waiting_request& request = *state.waiting.at(position.id);
+    const auto chosen = Place(state.placement, request.wanted, now);
+    if (!chosen)
+      continue;
+    if (!chosen->has_room) {
+      ++state.placement.queued[chosen->target];
+      continue;
+    }
+    state.waiting.erase(position.id);
+    Serve(state.queue, position);
+    Grant(state, request, *chosen);
+  }
+}
+
+asio::awaitable<tl::expected<placement, api_error>> WaitForTarget(
+    const router_ptr& state,
+    const admitted_request& request,
+    placement_request wanted,
+    double work) {
+  if (state->queue.waiting.size() >= state->options.queue_limit)
+    co_return tl::unexpected(
+        Refusal(503, "queue_full", "too many requests wait", seconds(2)));
+  waiting_request waiting(state->executor);
+  waiting.wanted = wanted;
+  waiting.wanted.random = state->random();
+  const std::uint64_t number = state->next_request++;
+  waiting.position = Push(state->queue, request.account, request.priority, work,
+                          number);
+  state->waiting[number] = &waiting;
+  state->placement.queued.resize(state->placement.targets.size(), 0);
+  GrantTargets(*state);
+  const instant now = std::chrono::steady_clock::now();
+  std::optional<api_error> refusal;
+  bool has_target = true;
+  if (!waiting.granted) {
+    refusal = RefuseEarly(*state, waiting, request.deadline, now);
+    has_target = Place(state->placement, waiting.wanted, now).has_value();
+  }
+  if (!waiting.granted && !refusal) {
+    const instant limit =
+        has_target ? request.deadline
+                   : std::min(request.deadline, now + kNoTargetWait);
+    waiting.granted_or_late.expires_at(limit);
+    co_await waiting.granted_or_late.async_wait(kUseTuple);
+  }
+  if (waiting.granted)
+    co_return *waiting.granted;
+  state->waiting.erase(number);
+  Drop(state->queue, waiting.position);
+  if (!refusal) {
+    refusal = has_target
+                  ? Refusal(503, "deadline_passed",
+                            "no target had room before the deadline",
+                            seconds(1))
+                  : Refusal(503, "no_target",
+                            "no target serves this now", seconds(2));
+  }
+  Count(state->stats,
+        "waxwing_refused_total{reason=\"" + refusal->type + "\"}");
+  co_return tl::unexpected(*refusal);
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/wire_convert.h
@@ -0,0 +1,32 @@
+// Conversion between the messages on the wire and the library's own types.
+
+#ifndef WAXWING_WIRE_CONVERT_H_
+#define WAXWING_WIRE_CONVERT_H_
+
+#include <optional>
+
+#include "schema/wire_generated.h"
+#include "waxwing/ledger.h"
+#include "waxwing/membership.h"
+#include "waxwing/target_view.h"
+
+namespace waxwing {
+
+wire::member_recordT ToWire(const member& from);
+
+// Fails on a status that this version does not know.
+std::optional<member> FromWire(const wire::member_recordT& from);
+
+wire::ledger_noteT ToWire(const ticket_id& id,
+                          const ledger_entry& entry,
+                          std::uint64_t number);
+
+// Fails on a step that this version does not know.
+std::optional<ledger_entry> FromWire(const wire::ledger_noteT& from,
+                                     ticket_id& id);
+
+target_report FromWire(const wire::target_digestT& from);
+
+}  // namespace waxwing
+
+#endif  // WAXWING_WIRE_CONVERT_H_
