--- /dev/null
+++ b/programs/waxwing_load.cc
@@ -0,0 +1,130 @@
+// waxwing-load: an open-loop load with a report.
+
+#include <boost/asio.hpp>
+#include <cstdio>
+#include <fstream>
+
+#include "standin/load.h"
+#include "waxwing/settings.h"
+
+namespace {
+
+using waxwing::setting;
+using waxwing::setting_kind;
+
+constexpr setting kTable[] = {
+    {.name = "routers",
+     .kind = setting_kind::kEndpointList,
+     .help = "routers to ask for entry addresses",
+     .required = true},
+    {.name = "shape",
+     .kind = setting_kind::kChoice,
+     .default_value = "vannbrudd",
+     .help = "whose traffic",
+     .choices = "vannbrudd|ergastirio"},
+    {.name = "rate",
+     .kind = setting_kind::kNumber,
+     .default_value = "40",
+     .help = "requests a second",
+     .minimum = 0.1,
+     .maximum = 100000},
+    {.name = "seconds",
+     .kind = setting_kind::kInteger,
+     .default_value = "20",
+     .help = "length of the trace",
+     .minimum = 1,
+     .maximum = 86400},
+    {.name = "surge",
+     .kind = setting_kind::kNumber,
+     .default_value = "1",
+     .help = "factor on the rate in the middle third",
+     .minimum = 1,
+     .maximum = 100},
+    {.name = "seed",
+     .kind = setting_kind::kInteger,
+     .default_value = "1",
+     .help = "seed of the trace"},
+    {.name = "entry",
+     .kind = setting_kind::kFlag,
+     .default_value = "true",
+     .help = "ask the routers where to go; false: use them in turn"},
+    {.name = "report", .help = "file for the HTML report"},
+    {.name = "quiet",
+     .kind = setting_kind::kFlag,
+     .default_value = "false",
+     .help = "show no progress"},
+};
+
+standin::trace_options MakeTraceOptions(const waxwing::settings& all) {
+  standin::trace_options out;
+  out.shape = GetText(all, "shape") == "vannbrudd"
+                  ? standin::deployment::kVannbrudd
+                  : standin::deployment::kErgastirio;
+  out.seed = static_cast<std::uint64_t>(GetInteger(all, "seed"));
+  out.requests_per_second = GetNumber(all, "rate");
+  out.length = waxwing::milliseconds(GetInteger(all, "seconds") * 1000);
+  out.surge_factor = GetNumber(all, "surge");
+  out.surge_from = out.length / 3;
+  out.surge_to = out.length * 2 / 3;
+  return out;
+}
+
+void ShowLine(const standin::load_result& result) {
+  std::fprintf(
+      stderr, "\r%6zu s  %7llu sent  %7llu whole  %5llu refused  %5llu other ",
+      result.seconds.size(), static_cast<unsigned long long>(result.requests),
+      static_cast<unsigned long long>(result.whole),
+      static_cast<unsigned long long>(result.refused),
+      static_cast<unsigned long long>(result.failed + result.lost +
+                                      result.wrong));
+}
+
+int Report(const waxwing::settings& all, const standin::load_result& result) {
+  if (!GetFlag(all, "quiet"))
+    std::fprintf(stderr, "\n");
+  std::printf("%s", standin::ResultTable(result).c_str());
+  for (const std::string& complaint : result.complaints)
+    std::printf("  note: %s\n", complaint.c_str());
+  const std::string path = GetText(all, "report");
+  if (!path.empty()) {
+    std::ofstream file(path);
+    file << standin::ResultHtml(result,
+                                "waxwing-load, " + GetText(all, "shape"));
+    if (!file) {
+      std::fprintf(stderr, "waxwing-load: can't write %s\n", path.c_str());
+      return waxwing::kExitFailure;
+    }
+  }
+  return result.lost + result.wrong == 0 ? waxwing::kExitSuccess
+                                         : waxwing::kExitFailure;
+}
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  const auto read =
+      waxwing::ReadSettingsOrExitCode("waxwing-load", kTable, argc, argv);
+  if (!read)
+    return read.error();
+  const standin::trace_options trace = MakeTraceOptions(*read);
+  standin::load_options options;
+  options.routers = GetEndpoints(*read, "routers");
+  options.model = standin::ModelOf(trace.shape);
+  options.use_entry = GetFlag(*read, "entry");
+  if (!GetFlag(*read, "quiet"))
+    options.progress = ShowLine;
+  boost::asio::io_context context(1);
+  standin::load_result result;
+  boost::asio::co_spawn(
+      context,
+      standin::RunLoad(context.get_executor(), standin::MakeTrace(trace),
+                       options),
+      [&](const std::exception_ptr& failure, standin::load_result done) {
+        if (failure)
+          std::rethrow_exception(failure);
+        result = std::move(done);
+        context.stop();
+      });
+  context.run();
+  return Report(*read, result);
+}
--- /dev/null
+++ b/programs/waxwing_router.cc
@@ -0,0 +1,124 @@
+// waxwing-router: the data path of an entry VM.
+
+#include <boost/asio/io_context.hpp>
+#include <cstdio>
+
+#include "waxwing/log.h"
+#include "waxwing/program.h"
+#include "waxwing/router.h"
+#include "waxwing/settings.h"
+
+namespace {
+
+using waxwing::setting;
+using waxwing::setting_kind;
+
+constexpr setting kTable[] = {
+    {.name = "vm", .help = "name of this VM", .required = true},
+    {.name = "zone", .help = "availability zone of this VM", .required = true},
+    {.name = "listen",
+     .kind = setting_kind::kEndpoint,
+     .help = "address for callers",
+     .required = true},
+    {.name = "agent",
+     .kind = setting_kind::kEndpoint,
+     .help = "address of this VM's agent",
+     .required = true},
+    {.name = "key",
+     .help = "key shared by all routers and agents",
+     .required = true},
+    {.name = "policy",
+     .kind = setting_kind::kChoice,
+     .default_value = "homes-and-cost",
+     .help = "placement policy; all but the first are for comparison",
+     .choices = waxwing::kPlacementPolicyWords},
+    {.name = "body-bytes",
+     .kind = setting_kind::kInteger,
+     .default_value = "4194304",
+     .help = "largest request body",
+     .minimum = 1024,
+     .maximum = 67108864},
+    {.name = "connections",
+     .kind = setting_kind::kInteger,
+     .default_value = "4096",
+     .help = "most connections of callers at once",
+     .minimum = 1,
+     .maximum = 100000},
+    {.name = "queue-limit",
+     .kind = setting_kind::kInteger,
+     .default_value = "4000",
+     .help = "most requests waiting at once",
+     .minimum = 1,
+     .maximum = 100000},
+    {.name = "entry-vms",
+     .kind = setting_kind::kInteger,
+     .default_value = "2",
+     .help = "entry VMs that a client account is told to use",
+     .minimum = 1,
+     .maximum = 16},
+    {.name = "entry-lifetime-ms",
+     .kind = setting_kind::kInteger,
+     .default_value = "10000",
+     .help = "how long callers may keep an entry answer",
+     .minimum = 100,
+     .maximum = 600000},
+    {.name = "linger-ms",
+     .kind = setting_kind::kInteger,
+     .default_value = "10000",
+     .help = "on SIGTERM, time to go on serving callers that hold the address",
+     .minimum = 0,
+     .maximum = 600000},
+    {.name = "drain-limit-ms",
+     .kind = setting_kind::kInteger,
+     .default_value = "120000",
+     .help = "on SIGTERM, longest wait for requests in flight",
+     .minimum = 0,
+     .maximum = 3600000},
+    {.name = "log-level",
+     .kind = setting_kind::kChoice,
+     .default_value = "info",
+     .help = "lowest level that is logged",
+     .choices = "debug|info|warning|error"},
+};
+
+waxwing::router_options MakeOptions(const waxwing::settings& all) {
+  waxwing::router_options out;
+  out.vm = GetText(all, "vm");
+  out.zone = GetText(all, "zone");
+  out.address = GetEndpoint(all, "listen");
+  out.agent = GetEndpoint(all, "agent");
+  out.key = GetText(all, "key");
+  out.policy = waxwing::ParsePlacementPolicy(GetText(all, "policy"))
+                   .value_or(waxwing::placement_policy::kHomesAndCost);
+  out.limits.body_bytes =
+      static_cast<std::size_t>(GetInteger(all, "body-bytes"));
+  out.limits.connections =
+      static_cast<std::size_t>(GetInteger(all, "connections"));
+  out.queue_limit = static_cast<std::size_t>(GetInteger(all, "queue-limit"));
+  out.entry_vms = static_cast<std::size_t>(GetInteger(all, "entry-vms"));
+  out.entry_lifetime =
+      waxwing::milliseconds(GetInteger(all, "entry-lifetime-ms"));
+  out.linger = waxwing::milliseconds(GetInteger(all, "linger-ms"));
+  out.drain_limit = waxwing::milliseconds(GetInteger(all, "drain-limit-ms"));
+  return out;
+}
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  const auto read =
+      waxwing::ReadSettingsOrExitCode("waxwing-router", kTable, argc, argv);
+  if (!read)
+    return read.error();
+  waxwing::StartLog("waxwing-router",
+                    waxwing::ParseLogLevel(GetText(*read, "log-level")));
+  boost::asio::io_context context(1);
+  auto router =
+      waxwing::StartRouter(context.get_executor(), MakeOptions(*read));
+  if (!router) {
+    std::fprintf(stderr, "waxwing-router: %s\n", router.error().c_str());
+    return waxwing::kExitFailure;
+  }
+  return waxwing::RunUntilStopped(
+      context, [&] { return waxwing::DrainRouter(*router); });
+}
--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -811,6 +811,7 @@
   typedef heartbeat TableType;
   uint64_t generation = 0;
   uint64_t table_hash = 0;
+  bool wants_reply = false;
 };
 
 struct heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -819,7 +820,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_GENERATION = 4,
-    VT_TABLE_HASH = 6
+    VT_TABLE_HASH = 6,
+    VT_WANTS_REPLY = 8
   };
   uint64_t generation() const {
     return GetField<uint64_t>(VT_GENERATION, 0);
@@ -827,10 +829,14 @@
   uint64_t table_hash() const {
     return GetField<uint64_t>(VT_TABLE_HASH, 0);
   }
+  bool wants_reply() const {
+    return GetField<uint8_t>(VT_WANTS_REPLY, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_TABLE_HASH, 8) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_REPLY, 1) &&
            verifier.EndTable();
   }
   heartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -848,6 +854,9 @@
   void add_table_hash(uint64_t table_hash) {
     fbb_.AddElement<uint64_t>(heartbeat::VT_TABLE_HASH, table_hash, 0);
   }
+  void add_wants_reply(bool wants_reply) {
+    fbb_.AddElement<uint8_t>(heartbeat::VT_WANTS_REPLY, static_cast<uint8_t>(wants_reply), 0);
+  }
   explicit heartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -862,10 +871,12 @@
 inline flatbuffers::Offset<heartbeat> Createheartbeat(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t generation = 0,
-    uint64_t table_hash = 0) {
+    uint64_t table_hash = 0,
+    bool wants_reply = false) {
   heartbeatBuilder builder_(_fbb);
   builder_.add_table_hash(table_hash);
   builder_.add_generation(generation);
+  builder_.add_wants_reply(wants_reply);
   return builder_.Finish();
 }
 
@@ -1869,6 +1880,7 @@
 struct appliedT : public flatbuffers::NativeTable {
   typedef applied TableType;
   uint64_t generation = 0;
+  bool leaving = false;
 };
 
 struct applied FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1876,14 +1888,19 @@
   typedef appliedBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_GENERATION = 4
+    VT_GENERATION = 4,
+    VT_LEAVING = 6
   };
   uint64_t generation() const {
     return GetField<uint64_t>(VT_GENERATION, 0);
   }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            verifier.EndTable();
   }
   appliedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1898,6 +1915,9 @@
   void add_generation(uint64_t generation) {
     fbb_.AddElement<uint64_t>(applied::VT_GENERATION, generation, 0);
   }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(applied::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
   explicit appliedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1911,9 +1931,11 @@
 
 inline flatbuffers::Offset<applied> Createapplied(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t generation = 0) {
+    uint64_t generation = 0,
+    bool leaving = false) {
   appliedBuilder builder_(_fbb);
   builder_.add_generation(generation);
+  builder_.add_leaving(leaving);
   return builder_.Finish();
 }
 
@@ -2520,6 +2542,7 @@
   (void)_resolver;
   { auto _e = generation(); _o->generation = _e; }
   { auto _e = table_hash(); _o->table_hash = _e; }
+  { auto _e = wants_reply(); _o->wants_reply = _e; }
 }
 
 inline flatbuffers::Offset<heartbeat> heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const heartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2532,10 +2555,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const heartbeatT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _generation = _o->generation;
   auto _table_hash = _o->table_hash;
+  auto _wants_reply = _o->wants_reply;
   return waxwing::wire::Createheartbeat(
       _fbb,
       _generation,
-      _table_hash);
+      _table_hash,
+      _wants_reply);
 }
 
 inline member_listT::member_listT(const member_listT &o) {
@@ -2932,6 +2957,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = generation(); _o->generation = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
 }
 
 inline flatbuffers::Offset<applied> applied::Pack(flatbuffers::FlatBufferBuilder &_fbb, const appliedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2943,9 +2969,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const appliedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _generation = _o->generation;
+  auto _leaving = _o->leaving;
   return waxwing::wire::Createapplied(
       _fbb,
-      _generation);
+      _generation,
+      _leaving);
 }
 
 inline in_force_queryT *in_force_query::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -90,7 +90,8 @@
   std::shared_ptr<asio::steady_timer> granted;
 
   bool operator<(const slot_waiter& other) const {
-    return std::pair(-priority, order) < std::pair(-other.priority, other.order);
+    return std::pair(-priority, order) <
+           std::pair(-other.priority, other.order);
   }
 };
 
@@ -165,8 +166,8 @@
     ++state->busy_slots;
     co_return;
   }
-  auto granted = std::make_shared<asio::steady_timer>(state->executor,
-                                                      instant::max());
+  auto granted =
+      std::make_shared<asio::steady_timer>(state->executor, instant::max());
   state->waiters.insert({run->priority, state->next_waiter++, granted});
   co_await granted->async_wait(kUseTuple);
 }
@@ -288,8 +289,8 @@
   out.delivered = waxwing::ReadTextOr(*body, "delivered", "").value_or("");
   out.id = std::string(FindHeader(from.headers, "X-Request-Id"));
   out.attempt = std::string(FindHeader(from.headers, "X-Attempt"));
-  out.resume_from =
-      static_cast<std::uint64_t>(HeaderNumber(from.headers, "X-Resume-From", 0));
+  out.resume_from = static_cast<std::uint64_t>(
+      HeaderNumber(from.headers, "X-Resume-From", 0));
   out.priority = static_cast<int>(HeaderNumber(from.headers, "X-Priority", 4));
   out.resume_only = !FindHeader(from.headers, "X-Resume-Only").empty();
   out.salt = waxwing::Hash64(FindHeader(from.headers, "X-Cache-Salt"),
@@ -457,8 +458,8 @@
 
 void Sample(engine_state& state) {
   const instant now = Now();
-  state.samples.push_back({now, state.busy_slots,
-                           static_cast<int>(state.waiters.size())});
+  state.samples.push_back(
+      {now, state.busy_slots, static_cast<int>(state.waiters.size())});
   while (state.samples.size() > 1 &&
          state.samples[1].at <= now - state.options.report_lag)
     state.samples.pop_front();
@@ -504,8 +505,8 @@
   const auto order = waxwing::ParseObject(body);
   if (!order)
     co_return JsonResponse(400, R"({"error":"malformed order"})");
-  const auto fence = waxwing::ReadIntegerOr(*order, "fence", 0,
-                                            std::int64_t{1} << 53, 0);
+  const auto fence =
+      waxwing::ReadIntegerOr(*order, "fence", 0, std::int64_t{1} << 53, 0);
   const auto number = static_cast<std::uint64_t>(fence.value_or(0));
   if (number < state->highest_fence) {
     if (state->options.honours_fencing) {
@@ -603,8 +604,8 @@
     co_return;
   }
   if (is_post && path == "/v1/cancel") {
-    answer = HandleCancel(
-        *state, waxwing::QueryValue(exchange.request.target, "id"));
+    answer = HandleCancel(*state,
+                          waxwing::QueryValue(exchange.request.target, "id"));
   } else if (is_post && path == "/v1/orders") {
     answer = co_await HandleOrder(state, exchange.request.body);
   } else if (path == "/v1/report") {
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -5,8 +5,8 @@
 // cancel, load report, cache events, orders with fencing numbers. Prefill and
 // decoding take time at set rates; prefixes are cached in a block_cache.
 //
-// Faults are set by options or at run time (POST /standin/faults), and it counts
-// how often each request ran (GET /standin/stats).
+// Faults are set by options or at run time (POST /standin/faults), and it
+// counts how often each request ran (GET /standin/stats).
 
 #ifndef STANDIN_ENGINE_H_
 #define STANDIN_ENGINE_H_
--- /dev/null
+++ b/standin/load.cc
@@ -0,0 +1,433 @@
+#include "standin/load.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <deque>
+#include <memory>
+
+#include "standin/answer.h"
+#include "waxwing/http_client.h"
+#include "waxwing/json.h"
+#include "waxwing/settings.h"
+#include "waxwing/sse.h"
+
+namespace standin {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using waxwing::duration;
+using waxwing::endpoint;
+using waxwing::http_request;
+using waxwing::instant;
+using waxwing::milliseconds;
+
+namespace {
+
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kMostComplaints = 10;
+constexpr int kEntryTries = 20;
+constexpr int kSendTries = 6;
+constexpr milliseconds kEntryPause{50};
+
+// Where one account goes, and its tickets by owner address.
+struct entry_answer {
+  std::vector<endpoint> addresses;
+  std::deque<std::string> tickets;
+  instant expires;
+};
+
+struct load_state {
+  asio::any_io_executor executor;
+  load_options options;
+  load_result result;
+  waxwing::http_pool pool;
+  std::map<std::string, entry_answer> entries;
+  std::size_t next_router = 0;
+  std::size_t open = 0;
+  instant started;
+};
+
+using state_ptr = std::shared_ptr<load_state>;
+
+enum class call_end { kWhole, kRefused, kFailed, kLost, kWrong };
+
+instant Now() {
+  return std::chrono::steady_clock::now();
+}
+
+asio::awaitable<void> Sleep(const state_ptr& state, duration time) {
+  asio::steady_timer timer(state->executor, time);
+  co_await timer.async_wait(kUseTuple);
+}
+
+void Complain(load_state& state, const std::string& text) {
+  if (state.result.complaints.size() < kMostComplaints)
+    state.result.complaints.push_back(text.substr(0, 300));
+}
+
+load_second& SecondAt(load_state& state, instant at) {
+  const auto index =
+      static_cast<std::size_t>(waxwing::ToSeconds(at - state.started));
+  while (state.result.seconds.size() <= index)
+    state.result.seconds.emplace_back();
+  return state.result.seconds[index];
+}
+
+bool TakeInEntry(const std::string& body, entry_answer& out) {
+  const auto parsed = waxwing::ParseObject(body);
+  const json::array* addresses =
+      parsed ? waxwing::FindArray(*parsed, "addresses") : nullptr;
+  const json::array* tickets =
+      parsed ? waxwing::FindArray(*parsed, "tickets") : nullptr;
+  if (!addresses || addresses->empty() || !tickets)
+    return false;
+  out.addresses.clear();
+  for (const json::value& address : *addresses)
+    out.addresses.push_back(
+        waxwing::ParseEndpoint(std::string(address.as_string()))
+            .value_or(endpoint{}));
+  for (const json::value& ticket : *tickets)
+    out.tickets.emplace_back(ticket.as_string());
+  const auto lifetime =
+      waxwing::ReadIntegerOr(*parsed, "lifetime_ms", 0, 600'000, 1'000);
+  out.expires = Now() + milliseconds(lifetime.value_or(1'000));
+  return true;
+}
+
+// Asks routers in turn until one names addresses for the account.
+asio::awaitable<bool> RefreshEntry(state_ptr state, trace_request request) {
+  http_request message;
+  message.target = "/v1/entry";
+  message.headers.push_back({"Authorization", "Bearer " + request.key});
+  const waxwing::http_call_options options{milliseconds(1'000), true};
+  for (int attempt = 0; attempt < kEntryTries; ++attempt) {
+    const auto& routers = state->options.routers;
+    const endpoint router = routers[state->next_router++ % routers.size()];
+    auto answer = co_await Fetch(state->pool, router, message, options);
+    if (answer && answer->status == 200 &&
+        TakeInEntry(answer->body, state->entries[request.account]))
+      co_return true;
+    co_await Sleep(state, kEntryPause);
+  }
+  co_return false;
+}
+
+// The address for the next try of a request; nothing if there is none.
+asio::awaitable<endpoint> AddressFor(state_ptr state,
+                                     const trace_request& request,
+                                     int attempt) {
+  if (!state->options.use_entry) {
+    const auto& routers = state->options.routers;
+    co_return routers[state->next_router++ % routers.size()];
+  }
+  if (state->entries[request.account].expires < Now() || attempt > 1) {
+    const bool refreshed = co_await RefreshEntry(state, request);
+    if (!refreshed)
+      co_return endpoint{};
+  }
+  const auto& addresses = state->entries[request.account].addresses;
+  const std::size_t spread = state->next_router++;
+  co_return addresses[(spread + static_cast<std::size_t>(attempt)) %
+                      addresses.size()];
+}
+
+// Ends a call by the error body it was answered with.
+call_end EndOfError(load_state& state, const std::string& body) {
+  const auto parsed = waxwing::ParseObject(body);
+  const auto ran = parsed ? waxwing::ReadText(*parsed, "ran")
+                          : tl::unexpected(waxwing::json_error{});
+  Complain(state, body);
+  if (!ran)
+    return call_end::kLost;
+  return *ran == "no" ? call_end::kRefused : call_end::kFailed;
+}
+
+std::string ChatBody(const load_state& state, const trace_request& request) {
+  json::array messages;
+  for (const waxwing::chat_message& message : request.messages)
+    messages.push_back(
+        json::object{{"role", message.role}, {"content", message.content}});
+  return json::serialize(json::object{{"model", state.options.model},
+                                      {"messages", std::move(messages)},
+                                      {"max_tokens", request.answer_tokens},
+                                      {"stream", request.stream}});
+}
+
+void NoteFirstToken(load_state& state,
+                    const trace_request& request,
+                    instant begun) {
+  const duration ttft = Now() - begun;
+  Observe(state.result.ttft, ttft);
+  auto& by_account = state.result.ttft_by_account;
+  auto found = by_account.find(request.account);
+  if (found == by_account.end())
+    found = by_account.emplace(request.account, waxwing::MakeLatencyHistogram())
+                .first;
+  Observe(found->second, ttft);
+  Observe(SecondAt(state, begun).ttft, ttft);
+}
+
+void NoteUsage(load_state& state, const waxwing::stream_usage& usage) {
+  state.result.prompt_tokens += usage.prompt_tokens;
+  state.result.cached_tokens += usage.cached_tokens;
+}
+
+struct stream_reading {
+  std::string text;
+  std::uint64_t next_id = 0;
+  bool in_order = true;
+  bool finished = false;
+  bool done = false;
+  std::string error;
+};
+
+void TakeInEvent(load_state& state,
+                 stream_reading& reading,
+                 std::string_view event) {
+  if (event.starts_with("event: error")) {
+    reading.error = std::string(waxwing::EventData(event));
+    return;
+  }
+  if (waxwing::IsDoneEvent(event)) {
+    reading.done = true;
+    return;
+  }
+  const auto id = waxwing::EventId(event);
+  reading.in_order = reading.in_order && id && *id == reading.next_id;
+  if (const auto usage = waxwing::EventUsage(event)) {
+    reading.finished = true;
+    NoteUsage(state, *usage);
+    return;
+  }
+  ++reading.next_id;
+  reading.text += waxwing::Unescape(waxwing::EscapedContent(event));
+}
+
+// Reads a streamed answer to its end.
+asio::awaitable<call_end> ReadStream(state_ptr state,
+                                     const trace_request& request,
+                                     waxwing::http_call call,
+                                     const std::string& expected,
+                                     instant begun) {
+  stream_reading reading;
+  std::string buffer;
+  while (true) {
+    auto more =
+        co_await ReadPiece(state->pool, call, state->options.deadline, buffer);
+    if (!more) {
+      Complain(*state, "stream broke: " + more.error().detail);
+      co_return call_end::kLost;
+    }
+    if (!*more)
+      break;
+    std::string_view rest = buffer;
+    for (auto event = waxwing::TakeEvent(rest); !event.empty();
+         event = waxwing::TakeEvent(rest)) {
+      if (reading.next_id == 0 && reading.error.empty())
+        NoteFirstToken(*state, request, begun);
+      TakeInEvent(*state, reading, event);
+    }
+    buffer.erase(0, buffer.size() - rest.size());
+  }
+  if (!reading.error.empty())
+    co_return EndOfError(*state, reading.error);
+  const bool right = reading.done && reading.finished && reading.in_order &&
+                     reading.text == expected;
+  if (!right)
+    Complain(*state, "wrong stream of " + request.account + ": " +
+                         std::to_string(reading.next_id) + " tokens");
+  co_return right ? call_end::kWhole : call_end::kWrong;
+}
+
+call_end CheckWhole(load_state& state,
+                    const std::string& body,
+                    const std::string& expected) {
+  const auto parsed = waxwing::ParseObject(body);
+  const json::array* choices =
+      parsed ? waxwing::FindArray(*parsed, "choices") : nullptr;
+  if (!choices || choices->size() != 1)
+    return call_end::kWrong;
+  const json::value* message =
+      choices->at(0).as_object().if_contains("message");
+  if (!message || !message->is_object())
+    return call_end::kWrong;
+  const auto content = waxwing::ReadText(message->as_object(), "content");
+  if (const auto usage = waxwing::EventUsage("data: " + body + "\n"))
+    NoteUsage(state, *usage);
+  return content && *content == expected ? call_end::kWhole : call_end::kWrong;
+}
+
+// Sends a chat completion until a router takes it, then reads the answer.
+asio::awaitable<call_end> RunChat(state_ptr state, trace_request request) {
+  http_request message{"POST", "/v1/chat/completions", {}, ""};
+  message.body = ChatBody(*state, request);
+  message.headers.push_back({"Content-Type", "application/json"});
+  message.headers.push_back({"Authorization", "Bearer " + request.key});
+  message.headers.push_back(
+      {"X-Deadline-Ms", std::to_string(state->options.deadline.count())});
+  const std::string expected = AnswerText(
+      AnswerSeed(waxwing::PromptText(request.messages), state->options.model),
+      static_cast<std::uint64_t>(request.answer_tokens));
+  const instant begun = Now();
+  for (int attempt = 1; attempt <= kSendTries; ++attempt) {
+    const endpoint address = co_await AddressFor(state, request, attempt);
+    if (address.port == 0)
+      break;
+    const waxwing::http_call_options options{state->options.deadline, true};
+    auto call = co_await StartCall(state->pool, address, message, options);
+    // The request is idempotent: a router that is gone is left for another.
+    if (!call) {
+      co_await Sleep(state, kEntryPause);
+      continue;
+    }
+    if (call->head.status == 200 && request.stream) {
+      const call_end end =
+          co_await ReadStream(state, request, *call, expected, begun);
+      co_return end;
+    }
+    std::string body;
+    bool whole = false;
+    while (true) {
+      auto more =
+          co_await ReadPiece(state->pool, *call, state->options.deadline, body);
+      whole = more && !*more;
+      if (!more || !*more)
+        break;
+    }
+    if (!whole)
+      continue;
+    if (call->head.status != 200)
+      co_return EndOfError(*state, body);
+    const call_end end = CheckWhole(*state, body, expected);
+    if (end == call_end::kWrong)
+      Complain(*state, "wrong answer: " + body);
+    co_return end;
+  }
+  Complain(*state, "no router took the request");
+  co_return call_end::kLost;
+}
+
+asio::awaitable<std::string> TakeTicket(state_ptr state,
+                                        const trace_request& request) {
+  if (state->entries[request.account].tickets.empty()) {
+    const bool refreshed = co_await RefreshEntry(state, request);
+    if (!refreshed)
+      co_return std::string();
+  }
+  auto& tickets = state->entries[request.account].tickets;
+  if (tickets.empty())
+    co_return std::string();
+  std::string ticket = tickets.front();
+  tickets.pop_front();
+  co_return ticket;
+}
+
+// A non-idempotent call: every repetition carries the same ticket, until some
+// router says what became of it.
+asio::awaitable<call_end> RunService(state_ptr state, trace_request request) {
+  http_request message{"POST", request.path, {}, request.body};
+  message.headers.push_back({"Content-Type", "application/json"});
+  message.headers.push_back({"Authorization", "Bearer " + request.key});
+  const std::string ticket = co_await TakeTicket(state, request);
+  message.headers.push_back({"X-Ticket", ticket});
+  const waxwing::http_call_options options{state->options.deadline, false};
+  for (int attempt = 1; attempt <= kSendTries; ++attempt) {
+    const endpoint address = co_await AddressFor(state, request, attempt);
+    if (address.port == 0)
+      break;
+    auto answer = co_await Fetch(state->pool, address, message, options);
+    if (!answer) {
+      co_await Sleep(state, kEntryPause);
+      continue;
+    }
+    if (answer->status != 200) {
+      const call_end end = EndOfError(*state, answer->body);
+      if (end == call_end::kRefused)
+        state->result.service_not_run.push_back(request.body);
+      co_return end;
+    }
+    state->result.service_answered.push_back(request.body);
+    const auto body = waxwing::ParseObject(answer->body);
+    const bool right =
+        body &&
+        waxwing::ReadTextOr(*body, "echo", "").value_or("") == request.body;
+    co_return right ? call_end::kWhole : call_end::kWrong;
+  }
+  Complain(*state, "no router took the service call");
+  co_return call_end::kLost;
+}
+
+void NoteEnd(load_state& state, call_end end) {
+  load_result& result = state.result;
+  switch (end) {
+    case call_end::kWhole:
+      ++result.whole;
+      break;
+    case call_end::kRefused:
+      ++result.refused;
+      break;
+    case call_end::kFailed:
+      ++result.failed;
+      break;
+    case call_end::kLost:
+      ++result.lost;
+      break;
+    case call_end::kWrong:
+      ++result.wrong;
+      break;
+  }
+}
+
+asio::awaitable<void> RunRequest(state_ptr state, trace_request request) {
+  const instant begun = Now();
+  ++SecondAt(*state, begun).started;
+  call_end end = call_end::kLost;
+  if (request.is_service)
+    end = co_await RunService(state, request);
+  else
+    end = co_await RunChat(state, request);
+  NoteEnd(*state, end);
+  if (end == call_end::kWhole) {
+    Observe(state->result.total, Now() - begun);
+    ++SecondAt(*state, Now()).whole;
+  }
+  --state->open;
+}
+
+asio::awaitable<void> ShowProgress(state_ptr state) {
+  while (state->options.progress && state->open > 0) {
+    co_await Sleep(state, waxwing::seconds(1));
+    state->options.progress(state->result);
+  }
+}
+
+}  // namespace
+
+asio::awaitable<load_result> RunLoad(asio::any_io_executor executor,
+                                     std::vector<trace_request> trace,
+                                     load_options options) {
+  auto state = std::make_shared<load_state>();
+  state->executor = executor;
+  state->options = std::move(options);
+  state->pool = waxwing::MakeHttpPool(executor, {});
+  state->started = Now();
+  // Counts as an open request, so that the progress runs to the end.
+  state->open = 1;
+  asio::co_spawn(executor, ShowProgress(state), asio::detached);
+  for (trace_request& request : trace) {
+    const duration wait = state->started + request.at - Now();
+    if (wait > duration::zero())
+      co_await Sleep(state, wait);
+    ++state->open;
+    ++state->result.requests;
+    asio::co_spawn(executor, RunRequest(state, std::move(request)),
+                   asio::detached);
+  }
+  while (state->open > 1)
+    co_await Sleep(state, milliseconds(5));
+  state->open = 0;
+  co_return std::move(state->result);
+}
+
+}  // namespace standin
--- a/standin/platform.cc
+++ b/standin/platform.cc
@@ -114,9 +114,9 @@
     if (key.starts_with(prefix))
       keys.push_back(json::object{{"key", key}, {"version", entry.version}});
   }
-  return JsonResponse(200, json::serialize(json::object{
-                               {"revision", state.revision},
-                               {"objects", std::move(keys)}}));
+  return JsonResponse(
+      200, json::serialize(json::object{{"revision", state.revision},
+                                        {"objects", std::move(keys)}}));
 }
 
 bool ChangedSince(const platform_state& state,
@@ -137,16 +137,16 @@
   const std::string timeout_text(waxwing::QueryValue(target, "timeout_ms"));
   const std::uint64_t revision =
       std::strtoull(revision_text.c_str(), nullptr, 10);
-  const milliseconds timeout = std::min(
-      kLongestWatch,
-      milliseconds(std::strtoll(timeout_text.c_str(), nullptr, 10)));
+  const milliseconds timeout =
+      std::min(kLongestWatch,
+               milliseconds(std::strtoll(timeout_text.c_str(), nullptr, 10)));
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   while (!state->stopped && !state->faults.outage &&
          !ChangedSince(*state, prefix, revision) &&
          std::chrono::steady_clock::now() < deadline) {
-    asio::steady_timer tick(state->executor,
-                            std::min(deadline, std::chrono::steady_clock::now() +
-                                                   milliseconds(20)));
+    asio::steady_timer tick(
+        state->executor, std::min(deadline, std::chrono::steady_clock::now() +
+                                                milliseconds(20)));
     co_await tick.async_wait(kUseTuple);
   }
   if (state->faults.outage)
@@ -160,10 +160,10 @@
   if (!wanted)
     return JsonResponse(400, R"({"error":"malformed faults"})");
   platform_faults& faults = state.faults;
-  faults.latency = milliseconds(
-      waxwing::ReadIntegerOr(*wanted, "latency_ms", 0, 60'000,
-                             faults.latency.count())
-          .value_or(0));
+  faults.latency =
+      milliseconds(waxwing::ReadIntegerOr(*wanted, "latency_ms", 0, 60'000,
+                                          faults.latency.count())
+                       .value_or(0));
   faults.outage =
       waxwing::ReadBoolOr(*wanted, "outage", faults.outage).value_or(false);
   faults.reject =
@@ -175,13 +175,12 @@
 }
 
 http_response HandleStats(const platform_state& state) {
-  return JsonResponse(
-      200, json::serialize(json::object{
-               {"reads", state.counts.reads},
-               {"writes", state.counts.writes},
-               {"watches", state.counts.watches},
-               {"lost_answers", state.counts.lost_answers},
-               {"objects", state.objects.size()}}));
+  return JsonResponse(200, json::serialize(json::object{
+                               {"reads", state.counts.reads},
+                               {"writes", state.counts.writes},
+                               {"watches", state.counts.watches},
+                               {"lost_answers", state.counts.lost_answers},
+                               {"objects", state.objects.size()}}));
 }
 
 // The platform's own knowledge of a VM, told by tests in place of the machine.
@@ -210,8 +209,7 @@
 asio::awaitable<void> HandleObjects(const state_ptr& state,
                                     http_exchange& exchange) {
   const std::string& target = exchange.request.target;
-  const std::string key(
-      waxwing::PathOf(target).substr(kObjectsPath.size()));
+  const std::string key(waxwing::PathOf(target).substr(kObjectsPath.size()));
   http_response answer;
   if (exchange.request.method == "GET") {
     ++state->counts.reads;
@@ -299,8 +297,7 @@
 
 std::string ValueOf(const platform& of, const std::string& key) {
   const auto found = of.state->objects.find(key);
-  return found == of.state->objects.end() ? std::string()
-                                          : found->second.value;
+  return found == of.state->objects.end() ? std::string() : found->second.value;
 }
 
 void SetValue(platform& of, const std::string& key, const std::string& value) {
--- a/standin/platform.h
+++ b/standin/platform.h
@@ -1,12 +1,12 @@
 // A stand-in for the platform: the object API and the lagging list of VMs.
 //
 //   GET    /v1/objects/KEY                 value; its version in X-Version
-//   PUT    /v1/objects/KEY  If-Version: N  stores if the version is N (0: absent)
-//   DELETE /v1/objects/KEY  If-Version: N
-//   GET    /v1/objects?prefix=P            keys and versions
-//   GET    /v1/watch?prefix=P&revision=R&timeout_ms=T   waits for a change after R
-//   GET    /v1/vms                         live and leaving VMs, some time late
-//   POST   /standin/faults, GET /standin/stats           for tests
+//   PUT    /v1/objects/KEY  If-Version: N  stores if the version is N (0:
+//   absent) DELETE /v1/objects/KEY  If-Version: N GET    /v1/objects?prefix=P
+//   keys and versions GET    /v1/watch?prefix=P&revision=R&timeout_ms=T   waits
+//   for a change after R GET    /v1/vms                         live and
+//   leaving VMs, some time late POST   /standin/faults, GET /standin/stats for
+//   tests
 //
 // A failed condition is status 409, an outage 503, too many calls 429. With the
 // fault "lose_answer" a write takes effect and the connection then breaks.
--- a/standin/service.cc
+++ b/standin/service.cc
@@ -64,8 +64,8 @@
     total += count;
     most = std::max(most, count);
   }
-  return JsonResponse(200, json::serialize(json::object{{"runs", total},
-                                                        {"most", most}}));
+  return JsonResponse(
+      200, json::serialize(json::object{{"runs", total}, {"most", most}}));
 }
 
 asio::awaitable<void> Handle(state_ptr state, http_exchange& exchange) {
--- /dev/null
+++ b/waxwing/agent.cc
@@ -0,0 +1,151 @@
+#include "waxwing/agent.h"
+
+#include <boost/asio.hpp>
+
+#include "waxwing/agent_state.h"
+#include "waxwing/hash.h"
+#include "waxwing/log.h"
+
+namespace waxwing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Time that a starting agent gives its running router to say under which
+// incarnation the VM has been known so far.
+constexpr milliseconds kRouterGrace{400};
+constexpr milliseconds kGracePoll{10};
+constexpr int kRandomBits = 20;
+
+// Rises from one life of a VM to the next, as long as the wall clock does.
+std::uint64_t NewIncarnation() {
+  const auto time = static_cast<std::uint64_t>(UnixNow());
+  const std::uint64_t mask = (std::uint64_t{1} << kRandomBits) - 1;
+  return (time << kRandomBits) | (RandomId() & mask);
+}
+
+member MakeSelf(const agent_options& options, std::uint64_t incarnation) {
+  member self;
+  self.vm = options.vm;
+  self.zone = options.zone;
+  self.incarnation = incarnation;
+  // An agent that restarts under the old incarnation starts with a higher one.
+  self.version = static_cast<std::uint64_t>(UnixNow());
+  self.agent = options.address;
+  self.router = options.router;
+  return self;
+}
+
+tl::expected<void, std::string> Listen(agent_state& state) {
+  const endpoint& address = state.options.address;
+  auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(state.executor);
+  boost::system::error_code error;
+  const asio::ip::tcp::endpoint local(
+      asio::ip::make_address(address.host, error), address.port);
+  if (!error)
+    acceptor->open(local.protocol(), error);
+  if (!error)
+    acceptor->set_option(asio::socket_base::reuse_address(true), error);
+  if (!error)
+    acceptor->bind(local, error);
+  if (!error)
+    acceptor->listen(asio::socket_base::max_listen_connections, error);
+  if (error)
+    return tl::unexpected("can't listen at " + ToText(address) + ": " +
+                          error.message());
+  state.options.address.port = acceptor->local_endpoint().port();
+  state.acceptor = acceptor;
+  return {};
+}
+
+// Takes on the incarnation that a router still running on this VM knows, so
+// that its tickets stay valid; otherwise keeps the fresh one.
+asio::awaitable<void> SettleIncarnation(agent_ptr state) {
+  const instant limit = std::chrono::steady_clock::now() + kRouterGrace;
+  while (!IsOpen(state->router) && state->options.has_router &&
+         std::chrono::steady_clock::now() < limit)
+    co_await Pause(state->root, kGracePoll);
+}
+
+asio::awaitable<void> StartDuties(agent_ptr state) {
+  co_await SettleIncarnation(state);
+  state->has_settled = true;
+  Supervise(state->root, "links", [state] { return KeepLinks(state); });
+  Supervise(state->root, "platform", [state] { return WatchPlatform(state); });
+  Supervise(state->root, "targets", [state] { return PollTargets(state); });
+  Supervise(state->root, "orders", [state] { return GiveOrders(state); });
+}
+
+}  // namespace
+
+tl::expected<agent, std::string> StartAgent(asio::any_io_executor executor,
+                                            const agent_options& options) {
+  auto state = std::make_shared<agent_state>();
+  state->executor = executor;
+  state->options = options;
+  state->root = MakeSupervisor(executor, "agent", {});
+  state->pool = MakeHttpPool(executor, {});
+  state->platform.pool = state->pool;
+  state->platform.address = options.platform;
+  state->random.seed(RandomId());
+  state->incarnation = NewIncarnation();
+  state->started = std::chrono::steady_clock::now();
+  state->router_seen = state->started;
+  if (const auto listening = Listen(*state); !listening)
+    return tl::unexpected(listening.error());
+  if (const auto api = StartOperatorApi(state); !api)
+    return tl::unexpected(api.error());
+  state->members = MakeMembership(options.limits,
+                                  MakeSelf(state->options, state->incarnation),
+                                  state->started);
+  Supervise(state->root, "accept", [state] { return AcceptLinks(state); });
+  asio::co_spawn(executor, StartDuties(state), asio::detached);
+  LogInfo("agent_started", {{"vm", options.vm},
+                            {"zone", options.zone},
+                            {"address", ToText(state->options.address)},
+                            {"operators", ToText(state->operators.address)}});
+  return agent{state, state->options.address, state->operators.address};
+}
+
+asio::awaitable<void> LeaveAgent(agent& of) {
+  const agent_ptr state = of.state;
+  state->stopping = true;
+  const instant now = std::chrono::steady_clock::now();
+  SetOwnStatus(state->members, member_status::kLeft, now);
+  SpreadMembers(*state, {state->members.members.at(state->options.vm).data},
+                "");
+  // The records leave before the connections close.
+  co_await Pause(state->root, milliseconds(100));
+  StopAgent(of);
+}
+
+void StopAgent(agent& of) {
+  agent_state& state = *of.state;
+  state.stopping = true;
+  StopSupervisor(state.root);
+  boost::system::error_code ignored;
+  state.acceptor->close(ignored);
+  CloseServer(state.operators);
+  ClosePeer(state.router);
+  for (const auto& [vm, link] : state.links)
+    ClosePeer(link.link);
+}
+
+std::uint64_t GenerationOf(const agent& of) {
+  return of.state->active_root.generation;
+}
+
+const membership& MembersOf(const agent& of) {
+  return of.state->members;
+}
+
+std::uint64_t IncarnationOf(const agent& of) {
+  return of.state->incarnation;
+}
+
+bool HoldsOrders(const agent& of) {
+  return HoldsLease(of.state->orders_lease, std::chrono::steady_clock::now());
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/agent.h
@@ -0,0 +1,85 @@
+// The agent: control of an entry VM.
+//
+// Its duties, each in a file of its own:
+//
+//   agent_links.cc      connections to other agents and to the VM's router,
+//                       heartbeats, membership
+//   agent_config.cc     the configuration in force: from the platform's watch
+//                       on a few agents of each zone, from peers on the others
+//   agent_targets.cc    reports of the targets assigned to this agent, passed
+//                       on as digests
+//   agent_orders.cc     the leased duty of giving orders to model engines
+//   agent_operators.cc  the operators' API
+//
+// The agent also keeps the copy of the router's ledger that outlives a restart
+// of the router (see ledger.h). It runs on one thread; nothing is locked.
+
+#ifndef WAXWING_AGENT_H_
+#define WAXWING_AGENT_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "waxwing/membership.h"
+#include "waxwing/types.h"
+
+namespace waxwing {
+
+struct agent_options {
+  std::string vm = "vm";
+  std::string zone = "a";
+  // For other agents and the VM's router.
+  endpoint address{"127.0.0.1", 0};
+  // For operators.
+  endpoint operator_address{"127.0.0.1", 0};
+  // Where callers reach the VM's router.
+  endpoint router;
+  endpoint platform;
+  std::vector<endpoint> seeds;
+  std::string key;
+  std::string operator_key;
+  // False for an agent without a router, in measurements.
+  bool has_router = true;
+  // Agents of a zone that watch the platform.
+  std::size_t watchers_per_zone = 2;
+  milliseconds heartbeat_period{600};
+  milliseconds report_period{500};
+  milliseconds platform_poll{2'000};
+  // Shortest time between two orders to load weights.
+  milliseconds load_pace{200};
+  membership_limits limits;
+};
+
+struct agent_state;
+
+struct agent {
+  std::shared_ptr<agent_state> state;
+  endpoint address;
+  endpoint operator_address;
+};
+
+tl::expected<agent, std::string> StartAgent(
+    boost::asio::any_io_executor executor,
+    const agent_options& options);
+
+// Planned stop: announces that the VM leaves, hands over, and ends.
+boost::asio::awaitable<void> LeaveAgent(agent& of);
+
+// Ends at once, as a crash would.
+void StopAgent(agent& of);
+
+// For tests and status.
+std::uint64_t GenerationOf(const agent& of);
+const membership& MembersOf(const agent& of);
+std::uint64_t IncarnationOf(const agent& of);
+bool HoldsOrders(const agent& of);
+
+}  // namespace waxwing
+
+#endif  // WAXWING_AGENT_H_
--- a/waxwing/agent_client.cc
+++ b/waxwing/agent_client.cc
@@ -94,8 +94,8 @@
       if (view.name != digest->name)
         continue;
       if (!digest->reachable)
-        view.avoid_until = std::max<instant>(view.avoid_until,
-                                             now + milliseconds(1'000));
+        view.avoid_until =
+            std::max<instant>(view.avoid_until, now + milliseconds(1'000));
       else if (ApplyReport(view, FromWire(*digest)))
         LogInfo("target_cache_dropped", {{"target", view.name},
                                          {"boot_id", view.boot_id},
@@ -125,7 +125,7 @@
     TakeInDigests(state, *digests);
   else if (auto* ack = message.Asledger_ack())
     TakeInAck(state, *ack);
-  SendMessage(state.agent.link, wire::appliedT{{}, state.active->generation});
+  SendApplied(state);
 }
 
 // The agent is gone: the ledger in memory still holds, but no note is answered.
@@ -139,6 +139,13 @@
 
 }  // namespace
 
+void SendApplied(const router_state& state) {
+  wire::appliedT applied;
+  applied.generation = state.active->generation;
+  applied.leaving = state.draining;
+  SendMessage(state.agent.link, applied);
+}
+
 asio::awaitable<void> RunAgentClient(router_ptr state) {
   const peer_identity self{peer_role::kRouter, state->options.vm,
                            state->vm_incarnation};
--- /dev/null
+++ b/waxwing/agent_config.cc
@@ -0,0 +1,146 @@
+// The configuration in force at the agent. Generations only rise here, whatever
+// a peer or the platform says.
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+#include "waxwing/agent_state.h"
+#include "waxwing/hash.h"
+#include "waxwing/log.h"
+#include "waxwing/plan.h"
+
+namespace waxwing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds kWatchTime{10'000};
+constexpr milliseconds kPlatformBackoff{300};
+
+// True if this agent is one of the few of its zone that watch the platform.
+bool IsWatcher(const agent_state& state) {
+  const std::uint64_t key = Hash64("watch/" + state.options.zone);
+  std::vector<std::uint64_t> nodes;
+  std::vector<std::string> names;
+  for (const auto& [vm, record] : state.members.members) {
+    const bool is_candidate =
+        record.data.zone == state.options.zone &&
+        (record.data.status == member_status::kAlive || vm == state.options.vm);
+    if (!is_candidate)
+      continue;
+    nodes.push_back(Hash64(vm));
+    names.push_back(vm);
+  }
+  for (const std::size_t pick :
+       RendezvousPick(key, nodes, state.options.watchers_per_zone)) {
+    if (names[pick] == state.options.vm)
+      return true;
+  }
+  return false;
+}
+
+// Fetches the shards of a root that are not here yet.
+asio::awaitable<bool> FetchShards(const agent_ptr& state,
+                                  const config_root& root,
+                                  std::map<std::string, std::string>& out) {
+  for (const std::string& hash : root.shards) {
+    if (state->shards.contains(hash) || out.contains(hash))
+      continue;
+    const std::string key = std::string(kShardPrefix) + hash;
+    auto shard = co_await GetObject(state->platform, key);
+    if (!shard)
+      co_return false;
+    out[hash] = std::move(shard->value);
+  }
+  co_return true;
+}
+
+}  // namespace
+
+bool AdoptConfig(agent_state& state,
+                 const std::string& root_text,
+                 std::map<std::string, std::string> fresh_shards) {
+  const auto root = ReadRoot(root_text);
+  if (!root) {
+    LogError("root_refused", {{"error", root.error().message}});
+    return false;
+  }
+  if (root->generation <= state.active_root.generation)
+    return false;
+  for (auto& [hash, text] : state.shards)
+    fresh_shards.try_emplace(hash, text);
+  auto assembled = AssembleConfig(*root, fresh_shards);
+  if (!assembled) {
+    LogError("config_refused", {{"generation", root->generation},
+                                {"error", assembled.error().message}});
+    return false;
+  }
+  std::erase_if(fresh_shards, [&](const auto& shard) {
+    return std::find(root->shards.begin(), root->shards.end(), shard.first) ==
+           root->shards.end();
+  });
+  const std::vector<std::string> router_has = state.active_root.shards;
+  state.active_root = *root;
+  state.root_text = root_text;
+  state.shards = std::move(fresh_shards);
+  state.active = std::move(*assembled);
+  SendMessage(state.router, MakeConfigUpdate(state, router_has));
+  AnnounceGeneration(state);
+  LogInfo("config_in_force", {{"generation", state.active_root.generation}});
+  return true;
+}
+
+wire::config_updateT MakeConfigUpdate(const agent_state& state,
+                                      const std::vector<std::string>& have) {
+  wire::config_updateT out;
+  out.generation = state.active_root.generation;
+  out.root = state.root_text;
+  for (const auto& [hash, text] : state.shards) {
+    if (std::find(have.begin(), have.end(), hash) != have.end())
+      continue;
+    auto shard = std::make_unique<wire::config_shardT>();
+    shard->content_hash = hash;
+    shard->text = text;
+    out.shards.push_back(std::move(shard));
+  }
+  return out;
+}
+
+asio::awaitable<void> PullFromPlatform(agent_ptr state) {
+  auto object = co_await GetObject(state->platform, kRootKey);
+  if (!object)
+    co_return;
+  const auto root = ReadRoot(object->value);
+  if (!root || root->generation <= state->active_root.generation)
+    co_return;
+  std::map<std::string, std::string> shards;
+  const bool fetched = co_await FetchShards(state, *root, shards);
+  if (fetched)
+    AdoptConfig(*state, object->value, std::move(shards));
+}
+
+asio::awaitable<void> WatchPlatform(agent_ptr state) {
+  std::uint64_t revision = 0;
+  while (!IsStopping(state->root)) {
+    if (!IsWatcher(*state)) {
+      co_await Pause(state->root, state->options.heartbeat_period);
+      continue;
+    }
+    // The watch starts at a revision read before the root is, so that no change
+    // falls between the two.
+    auto now =
+        co_await WatchPrefix(state->platform, kRootKey, revision,
+                             revision == 0 ? milliseconds(0) : kWatchTime);
+    if (!now) {
+      revision = 0;
+      co_await Pause(state->root, kPlatformBackoff);
+      continue;
+    }
+    if (*now != revision || revision == 0)
+      co_await PullFromPlatform(state);
+    revision = std::max<std::uint64_t>(*now, 1);
+  }
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/agent_links.cc
@@ -0,0 +1,477 @@
+// Connections of the agent: other agents, and the VM's router.
+
+#include <algorithm>
+#include <boost/asio.hpp>
+
+#include "waxwing/agent_state.h"
+#include "waxwing/log.h"
+#include "waxwing/wire_convert.h"
+
+namespace waxwing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr milliseconds kRouterSilence{4'000};
+// A link without heartbeats is closed after this time without a frame.
+constexpr milliseconds kIdleLink{15'000};
+// Within this time after its start an agent takes a higher incarnation of its
+// own name as left over from before, later as its replacement.
+constexpr milliseconds kStartWindow{5'000};
+// A peer whose table differs for this many heartbeats gets the whole table.
+constexpr int kDifferencesBeforeTable = 3;
+constexpr milliseconds kRouterAbsence{1'000};
+constexpr std::size_t kEntriesPerCopy = 256;
+// Periods between two attempts to reach a VM that is not present, or a seed.
+constexpr int kPeriodsPerProbe = 5;
+
+wire::heartbeatT MakeHeartbeat(const agent_state& state,
+                               bool wants_reply = false) {
+  wire::heartbeatT out;
+  out.wants_reply = wants_reply;
+  out.generation = state.active_root.generation;
+  out.table_hash = TableHash(state.members);
+  return out;
+}
+
+wire::member_listT MakeMemberList(const std::vector<member>& records) {
+  wire::member_listT out;
+  for (const member& record : records)
+    out.records.push_back(
+        std::make_unique<wire::member_recordT>(ToWire(record)));
+  return out;
+}
+
+std::vector<member> AllMembers(const agent_state& state) {
+  std::vector<member> out;
+  for (const auto& [vm, record] : state.members.members)
+    out.push_back(record.data);
+  return out;
+}
+
+const member& Self(const agent_state& state) {
+  return state.members.members.at(state.options.vm).data;
+}
+
+void SendRouterView(const agent_state& state) {
+  wire::router_viewT view;
+  view.incarnation = state.incarnation;
+  for (const member& record : AllMembers(state))
+    view.members.push_back(
+        std::make_unique<wire::member_recordT>(ToWire(record)));
+  SendMessage(state.router, std::move(view));
+}
+
+void SendLedgerCopy(const agent_state& state) {
+  wire::ledger_copyT copy;
+  for (const auto& [id, entry] : state.book.entries) {
+    copy.entries.push_back(
+        std::make_unique<wire::ledger_noteT>(ToWire(id, entry, 0)));
+    if (copy.entries.size() == kEntriesPerCopy) {
+      SendMessage(state.router, std::move(copy));
+      copy = {};
+    }
+  }
+  copy.last = true;
+  SendMessage(state.router, std::move(copy));
+}
+
+// Everything a router needs to serve, also with the platform down.
+void WelcomeRouter(agent_state& state) {
+  SendRouterView(state);
+  SendLedgerCopy(state);
+  if (state.active_root.generation > 0)
+    SendMessage(state.router, MakeConfigUpdate(state, {}));
+  SendMessage(state.router, AllDigests(state));
+}
+
+// Takes in a step of a non-idempotent request and says so.
+void TakeInNote(agent_state& state,
+                const peer_link& from,
+                const wire::ledger_noteT& note) {
+  ticket_id id;
+  auto entry = FromWire(note, id);
+  wire::ledger_ackT ack;
+  ack.number = note.number;
+  // An older router of this VM, still running, may dispatch nothing.
+  ack.accepted = entry.has_value() && from.state == state.router.state;
+  if (ack.accepted)
+    Restore(state.book, id, std::move(*entry), UnixNow());
+  SendMessage(from, ack);
+}
+
+void TakeInLedgerCopy(agent_state& state, const wire::ledger_copyT& copy) {
+  for (const auto& note : copy.entries) {
+    ticket_id id;
+    if (auto entry = FromWire(*note, id))
+      Restore(state.book, id, std::move(*entry), UnixNow());
+  }
+}
+
+// The VM takes new callers only while its router serves.
+void UpdateOwnStatus(agent_state& state) {
+  if (!state.options.has_router || state.stopping)
+    return;
+  const bool is_serving = IsOpen(state.router) && !state.router_leaving;
+  const instant now = std::chrono::steady_clock::now();
+  const bool is_absent =
+      state.router_leaving || now - state.router_seen > kRouterAbsence;
+  const member_status current = Self(state).status;
+  if (is_serving && current == member_status::kLeaving)
+    SetOwnStatus(state.members, member_status::kAlive, now);
+  else if (!is_serving && is_absent && current == member_status::kAlive)
+    SetOwnStatus(state.members, member_status::kLeaving, now);
+  else
+    return;
+  SpreadMembers(state, {Self(state)}, "");
+}
+
+void TakeInRouterFrame(agent_state& state,
+                       const peer_link& from,
+                       wire::frameT& frame) {
+  auto& message = frame.message;
+  if (auto* note = message.Asledger_note()) {
+    TakeInNote(state, from, *note);
+  } else if (auto* copy = message.Asledger_copy()) {
+    TakeInLedgerCopy(state, *copy);
+  } else if (auto* applied = message.Asapplied()) {
+    state.router_generation = applied->generation;
+    state.router_leaving = applied->leaving;
+    UpdateOwnStatus(state);
+  }
+}
+
+// A router that outlived the agent knows under which incarnation the VM has
+// been known. Once others know the agent under its own, it keeps that.
+void AdoptIncarnation(agent_state& state, std::uint64_t known_to_router) {
+  if (known_to_router == 0 || known_to_router == state.incarnation ||
+      !state.links.empty() || state.has_settled)
+    return;
+  state.incarnation = known_to_router;
+  state.members.members.at(state.options.vm).data.incarnation = known_to_router;
+  LogInfo("incarnation_adopted", {{"incarnation", known_to_router}});
+}
+
+asio::awaitable<void> ServeRouter(agent_ptr state, peer_link link) {
+  // A newer router takes the place of an older one.
+  ClosePeer(state->router);
+  state->router = link;
+  AdoptIncarnation(*state, link.peer.incarnation);
+  state->router_generation = 0;
+  state->router_leaving = false;
+  LogInfo("router_connected", {{"incarnation", link.peer.incarnation}});
+  WelcomeRouter(*state);
+  while (!IsStopping(state->root)) {
+    state->router_seen = std::chrono::steady_clock::now();
+    auto frame = co_await ReadFrame(link, kRouterSilence);
+    if (!frame)
+      break;
+    TakeInRouterFrame(*state, link, *frame);
+  }
+  ClosePeer(link);
+  if (state->router.state == link.state)
+    state->router_generation = 0;
+}
+
+// Deals with a record of this VM's name in a higher incarnation.
+void MeetOtherSelf(agent_state& state, const member& other) {
+  const instant now = std::chrono::steady_clock::now();
+  if (now - state.started > kStartWindow) {
+    LogError("superseded",
+             {{"vm", other.vm}, {"incarnation", other.incarnation}});
+    state.superseded = true;
+    return;
+  }
+  // The wall clock stepped back between two lives of the VM.
+  state.incarnation = other.incarnation + 1;
+  state.members.members.at(state.options.vm).data.incarnation =
+      state.incarnation;
+  SendRouterView(state);
+}
+
+void TakeInMembers(agent_state& state,
+                   const wire::member_listT& list,
+                   std::string_view from) {
+  const instant now = std::chrono::steady_clock::now();
+  std::vector<member> news;
+  for (const auto& record : list.records) {
+    const auto parsed = FromWire(*record);
+    if (!parsed)
+      continue;
+    if (parsed->vm == state.options.vm &&
+        parsed->incarnation > state.incarnation)
+      MeetOtherSelf(state, *parsed);
+    if (!Learn(state.members, *parsed, now))
+      continue;
+    news.push_back(state.members.members.at(parsed->vm).data);
+  }
+  if (!news.empty())
+    SpreadMembers(state, news, from);
+}
+
+void TakeInHeartbeat(agent_state& state,
+                     agent_link& link,
+                     const wire::heartbeatT& heartbeat) {
+  if (heartbeat.wants_reply)
+    SendMessage(link.link, MakeHeartbeat(state));
+  if (heartbeat.generation > state.active_root.generation) {
+    wire::config_requestT request;
+    for (const auto& [hash, text] : state.shards)
+      request.have.push_back(hash);
+    SendMessage(link.link, std::move(request));
+  }
+  if (heartbeat.table_hash == TableHash(state.members)) {
+    link.table_differences = 0;
+  } else if (++link.table_differences >= kDifferencesBeforeTable) {
+    link.table_differences = 0;
+    SendMessage(link.link, MakeMemberList(AllMembers(state)));
+  }
+}
+
+void TakeInAgentFrame(agent_state& state,
+                      const std::string& vm,
+                      wire::frameT& frame) {
+  agent_link& link = state.links.at(vm);
+  auto& message = frame.message;
+  if (auto* heartbeat = message.Asheartbeat()) {
+    TakeInHeartbeat(state, link, *heartbeat);
+  } else if (auto* list = message.Asmember_list()) {
+    TakeInMembers(state, *list, vm);
+  } else if (auto* request = message.Asconfig_request()) {
+    SendMessage(link.link, MakeConfigUpdate(state, request->have));
+  } else if (auto* update = message.Asconfig_update()) {
+    std::map<std::string, std::string> shards;
+    for (auto& shard : update->shards)
+      shards[shard->content_hash] = std::move(shard->text);
+    AdoptConfig(state, update->root, std::move(shards));
+  } else if (auto* digests = message.Astarget_digests()) {
+    TakeInDigests(state, *digests);
+  } else if (auto* query = message.Asin_force_query()) {
+    wire::in_forceT answer;
+    answer.number = query->number;
+    answer.generation = OwnGeneration(state);
+    SendMessage(link.link, answer);
+  } else if (auto* answer = message.Asin_force()) {
+    const auto round = state.queries.find(answer->number);
+    if (round != state.queries.end())
+      round->second->answers[vm] = answer->generation;
+  }
+}
+
+asio::awaitable<void> ServeAgent(agent_ptr state, peer_link link) {
+  const std::string vm = link.peer.vm;
+  const instant start = std::chrono::steady_clock::now();
+  agent_link& slot = state->links[vm];
+  if (IsOpen(slot.link) && slot.link.state != link.state)
+    ClosePeer(slot.link);
+  slot = agent_link{link, false, start, 0};
+  SendMessage(link, MakeMemberList(AllMembers(*state)));
+  SendMessage(link, MakeHeartbeat(*state));
+  while (!IsStopping(state->root)) {
+    auto frame = co_await ReadFrame(link, kIdleLink);
+    const auto current = state->links.find(vm);
+    if (!frame || current == state->links.end() ||
+        current->second.link.state != link.state)
+      break;
+    current->second.last_heard = std::chrono::steady_clock::now();
+    TakeInAgentFrame(*state, vm, *frame);
+  }
+  ClosePeer(link);
+}
+
+peer_identity Identity(const agent_state& state) {
+  return {peer_role::kAgent, state.options.vm, state.incarnation};
+}
+
+asio::awaitable<void> ServeIncoming(agent_ptr state,
+                                    asio::ip::tcp::socket socket) {
+  auto link = co_await AcceptPeer(std::move(socket), Identity(*state),
+                                  state->options.key);
+  if (!link) {
+    LogWarning("peer_refused", {{"reason", NameOf(link.error().failure)},
+                                {"detail", link.error().detail}});
+    co_return;
+  }
+  if (link->peer.role == peer_role::kRouter) {
+    if (link->peer.vm == state->options.vm)
+      co_await ServeRouter(state, *link);
+    else
+      ClosePeer(*link);
+  } else if (link->peer.vm != state->options.vm && state->has_settled) {
+    co_await ServeAgent(state, *link);
+  } else {
+    ClosePeer(*link);
+  }
+}
+
+// Dials an agent and serves the link; a failure is left to the next period.
+asio::awaitable<void> DialAgent(agent_ptr state,
+                                endpoint address,
+                                std::string name) {
+  if (!state->dialling.insert(name).second)
+    co_return;
+  auto link = co_await DialPeer(state->executor, address, Identity(*state),
+                                state->options.key);
+  state->dialling.erase(name);
+  if (!link)
+    co_return;
+  if (link->peer.vm == state->options.vm ||
+      link->peer.role != peer_role::kAgent) {
+    ClosePeer(*link);
+    co_return;
+  }
+  co_await ServeAgent(state, *link);
+}
+
+void StartDial(const agent_ptr& state,
+               const endpoint& address,
+               const std::string& name) {
+  asio::co_spawn(state->executor, DialAgent(state, address, name),
+                 asio::detached);
+}
+
+bool HasOpenLink(const agent_state& state, const std::string& vm) {
+  const auto found = state.links.find(vm);
+  return found != state.links.end() && IsOpen(found->second.link);
+}
+
+// Dials the links that should be there, and marks them as watched.
+void MaintainLinks(const agent_ptr& state, std::vector<std::string>& wanted) {
+  const instant now = std::chrono::steady_clock::now();
+  wanted = ChooseLinks(state->members);
+  for (const std::string& vm : wanted) {
+    agent_link& link = state->links[vm];
+    if (!link.is_watched) {
+      link.is_watched = true;
+      link.last_heard = now;
+    }
+    if (!IsOpen(link.link))
+      StartDial(state, state->members.members.at(vm).data.agent, vm);
+  }
+  for (auto& [vm, link] : state->links) {
+    if (std::find(wanted.begin(), wanted.end(), vm) == wanted.end())
+      link.is_watched = false;
+  }
+  std::erase_if(state->links, [&](const auto& entry) {
+    return !entry.second.is_watched && !IsOpen(entry.second.link);
+  });
+}
+
+// Sends heartbeats and suspects peers that have been silent for too long.
+void SendHeartbeats(agent_state& state) {
+  const instant now = std::chrono::steady_clock::now();
+  std::vector<member> news;
+  for (auto& [vm, link] : state.links) {
+    if (!link.is_watched)
+      continue;
+    SendMessage(link.link, MakeHeartbeat(state, true));
+    if (now - link.last_heard > state.members.limits.suspect_after) {
+      // New connections may work where this one has gone silent.
+      ClosePeer(link.link);
+      if (Suspect(state.members, vm, now))
+        news.push_back(state.members.members.at(vm).data);
+    }
+  }
+  for (const std::string& vm : AdvanceMembership(state.members, now)) {
+    LogInfo("member_dead", {{"vm", vm}});
+    news.push_back(state.members.members.at(vm).data);
+  }
+  if (!news.empty())
+    SpreadMembers(state, news, "");
+}
+
+// Tries a seed or a VM that is not present, so that the two sides of a healed
+// partition find each other again.
+void ProbeAbsent(const agent_ptr& state) {
+  std::vector<endpoint> absent;
+  std::set<endpoint> present;
+  for (const auto& [vm, record] : state->members.members) {
+    if (IsPresent(record.data) || vm == state->options.vm)
+      present.insert(record.data.agent);
+    else if (record.data.status == member_status::kDead)
+      absent.push_back(record.data.agent);
+  }
+  for (const endpoint& seed : state->options.seeds) {
+    if (!present.contains(seed))
+      absent.push_back(seed);
+  }
+  if (absent.empty())
+    return;
+  const endpoint address = absent[state->random() % absent.size()];
+  StartDial(state, address, ToText(address));
+}
+
+}  // namespace
+
+std::uint64_t OwnGeneration(const agent_state& state) {
+  const std::uint64_t own = state.active_root.generation;
+  if (!state.options.has_router)
+    return own;
+  return std::min(own, state.router_generation);
+}
+
+void AnnounceGeneration(agent_state& state) {
+  for (auto& [vm, link] : state.links)
+    SendMessage(link.link, MakeHeartbeat(state));
+}
+
+void SpreadMembers(agent_state& state,
+                   const std::vector<member>& records,
+                   std::string_view except) {
+  for (auto& [vm, link] : state.links) {
+    if (vm != except)
+      SendMessage(link.link, MakeMemberList(records));
+  }
+  SendRouterView(state);
+}
+
+asio::awaitable<void> AcceptLinks(agent_ptr state) {
+  while (!IsStopping(state->root)) {
+    auto [error, socket] = co_await state->acceptor->async_accept(kUseTuple);
+    if (error) {
+      if (error == asio::error::operation_aborted)
+        co_return;
+      co_await Pause(state->root, milliseconds(50));
+      continue;
+    }
+    asio::co_spawn(state->executor, ServeIncoming(state, std::move(socket)),
+                   asio::detached);
+  }
+}
+
+asio::awaitable<void> KeepLinks(agent_ptr state) {
+  for (const endpoint& seed : state->options.seeds)
+    StartDial(state, seed, ToText(seed));
+  std::vector<std::string> wanted;
+  for (int period = 1;
+       co_await Pause(state->root, state->options.heartbeat_period); ++period) {
+    MaintainLinks(state, wanted);
+    SendHeartbeats(*state);
+    UpdateOwnStatus(*state);
+    SendMessage(state->router, MakeHeartbeat(*state));
+    Prune(state->book, UnixNow());
+    if (period % kPeriodsPerProbe == 0)
+      ProbeAbsent(state);
+  }
+}
+
+asio::awaitable<std::optional<peer_link>> EnsureLink(agent_ptr state,
+                                                     std::string vm) {
+  if (HasOpenLink(*state, vm))
+    co_return state->links.at(vm).link;
+  const auto found = state->members.members.find(vm);
+  if (found == state->members.members.end())
+    co_return std::nullopt;
+  StartDial(state, found->second.data.agent, vm);
+  constexpr int kPolls = 50;
+  constexpr milliseconds kPoll{10};
+  for (int i = 0; i < kPolls && !HasOpenLink(*state, vm); ++i)
+    co_await Pause(state->root, kPoll);
+  if (!HasOpenLink(*state, vm))
+    co_return std::nullopt;
+  co_return state->links.at(vm).link;
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/agent_operators.cc
@@ -0,0 +1,267 @@
+// The operators' API: status, intents, plans, confirms, audit. It listens at an
+// address of its own and wants the operators' key, which no caller has.
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include "waxwing/agent_state.h"
+#include "waxwing/json.h"
+#include "waxwing/log.h"
+#include "waxwing/plan.h"
+
+namespace waxwing {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view kPlansPath = "/v1/plans/";
+constexpr milliseconds kQueryTime{800};
+constexpr milliseconds kQueryPoll{10};
+constexpr std::size_t kOperatorBodyBytes = 16 * 1024 * 1024;
+
+http_response ErrorAnswer(unsigned status,
+                          std::string_view type,
+                          std::string_view message) {
+  return JsonResponse(
+      status,
+      json::serialize(json::object{
+          {"error", json::object{{"type", type}, {"message", message}}}}));
+}
+
+json::array AuditArray(const std::vector<audit_entry>& entries) {
+  json::array out;
+  for (const audit_entry& entry : entries)
+    out.push_back(json::object{{"generation", entry.generation},
+                               {"plan", entry.plan},
+                               {"operator", entry.operator_name},
+                               {"at", entry.at},
+                               {"summary", entry.summary}});
+  return out;
+}
+
+http_response PlanErrorAnswer(const plan_error& error) {
+  unsigned status = 503;
+  if (error.failure == plan_failure::kBadIntent)
+    status = 400;
+  else if (error.failure == plan_failure::kUnknownPlan)
+    status = 404;
+  else if (error.failure == plan_failure::kSuperseded)
+    status = 409;
+  json::object body{{"error", json::object{{"type", NameOf(error.failure)},
+                                           {"message", error.message}}}};
+  if (error.failure == plan_failure::kSuperseded)
+    body["changes"] = AuditArray(error.changes);
+  return JsonResponse(status, json::serialize(body));
+}
+
+json::array MemberArray(const agent_state& state) {
+  json::array out;
+  for (const auto& [vm, record] : state.members.members)
+    out.push_back(json::object{{"vm", vm},
+                               {"zone", record.data.zone},
+                               {"status", NameOf(record.data.status)},
+                               {"router", ToText(record.data.router)},
+                               {"agent", ToText(record.data.agent)}});
+  return out;
+}
+
+json::array TargetArray(const agent_state& state) {
+  json::array out;
+  for (const auto& [name, target] : state.active.targets) {
+    json::object entry{{"target", name},
+                       {"address", ToText(target.address)},
+                       {"zone", target.zone},
+                       {"serves", target.serves},
+                       {"version", target.version},
+                       {"leaving", target.leaving}};
+    const auto known = state.targets.find(name);
+    if (known != state.targets.end()) {
+      entry["reachable"] = known->second.digest.reachable;
+      entry["runs_version"] = known->second.digest.version;
+      entry["in_flight"] = known->second.digest.in_flight;
+      entry["slots"] = known->second.digest.slots;
+    }
+    out.push_back(std::move(entry));
+  }
+  return out;
+}
+
+http_response StatusAnswer(const agent_state& state) {
+  const instant now = std::chrono::steady_clock::now();
+  const peer_traffic& traffic = Traffic();
+  return JsonResponse(200,
+                      json::serialize(json::object{
+                          {"vm", state.options.vm},
+                          {"generation", state.active_root.generation},
+                          {"generation_in_force", OwnGeneration(state)},
+                          {"incarnation", std::to_string(state.incarnation)},
+                          {"members", MemberArray(state)},
+                          {"targets", TargetArray(state)},
+                          {"accounts", state.active.accounts.size()},
+                          {"models", state.active.models.size()},
+                          {"holds_orders", HoldsLease(state.orders_lease, now)},
+                          {"orders_sent", state.orders_sent},
+                          {"fence", state.orders_lease.record.fence},
+                          {"platform_calls", state.platform.calls},
+                          {"bytes_sent", traffic.bytes_sent},
+                          {"bytes_received", traffic.bytes_received},
+                          {"frames_sent", traffic.frames_sent},
+                          {"frames_received", traffic.frames_received},
+                          {"ledger_entries", state.book.entries.size()}}));
+}
+
+// The operator's name: a header set by the command line, kept for the audit.
+std::string OperatorOf(const http_exchange& exchange) {
+  const std::string_view name =
+      FindHeader(exchange.request.headers, "X-Operator");
+  return name.empty() ? "unnamed" : std::string(name.substr(0, 64));
+}
+
+asio::awaitable<http_response> HandleIntent(agent_ptr state,
+                                            http_exchange& exchange) {
+  const std::string who = OperatorOf(exchange);
+  auto made =
+      co_await MakePlan(state->platform, exchange.request.body, who, UnixNow());
+  if (!made)
+    co_return PlanErrorAnswer(made.error());
+  LogInfo("plan_made", {{"plan", made->id},
+                        {"operator", who},
+                        {"parent", made->parent_generation}});
+  json::array lines;
+  for (const std::string& line : made->lines)
+    lines.push_back(json::value(line));
+  co_return JsonResponse(
+      200, json::serialize(
+               json::object{{"plan", made->id},
+                            {"parent_generation", made->parent_generation},
+                            {"lines", std::move(lines)}}));
+}
+
+asio::awaitable<http_response> HandleConfirm(agent_ptr state,
+                                             http_exchange& exchange,
+                                             std::string id) {
+  const std::string who = OperatorOf(exchange);
+  auto confirmed = co_await ConfirmPlan(state->platform, id, who, UnixNow());
+  if (!confirmed) {
+    LogWarning("confirm_failed", {{"plan", id},
+                                  {"operator", who},
+                                  {"why", NameOf(confirmed.error().failure)}});
+    co_return PlanErrorAnswer(confirmed.error());
+  }
+  LogInfo("plan_confirmed",
+          {{"plan", id}, {"operator", who}, {"generation", *confirmed}});
+  co_await PullFromPlatform(state);
+  co_return JsonResponse(200, json::serialize(json::object{
+                                  {"plan", id}, {"generation", *confirmed}}));
+}
+
+// Which VMs have a generation in force, and the names of those that have not.
+asio::awaitable<http_response> HandleInForce(agent_ptr state,
+                                             std::string wanted_text) {
+  const std::uint64_t wanted =
+      wanted_text.empty() ? state->active_root.generation
+                          : std::strtoull(wanted_text.c_str(), nullptr, 10);
+  const auto answers = co_await QueryInForce(state);
+  json::array missing;
+  std::size_t in_force = 0;
+  std::size_t total = 0;
+  for (const auto& [vm, record] : state->members.members) {
+    if (!IsPresent(record.data))
+      continue;
+    ++total;
+    const auto answer = answers.find(vm);
+    if (answer != answers.end() && answer->second >= wanted)
+      ++in_force;
+    else
+      missing.push_back(json::value(vm));
+  }
+  co_return JsonResponse(
+      200, json::serialize(json::object{{"generation", wanted},
+                                        {"in_force", in_force},
+                                        {"of", total},
+                                        {"missing", std::move(missing)}}));
+}
+
+asio::awaitable<void> Handle(agent_ptr state, http_exchange& exchange) {
+  const std::string target = exchange.request.target;
+  const std::string_view path = PathOf(target);
+  const bool is_post = exchange.request.method == "POST";
+  http_response answer =
+      ErrorAnswer(404, "no_such_path", "there is nothing at this path");
+  const std::string wanted = "Bearer " + state->options.operator_key;
+  if (FindHeader(exchange.request.headers, "Authorization") != wanted) {
+    answer = ErrorAnswer(401, "not_an_operator", "the operators' key is wrong");
+  } else if (path == "/v1/status") {
+    answer = StatusAnswer(*state);
+  } else if (path == "/v1/audit") {
+    answer = JsonResponse(
+        200, json::serialize(json::object{
+                 {"audit", AuditArray(state->active_root.audit)}}));
+  } else if (path == "/v1/in-force") {
+    answer = co_await HandleInForce(
+        state, std::string(QueryValue(target, "generation")));
+  } else if (is_post && path == "/v1/intents") {
+    answer = co_await HandleIntent(state, exchange);
+  } else if (is_post && path.starts_with(kPlansPath) &&
+             path.ends_with("/confirm")) {
+    std::string_view id = path.substr(kPlansPath.size());
+    id.remove_suffix(std::string_view("/confirm").size());
+    answer = co_await HandleConfirm(state, exchange, std::string(id));
+  }
+  co_await Respond(exchange, answer);
+}
+
+}  // namespace
+
+tl::expected<void, std::string> StartOperatorApi(const agent_ptr& state) {
+  http_limits limits;
+  limits.connections = 64;
+  limits.body_bytes = kOperatorBodyBytes;
+  auto server =
+      StartHttpServer(state->executor, state->options.operator_address, limits,
+                      [weak = std::weak_ptr<agent_state>(state)](
+                          http_exchange& exchange) -> asio::awaitable<void> {
+                        if (auto locked = weak.lock())
+                          co_await Handle(locked, exchange);
+                      });
+  if (!server)
+    return tl::unexpected(server.error());
+  state->operators = *server;
+  return {};
+}
+
+asio::awaitable<std::map<std::string, std::uint64_t>> QueryInForce(
+    agent_ptr state) {
+  in_force_round round;
+  const std::uint64_t number = state->next_query++;
+  state->queries[number] = &round;
+  round.answers[state->options.vm] = OwnGeneration(*state);
+  std::size_t asked = 1;
+  for (const auto& [vm, record] : state->members.members) {
+    if (vm == state->options.vm || !IsPresent(record.data))
+      continue;
+    ++asked;
+    asio::co_spawn(
+        state->executor,
+        [](agent_ptr s, std::string name,
+           std::uint64_t n) -> asio::awaitable<void> {
+          const auto link = co_await EnsureLink(s, name);
+          wire::in_force_queryT query;
+          query.number = n;
+          if (link)
+            SendMessage(*link, query);
+        }(state, vm, number),
+        asio::detached);
+  }
+  const instant limit = std::chrono::steady_clock::now() + kQueryTime;
+  while (round.answers.size() < asked &&
+         std::chrono::steady_clock::now() < limit)
+    co_await Pause(state->root, kQueryPoll);
+  state->queries.erase(number);
+  co_return std::move(round.answers);
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/agent_orders.cc
@@ -0,0 +1,141 @@
+// The leased duty of giving orders to model engines.
+//
+// The holder compares what each engine runs, as its own digests show, with what
+// the configuration says it should, and orders the difference: the desired end
+// state, with the lease's fencing number. Comparing never stops, so an engine
+// that ignores fencing numbers and obeyed an old holder is repaired.
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include "waxwing/agent_state.h"
+#include "waxwing/log.h"
+
+namespace waxwing {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view kOrdersLease = "leases/orders";
+constexpr milliseconds kLeasePoll{500};
+constexpr std::size_t kCandidates = 2;
+
+bool IsOpenForOrders(const agent_state& state) {
+  const member_status own =
+      state.members.members.at(state.options.vm).data.status;
+  return !state.stopping && own == member_status::kAlive;
+}
+
+// The few agents that compete for the lease, so that its calls do not grow with
+// the fleet.
+bool IsCandidate(const agent_state& state) {
+  if (!IsOpenForOrders(state))
+    return false;
+  const auto best =
+      ChooseEntryVms(state.members, kOrdersLease, "", kCandidates);
+  for (const member& vm : best) {
+    if (vm.vm == state.options.vm)
+      return true;
+  }
+  return false;
+}
+
+asio::awaitable<void> ReadLeaseObject(agent_ptr state,
+                                      std::optional<instant> sent) {
+  auto object = co_await GetObject(state->platform, kOrdersLease);
+  const instant now = std::chrono::steady_clock::now();
+  if (!object && object.error().failure == platform_failure::kAbsent) {
+    ObserveLease(state->orders_lease, {}, 0, now, std::nullopt);
+    co_return;
+  }
+  if (!object)
+    co_return;
+  if (const auto record = ReadLease(object->value))
+    ObserveLease(state->orders_lease, *record, object->version, now, sent);
+}
+
+// Takes or renews the lease if it is time to.
+asio::awaitable<void> KeepLease(agent_ptr state) {
+  lease_view& lease = state->orders_lease;
+  const instant sent = std::chrono::steady_clock::now();
+  const lease_action action = NextAction(lease, sent);
+  if (action == lease_action::kWait) {
+    if (!HoldsLease(lease, sent))
+      co_await ReadLeaseObject(state, std::nullopt);
+    co_return;
+  }
+  const lease_record next = NextRecord(lease, action);
+  auto put = co_await PutObject(state->platform, kOrdersLease, WriteLease(next),
+                                lease.version);
+  if (put) {
+    ObserveLease(lease, next, *put, std::chrono::steady_clock::now(), sent);
+    if (action == lease_action::kTake)
+      LogInfo("lease_taken", {{"fence", next.fence}});
+    co_return;
+  }
+  // Whether or not the write took effect, the object itself tells.
+  co_await ReadLeaseObject(state, sent);
+}
+
+// The first target that does not run what it should.
+const target_config* FindDifference(const agent_state& state) {
+  for (const auto& [name, target] : state.active.targets) {
+    const auto known = state.targets.find(name);
+    if (target.kind != target_kind::kModelWorker || target.leaving ||
+        target.version.empty() || known == state.targets.end())
+      continue;
+    const auto& digest = known->second.digest;
+    if (digest.reachable && !digest.version.empty() &&
+        digest.version != target.version)
+      return &target;
+  }
+  return nullptr;
+}
+
+asio::awaitable<void> SendOrder(agent_ptr state, target_config target) {
+  http_request request;
+  request.method = "POST";
+  request.target = "/v1/orders";
+  request.body =
+      json::serialize(json::object{{"fence", state->orders_lease.record.fence},
+                                   {"version", target.version}});
+  const http_call_options options{kLongestOrder, false};
+  // Nothing may come between this check and the dispatch.
+  if (!HoldsLease(state->orders_lease, std::chrono::steady_clock::now()))
+    co_return;
+  ++state->orders_sent;
+  state->last_load = std::chrono::steady_clock::now();
+  auto answer = co_await Fetch(state->pool, target.address, request, options);
+  const bool accepted = answer && answer->status == 200;
+  LogInfo("order_sent", {{"target", target.name},
+                         {"version", target.version},
+                         {"fence", state->orders_lease.record.fence},
+                         {"accepted", accepted}});
+  // Until the next report the order counts as carried out.
+  const auto known = state->targets.find(target.name);
+  if (accepted && known != state->targets.end())
+    known->second.digest.version = target.version;
+}
+
+}  // namespace
+
+asio::awaitable<void> GiveOrders(agent_ptr state) {
+  state->orders_lease.self = state->options.vm;
+  state->orders_lease.incarnation = state->incarnation;
+  while (co_await Pause(state->root,
+                        std::min(kLeasePoll, state->options.load_pace))) {
+    if (!IsCandidate(*state))
+      continue;
+    co_await KeepLease(state);
+    const instant now = std::chrono::steady_clock::now();
+    if (!HoldsLease(state->orders_lease, now) ||
+        now - state->last_load < state->options.load_pace)
+      continue;
+    if (const target_config* target = FindDifference(*state))
+      co_await SendOrder(state, *target);
+  }
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/agent_targets.cc
@@ -0,0 +1,159 @@
+// Reports of model workers: each target's report is read by one agent, chosen
+// by rendezvous in the target's zone, and passed on to the other VMs as a
+// digest of a few dozen bytes. Cache events are not passed on: routers learn
+// what is cached from the answers (see placement.h), so only the engine's boot
+// id and weights version have to travel.
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include "waxwing/agent_state.h"
+#include "waxwing/json.h"
+#include "waxwing/log.h"
+
+namespace waxwing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A digest that has not changed is still passed on this often.
+constexpr milliseconds kRefresh{5'000};
+constexpr milliseconds kReportTimeout{400};
+constexpr std::int64_t kMostSlots = 100'000;
+
+bool IsAssigned(const agent_state& state, const target_config& target) {
+  return target.kind == target_kind::kModelWorker && !target.leaving &&
+         ChooseForDuty(state.members, "report/" + target.name, target.zone) ==
+             state.options.vm;
+}
+
+// What makes a digest worth passing on before its refresh.
+bool DiffersMuch(const wire::target_digestT& a, const wire::target_digestT& b) {
+  if (a.boot_id != b.boot_id || a.version != b.version ||
+      a.reachable != b.reachable || a.leaving != b.leaving ||
+      a.slots != b.slots)
+    return true;
+  const auto difference = a.in_flight > b.in_flight ? a.in_flight - b.in_flight
+                                                    : b.in_flight - a.in_flight;
+  // A quarter of the slots, so that small changes cost nothing.
+  return difference * 4 > a.slots;
+}
+
+bool ReadReport(std::string_view body,
+                wire::target_digestT& digest,
+                std::string& role) {
+  const auto report = ParseObject(body);
+  if (!report)
+    return false;
+  const auto boot = ReadText(*report, "boot_id");
+  const auto version = ReadText(*report, "version");
+  const auto slots = ReadInteger(*report, "slots", 1, kMostSlots);
+  const auto in_flight = ReadInteger(*report, "in_flight", 0, kMostSlots);
+  const auto waiting = ReadIntegerOr(*report, "waiting", 0, kMostSlots, 0);
+  if (!boot || !version || !slots || !in_flight || !waiting)
+    return false;
+  digest.boot_id = std::strtoull(boot->c_str(), nullptr, 10);
+  digest.version = *version;
+  digest.slots = static_cast<std::uint32_t>(*slots);
+  digest.in_flight = static_cast<std::uint32_t>(*in_flight + *waiting);
+  digest.prefill_tokens_per_second =
+      ReadNumberOr(*report, "prefill_tokens_per_second", 0, 1e9, 0).value_or(0);
+  digest.reachable = true;
+  role = ReadTextOr(*report, "role", "").value_or("");
+  return true;
+}
+
+asio::awaitable<void> PollTarget(agent_ptr state, target_config target) {
+  http_request request;
+  request.target = "/v1/report?limit=0";
+  const http_call_options options{kReportTimeout, true};
+  auto answer = co_await Fetch(state->pool, target.address, request, options);
+  known_target& known = state->targets[target.name];
+  known.digest.name = target.name;
+  if (!answer || !ReadReport(answer->body, known.digest, known.role))
+    known.digest.reachable = false;
+  known.fresh = std::chrono::steady_clock::now();
+}
+
+// Digests of this agent's targets that changed enough, or are due.
+wire::target_digestsT TakeDue(agent_state& state) {
+  const instant now = std::chrono::steady_clock::now();
+  wire::target_digestsT out;
+  for (auto& [name, known] : state.targets) {
+    const auto target = state.active.targets.find(name);
+    if (target == state.active.targets.end() ||
+        !IsAssigned(state, target->second) || known.fresh == instant{})
+      continue;
+    const bool changed =
+        !known.last_passed || DiffersMuch(known.digest, *known.last_passed);
+    if (!changed && now - known.passed_on < kRefresh)
+      continue;
+    known.last_passed = known.digest;
+    known.passed_on = now;
+    out.targets.push_back(std::make_unique<wire::target_digestT>(known.digest));
+  }
+  return out;
+}
+
+asio::awaitable<void> SendTo(agent_ptr state,
+                             std::string vm,
+                             wire::frameT frame) {
+  const auto link = co_await EnsureLink(state, vm);
+  if (link)
+    SendFrame(*link, frame);
+}
+
+void PassOn(const agent_ptr& state, const wire::target_digestsT& due) {
+  wire::frameT frame;
+  frame.message.Set(wire::target_digestsT(due));
+  SendFrame(state->router, frame);
+  for (const auto& [vm, record] : state->members.members) {
+    if (vm == state->options.vm || !IsPresent(record.data))
+      continue;
+    asio::co_spawn(state->executor, SendTo(state, vm, frame), asio::detached);
+  }
+}
+
+}  // namespace
+
+asio::awaitable<void> PollTargets(agent_ptr state) {
+  while (co_await Pause(state->root, state->options.report_period)) {
+    for (const auto& [name, target] : state->active.targets) {
+      if (IsAssigned(*state, target))
+        asio::co_spawn(state->executor, PollTarget(state, target),
+                       asio::detached);
+    }
+    const wire::target_digestsT due = TakeDue(*state);
+    if (!due.targets.empty())
+      PassOn(state, due);
+    std::erase_if(state->targets, [&](const auto& entry) {
+      return !state->active.targets.contains(entry.first);
+    });
+  }
+}
+
+void TakeInDigests(agent_state& state, const wire::target_digestsT& digests) {
+  const instant now = std::chrono::steady_clock::now();
+  for (const auto& digest : digests.targets) {
+    if (!state.active.targets.contains(digest->name))
+      continue;
+    known_target& known = state.targets[digest->name];
+    known.digest = *digest;
+    known.fresh = now;
+  }
+  SendMessage(state.router, wire::target_digestsT(digests));
+}
+
+wire::target_digestsT AllDigests(const agent_state& state) {
+  wire::target_digestsT out;
+  for (const auto& [name, known] : state.targets) {
+    if (known.fresh != instant{})
+      out.targets.push_back(
+          std::make_unique<wire::target_digestT>(known.digest));
+  }
+  return out;
+}
+
+}  // namespace waxwing
--- a/waxwing/api.cc
+++ b/waxwing/api.cc
@@ -115,10 +115,9 @@
 }
 
 std::string ErrorJson(const api_error& error) {
-  return json::serialize(
-      json::object{{"error", json::object{{"type", error.type},
-                                          {"message", error.message}}},
-                   {"ran", NameOf(error.outcome)}});
+  return json::serialize(json::object{
+      {"error", json::object{{"type", error.type}, {"message", error.message}}},
+      {"ran", NameOf(error.outcome)}});
 }
 
 http_response ErrorResponse(const api_error& error) {
--- a/waxwing/chat_run.cc
+++ b/waxwing/chat_run.cc
@@ -118,11 +118,11 @@
     NotePrefilled(run.state->placement, sent.chosen, sent.missed);
   } else {
     const duration gap = now - run.last_token;
-    run.token_gap = run.token_gap == duration::zero()
-                        ? gap
-                        : std::chrono::duration_cast<duration>(
-                              run.token_gap * (1 - kGapSmoothing) +
-                              gap * kGapSmoothing);
+    run.token_gap =
+        run.token_gap == duration::zero()
+            ? gap
+            : std::chrono::duration_cast<duration>(
+                  run.token_gap * (1 - kGapSmoothing) + gap * kGapSmoothing);
   }
   if (run.next_token == 0)
     Observe(run.state->stats, "waxwing_ttft_seconds",
@@ -275,8 +275,7 @@
                                      std::string id) {
   const http_request message{"POST", "/v1/cancel?id=" + id, {}, ""};
   const http_call_options options{kHeaderTimeout, true};
-  const auto ignored =
-      co_await Fetch(state->pool, address, message, options);
+  const auto ignored = co_await Fetch(state->pool, address, message, options);
 }
 
 // Runs the request at one target: the first attempt, then resumes for as long
@@ -298,7 +297,8 @@
   dispatch out;
   out.chosen = chosen;
   out.epoch = view.epoch;
-  out.missed = run.chain.tokens - std::min(run.chain.tokens, chosen.cached_tokens);
+  out.missed =
+      run.chain.tokens - std::min(run.chain.tokens, chosen.cached_tokens);
   out.address = view.address;
   out.started = std::chrono::steady_clock::now();
   return out;
@@ -360,9 +360,11 @@
     if (end == attempt_end::kDone || end == attempt_end::kCallerGone)
       co_return tl::expected<void, api_error>();
     if (!MayGoElsewhere(run, end))
-      co_return tl::unexpected(
-          api_error{502, "target_failed", "the target did not complete it",
-                    run.sent ? ran::kUnknown : ran::kNo, {}});
+      co_return tl::unexpected(api_error{502,
+                                         "target_failed",
+                                         "the target did not complete it",
+                                         run.sent ? ran::kUnknown : ran::kNo,
+                                         {}});
     avoid = static_cast<int>(chosen->target);
     Count(run.state->stats, "waxwing_retries_total");
   }
--- a/waxwing/config.cc
+++ b/waxwing/config.cc
@@ -19,9 +19,9 @@
 
 tl::unexpected<config_error> Malformed(std::string_view object,
                                        std::string_view problem) {
-  return tl::unexpected(config_error{
-      config_failure::kMalformed,
-      std::string(object) + ": " + std::string(problem)});
+  return tl::unexpected(
+      config_error{config_failure::kMalformed,
+                   std::string(object) + ": " + std::string(problem)});
 }
 
 tl::unexpected<config_error> Inconsistent(std::string message) {
@@ -39,8 +39,8 @@
 
 json::object WriteTarget(const target_config& target) {
   return {{"name", target.name},
-          {"kind", target.kind == target_kind::kModelWorker ? "model"
-                                                            : "application"},
+          {"kind",
+           target.kind == target_kind::kModelWorker ? "model" : "application"},
           {"address", ToText(target.address)},
           {"zone", target.zone},
           {"serves", target.serves},
@@ -111,8 +111,9 @@
     if (!entry.is_object())
       return "versions: must hold objects";
     field_reader share{entry.as_object(), ""};
-    model.versions.push_back({share.Text("version"), static_cast<int>(share.Integer(
-                                                         "percent", 0, 100, 0))});
+    model.versions.push_back(
+        {share.Text("version"),
+         static_cast<int>(share.Integer("percent", 0, 100, 0))});
     if (!share.error.empty())
       return "versions." + share.error;
   }
--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -184,17 +184,16 @@
   auto dialled = co_await Dial(pool, address);
   if (!dialled)
     co_return tl::unexpected(dialled.error());
-  auto answer = co_await Exchange(*dialled, request,
-                                  pool.state->limits.response_bytes,
-                                  options.header_timeout);
+  auto answer =
+      co_await Exchange(*dialled, request, pool.state->limits.response_bytes,
+                        options.header_timeout);
   co_return answer;
 }
 
-asio::awaitable<tl::expected<bool, http_error>> ReadPiece(
-    const http_pool& pool,
-    http_call& call,
-    milliseconds timeout,
-    std::string& out) {
+asio::awaitable<tl::expected<bool, http_error>> ReadPiece(const http_pool& pool,
+                                                          http_call& call,
+                                                          milliseconds timeout,
+                                                          std::string& out) {
   detail::http_call_state& state = *call.state;
   auto& parser = *state.parser;
   std::array<char, kReadBytes> piece;
--- a/waxwing/http_server.cc
+++ b/waxwing/http_server.cc
@@ -29,12 +29,11 @@
   http_limits limits;
   http_handler handler;
   bool stopping = false;
+  bool close_after_answers = false;
   std::size_t open_exchanges = 0;
   std::set<http_connection*> connections;
 
-  http_listener(asio::any_io_executor e,
-                const http_limits& l,
-                http_handler h)
+  http_listener(asio::any_io_executor e, const http_limits& l, http_handler h)
       : executor(e), acceptor(e), limits(l), handler(std::move(h)) {}
 };
 
@@ -50,13 +49,16 @@
 // The status and text to answer when a request could not be parsed.
 http_response ParseFailureResponse(const beast::error_code& error) {
   if (error == http::error::body_limit)
-    return JsonResponse(413, R"({"error":{"type":"body_too_large"},"ran":"no"})");
+    return JsonResponse(413,
+                        R"({"error":{"type":"body_too_large"},"ran":"no"})");
   if (error == http::error::header_limit)
     return JsonResponse(431,
                         R"({"error":{"type":"header_too_large"},"ran":"no"})");
   if (error == beast::error::timeout)
-    return JsonResponse(408, R"({"error":{"type":"request_timeout"},"ran":"no"})");
-  return JsonResponse(400, R"({"error":{"type":"malformed_request"},"ran":"no"})");
+    return JsonResponse(408,
+                        R"({"error":{"type":"request_timeout"},"ran":"no"})");
+  return JsonResponse(400,
+                      R"({"error":{"type":"malformed_request"},"ran":"no"})");
 }
 
 http_request TakeRequest(request_parser& parser) {
@@ -77,7 +79,8 @@
                                   beast::flat_buffer& buffer) {
   detail::http_connection& connection = *exchange.connection;
   request_parser parser;
-  parser.header_limit(static_cast<std::uint32_t>(connection.limits->header_bytes));
+  parser.header_limit(
+      static_cast<std::uint32_t>(connection.limits->header_bytes));
   parser.body_limit(connection.limits->body_bytes);
   connection.stream.expires_after(connection.limits->idle_timeout);
   if (buffer.size() == 0) {
@@ -105,8 +108,9 @@
       std::string sink(16 * 1024, '\0');
       connection.stream.expires_after(milliseconds(500));
       for (int i = 0; i < 1024; ++i) {
-        auto [drain_error, drained] = co_await connection.stream.async_read_some(
-            asio::buffer(sink), kUseTuple);
+        auto [drain_error, drained] =
+            co_await connection.stream.async_read_some(asio::buffer(sink),
+                                                       kUseTuple);
         if (drain_error)
           break;
       }
@@ -157,6 +161,8 @@
     connection.busy = false;
     if (!co_await ReadRequest(exchange, buffer))
       break;
+    if (listener->close_after_answers)
+      connection.keep_alive = false;
     co_await RunHandler(listener, exchange);
     if (exchange.broken)
       break;
@@ -222,7 +228,8 @@
   if (!error)
     listener->acceptor.open(local.protocol(), error);
   if (!error)
-    listener->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    listener->acceptor.set_option(asio::socket_base::reuse_address(true),
+                                  error);
   if (!error)
     listener->acceptor.bind(local, error);
   if (!error)
@@ -235,6 +242,10 @@
   return http_server{listener, endpoint{address.host, port}};
 }
 
+void CloseAfterAnswers(http_server& server) {
+  server.listener->close_after_answers = true;
+}
+
 void StopAccepting(http_server& server) {
   server.listener->stopping = true;
   beast::error_code ignored;
--- a/waxwing/http_server.h
+++ b/waxwing/http_server.h
@@ -69,6 +69,9 @@
     const http_limits& limits,
     http_handler handler);
 
+// From now on every answer closes its connection.
+void CloseAfterAnswers(http_server& server);
+
 // Stops accepting; connections in use go on, idle ones are closed.
 void StopAccepting(http_server& server);
 
--- a/waxwing/json.cc
+++ b/waxwing/json.cc
@@ -82,9 +82,9 @@
   json::error_code error;
   const auto number = value->to_number<double>(error);
   if (error || number < minimum || number > maximum)
-    return tl::unexpected(
-        Problem(field, "must be a number from " + std::to_string(minimum) +
-                           " to " + std::to_string(maximum)));
+    return tl::unexpected(Problem(field, "must be a number from " +
+                                             std::to_string(minimum) + " to " +
+                                             std::to_string(maximum)));
   return number;
 }
 
--- a/waxwing/log.cc
+++ b/waxwing/log.cc
@@ -67,8 +67,9 @@
   State().program = program;
   State().lowest = lowest;
   boost::log::add_console_log(
-      std::cerr, boost::log::keywords::format = boost::log::expressions::stream
-                                                << boost::log::expressions::smessage,
+      std::cerr,
+      boost::log::keywords::format = boost::log::expressions::stream
+                                     << boost::log::expressions::smessage,
       boost::log::keywords::auto_flush = true);
 }
 
--- a/waxwing/log.h
+++ b/waxwing/log.h
@@ -31,8 +31,9 @@
   log_field(std::string_view k, const char* v) : key(k), value(v) {}
   log_field(std::string_view k, bool v) : key(k), value(v ? "true" : "false") {}
   template <typename T>
-    requires(std::integral<T> || std::floating_point<T>)
-  log_field(std::string_view k, T v) : key(k), value(std::to_string(v)) {}
+  requires(std::integral<T> || std::floating_point<T>)
+      log_field(std::string_view k, T v)
+      : key(k), value(std::to_string(v)) {}
 };
 
 enum class log_level { kDebug, kInfo, kWarning, kError };
--- a/waxwing/membership.cc
+++ b/waxwing/membership.cc
@@ -148,6 +148,35 @@
   return links;
 }
 
+std::uint64_t TableHash(const membership& table) {
+  std::uint64_t hash = 0;
+  for (const auto& [vm, record] : table.members) {
+    const member& data = record.data;
+    hash = MixHash(hash, Hash64(vm, data.incarnation));
+    hash = MixHash(hash,
+                   data.version * 8 + static_cast<std::uint64_t>(data.status));
+  }
+  return hash;
+}
+
+std::string ChooseForDuty(const membership& table,
+                          std::string_view key,
+                          std::string_view zone) {
+  const std::uint64_t hash = Hash64(key);
+  const member* best = nullptr;
+  const auto weight = [&](const member& m) {
+    // A VM of the zone goes before all others.
+    return std::pair(m.zone == zone, RendezvousWeight(hash, Hash64(m.vm)));
+  };
+  for (const auto& [vm, record] : table.members) {
+    const bool is_candidate = record.data.status == member_status::kAlive ||
+                              record.data.status == member_status::kLeaving;
+    if (is_candidate && (!best || weight(record.data) > weight(*best)))
+      best = &record.data;
+  }
+  return best ? best->vm : std::string();
+}
+
 std::vector<member> ChooseEntryVms(const membership& table,
                                    std::string_view account,
                                    std::string_view zone,
--- a/waxwing/membership.h
+++ b/waxwing/membership.h
@@ -47,10 +47,10 @@
 
 struct membership_limits {
   std::size_t ring_links = 2;
-  std::size_t chord_links = 2;
+  std::size_t chord_links = 1;
   // Silence after which a linked peer is suspected, and the further time after
   // which a suspect counts as dead.
-  milliseconds suspect_after{1'200};
+  milliseconds suspect_after{1'500};
   milliseconds dead_after{800};
   // Time that a dead or left record is kept, so that it is not learned again.
   milliseconds forget_after{600'000};
@@ -93,9 +93,17 @@
 // Names of the VMs that this one should keep links to.
 std::vector<std::string> ChooseLinks(const membership& table);
 
+// Hash over all records; equal tables have equal hashes.
+std::uint64_t TableHash(const membership& table);
+
+// The VM, among those present in `zone`, that does a duty named `key`; among
+// all present ones if the zone has none. Empty if there is none at all.
+std::string ChooseForDuty(const membership& table,
+                          std::string_view key,
+                          std::string_view zone);
+
 // The entry VMs that an account should use, best first: alive ones of the zone
-// by rendezvous, then those of other zones. At most `count`. `excluded` VMs are
-// left out unless nothing else is there.
+// by rendezvous, then those of other zones. At most `count`.
 std::vector<member> ChooseEntryVms(const membership& table,
                                    std::string_view account,
                                    std::string_view zone,
--- a/waxwing/peer_link.cc
+++ b/waxwing/peer_link.cc
@@ -36,9 +36,8 @@
                           bool is_dialler,
                           const peer_identity& who) {
   return ToHex(dialler_nonce) + ToHex(acceptor_nonce) +
-         (is_dialler ? "d" : "a") +
-         std::to_string(static_cast<int>(who.role)) + ToHex(who.incarnation) +
-         who.vm;
+         (is_dialler ? "d" : "a") + std::to_string(static_cast<int>(who.role)) +
+         ToHex(who.incarnation) + who.vm;
 }
 
 }  // namespace detail
@@ -111,8 +110,8 @@
         peer_error{peer_failure::kMalformed, "frame is too long"});
   }
   std::vector<std::uint8_t> bytes(size);
-  auto [error, read] = co_await asio::async_read(
-      state->stream, asio::buffer(bytes), kUseTuple);
+  auto [error, read] =
+      co_await asio::async_read(state->stream, asio::buffer(bytes), kUseTuple);
   if (error) {
     Close(*state);
     co_return tl::unexpected(ToPeerError(error));
@@ -174,8 +173,8 @@
   }
   const std::uint64_t dialler_nonce = is_dialler ? own_nonce : theirs->nonce;
   const std::uint64_t acceptor_nonce = is_dialler ? theirs->nonce : own_nonce;
-  const std::string own_text = detail::HandshakeText(
-      dialler_nonce, acceptor_nonce, is_dialler, self);
+  const std::string own_text =
+      detail::HandshakeText(dialler_nonce, acceptor_nonce, is_dialler, self);
   SendMessage(link, MakeHello(self, key, own_text));
   auto second = co_await ReadOne(state, kHandshakeTimeout);
   if (!second)
@@ -211,8 +210,7 @@
   const asio::ip::tcp::endpoint remote(
       asio::ip::make_address(address.host, bad), address.port);
   if (bad)
-    co_return tl::unexpected(
-        peer_error{peer_failure::kConnect, bad.message()});
+    co_return tl::unexpected(peer_error{peer_failure::kConnect, bad.message()});
   beast::tcp_stream stream(executor);
   stream.expires_after(kHandshakeTimeout);
   auto [error] = co_await stream.async_connect(remote, kUseTuple);
@@ -221,8 +219,7 @@
         peer_error{peer_failure::kConnect, error.message()});
   stream.socket().set_option(asio::ip::tcp::no_delay(true), bad);
   auto state = std::make_shared<detail::peer_link_state>(std::move(stream));
-  auto link =
-      co_await Handshake(state, std::move(self), std::move(key), true);
+  auto link = co_await Handshake(state, std::move(self), std::move(key), true);
   if (link)
     link->address = address;
   co_return link;
@@ -235,8 +232,7 @@
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   auto state = std::make_shared<detail::peer_link_state>(
       beast::tcp_stream(std::move(socket)));
-  auto link =
-      co_await Handshake(state, std::move(self), std::move(key), false);
+  auto link = co_await Handshake(state, std::move(self), std::move(key), false);
   co_return link;
 }
 
--- a/waxwing/placement.cc
+++ b/waxwing/placement.cc
@@ -88,8 +88,7 @@
               std::uint32_t target,
               double cached) {
   const target_view& view = state.targets[target];
-  const int queued =
-      target < state.queued.size() ? state.queued[target] : 0;
+  const int queued = target < state.queued.size() ? state.queued[target] : 0;
   const double missed = std::max(0.0, request.chain->tokens - cached);
   double cost = ToSeconds(ExpectedWait(view, queued)) +
                 ToSeconds(view.distance) +
--- /dev/null
+++ b/waxwing/plan.cc
@@ -0,0 +1,304 @@
+#include "waxwing/plan.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+#include "waxwing/hash.h"
+#include "waxwing/intent.h"
+#include "waxwing/json.h"
+
+namespace waxwing {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::int64_t kLargestNumber = std::int64_t{1} << 53;
+constexpr int kConfirmTries = 6;
+constexpr int kStoreRetries = 3;
+constexpr std::string_view kNoSummary = "nothing changes";
+
+template <typename T>
+using plan_result = tl::expected<T, plan_error>;
+
+plan_error FromPlatform(const platform_error& error) {
+  const plan_failure failure = error.failure == platform_failure::kUncertain
+                                   ? plan_failure::kUncertain
+                                   : plan_failure::kUnavailable;
+  return {
+      failure,
+      "platform: " + std::string(NameOf(error.failure)) + " " + error.detail,
+      {}};
+}
+
+plan_error FromConfig(const config_error& error) {
+  return {plan_failure::kBadIntent, error.message, {}};
+}
+
+json::array TextArray(const std::vector<std::string>& texts) {
+  json::array out;
+  for (const std::string& text : texts)
+    out.push_back(json::value(text));
+  return out;
+}
+
+bool ReadTextArray(const json::object& from,
+                   std::string_view field,
+                   std::vector<std::string>& out) {
+  const json::array* array = FindArray(from, field);
+  if (!array)
+    return false;
+  for (const json::value& text : *array) {
+    if (!text.is_string())
+      return false;
+    out.emplace_back(text.as_string());
+  }
+  return true;
+}
+
+std::string JoinLines(const std::vector<std::string>& lines) {
+  std::string out;
+  for (const std::string& line : lines)
+    out += out.empty() ? line : "; " + line;
+  return out.empty() ? std::string(kNoSummary) : out;
+}
+
+// The generation at which a plan was put in force, or 0.
+std::uint64_t GenerationOfPlan(const config_root& root, std::string_view id) {
+  for (const audit_entry& entry : root.audit) {
+    if (entry.plan == id)
+      return entry.generation;
+  }
+  return 0;
+}
+
+plan_error Superseded(const config_root& root, const plan& wanted) {
+  plan_error out{plan_failure::kSuperseded,
+                 "generation " + std::to_string(root.generation) +
+                     " is in force, the plan was made for " +
+                     std::to_string(wanted.parent_generation),
+                 {}};
+  for (const audit_entry& entry : root.audit) {
+    if (entry.generation > wanted.parent_generation)
+      out.changes.push_back(entry);
+  }
+  return out;
+}
+
+config_root NextRoot(const config_root& before,
+                     const plan& confirmed,
+                     std::string_view operator_name,
+                     unix_ms now) {
+  config_root out;
+  out.generation = before.generation + 1;
+  out.plan = confirmed.id;
+  out.shards = confirmed.shards;
+  out.audit = before.audit;
+  out.audit.push_back({out.generation, confirmed.id, std::string(operator_name),
+                       now, JoinLines(confirmed.lines)});
+  if (out.audit.size() > kAuditTail)
+    out.audit.erase(out.audit.begin());
+  return out;
+}
+
+struct root_read {
+  config_root root;
+  std::uint64_t version = 0;
+};
+
+// The root object; generation 0 and version 0 if there is none yet.
+asio::awaitable<plan_result<root_read>> ReadRootObject(
+    platform_client& client) {
+  auto object = co_await GetObject(client, kRootKey);
+  if (!object && object.error().failure == platform_failure::kAbsent)
+    co_return root_read{};
+  if (!object)
+    co_return tl::unexpected(FromPlatform(object.error()));
+  auto root = ReadRoot(object->value);
+  if (!root)
+    co_return tl::unexpected(FromConfig(root.error()));
+  co_return root_read{std::move(*root), object->version};
+}
+
+asio::awaitable<plan_result<plan>> LoadPlan(platform_client& client,
+                                            std::string_view id) {
+  const std::string key = std::string(kPlanPrefix) + std::string(id);
+  auto object = co_await GetObject(client, key);
+  if (!object && object.error().failure == platform_failure::kAbsent)
+    co_return tl::unexpected(plan_error{
+        plan_failure::kUnknownPlan, "no plan " + std::string(id), {}});
+  if (!object)
+    co_return tl::unexpected(FromPlatform(object.error()));
+  auto read = ReadPlan(object->value);
+  if (!read)
+    co_return tl::unexpected(FromConfig(read.error()));
+  co_return std::move(*read);
+}
+
+// Stores an immutable object. A create whose answer was lost is repeated: its
+// key is unique to its content, so it can only meet itself.
+asio::awaitable<plan_result<void>> Store(platform_client& client,
+                                         std::string key,
+                                         std::string value) {
+  auto put = co_await PutImmutable(client, key, value);
+  for (int retry = 0; retry < kStoreRetries && !put &&
+                      put.error().failure == platform_failure::kUncertain;
+       ++retry)
+    put = co_await PutImmutable(client, key, value);
+  if (!put)
+    co_return tl::unexpected(FromPlatform(put.error()));
+  co_return plan_result<void>();
+}
+
+}  // namespace
+
+std::string WritePlan(const plan& from) {
+  return json::serialize(
+      json::object{{"id", from.id},
+                   {"parent_generation", from.parent_generation},
+                   {"operator", from.operator_name},
+                   {"created", from.created},
+                   {"intent", from.intent},
+                   {"lines", TextArray(from.lines)},
+                   {"shards", TextArray(from.shards)}});
+}
+
+tl::expected<plan, config_error> ReadPlan(std::string_view text) {
+  const auto parsed = ParseObject(text);
+  if (!parsed)
+    return tl::unexpected(config_error{config_failure::kMalformed,
+                                       "plan: " + ToText(parsed.error())});
+  plan out;
+  const auto id = ReadText(*parsed, "id");
+  const auto parent =
+      ReadInteger(*parsed, "parent_generation", 0, kLargestNumber);
+  if (!id || !parent || !ReadTextArray(*parsed, "lines", out.lines) ||
+      !ReadTextArray(*parsed, "shards", out.shards) ||
+      out.shards.size() != kShards)
+    return tl::unexpected(config_error{config_failure::kMalformed,
+                                       "plan: a field is missing or wrong"});
+  out.id = *id;
+  out.parent_generation = static_cast<std::uint64_t>(*parent);
+  out.operator_name = ReadTextOr(*parsed, "operator", "").value_or("");
+  out.created =
+      ReadIntegerOr(*parsed, "created", 0, kLargestNumber, 0).value_or(0);
+  out.intent = ReadTextOr(*parsed, "intent", "").value_or("");
+  return out;
+}
+
+asio::awaitable<plan_result<stored_config>> LoadConfig(
+    platform_client& client) {
+  auto read = co_await ReadRootObject(client);
+  if (!read)
+    co_return tl::unexpected(read.error());
+  stored_config out;
+  out.root = std::move(read->root);
+  out.root_version = read->version;
+  if (out.root.generation == 0)
+    co_return out;
+  std::map<std::string, std::string> shards;
+  for (const std::string& hash : out.root.shards) {
+    if (shards.contains(hash))
+      continue;
+    const std::string key = std::string(kShardPrefix) + hash;
+    auto shard = co_await GetObject(client, key);
+    if (!shard)
+      co_return tl::unexpected(FromPlatform(shard.error()));
+    shards[hash] = std::move(shard->value);
+  }
+  auto content = AssembleConfig(out.root, shards);
+  if (!content)
+    co_return tl::unexpected(FromConfig(content.error()));
+  out.content = std::move(*content);
+  co_return out;
+}
+
+asio::awaitable<plan_result<plan>> MakePlan(platform_client& client,
+                                            std::string_view intent,
+                                            std::string_view operator_name,
+                                            unix_ms now) {
+  auto stored = co_await LoadConfig(client);
+  if (!stored)
+    co_return tl::unexpected(stored.error());
+  const auto after = ApplyIntent(stored->content, intent);
+  if (!after)
+    co_return tl::unexpected(FromConfig(after.error()));
+  plan out;
+  out.id = ToHex(RandomId());
+  out.parent_generation = stored->root.generation;
+  out.operator_name = std::string(operator_name);
+  out.created = now;
+  out.intent = std::string(intent);
+  out.lines = DescribeChange(stored->content, *after);
+  auto shards = CutIntoShards(*after, out.shards);
+  for (auto& [hash, text] : shards) {
+    const auto& known = stored->root.shards;
+    if (std::find(known.begin(), known.end(), hash) != known.end())
+      continue;
+    const std::string key = std::string(kShardPrefix) + hash;
+    const auto stored_shard = co_await Store(client, key, text);
+    if (!stored_shard)
+      co_return tl::unexpected(stored_shard.error());
+  }
+  const std::string key = std::string(kPlanPrefix) + out.id;
+  const auto stored_plan = co_await Store(client, key, WritePlan(out));
+  if (!stored_plan)
+    co_return tl::unexpected(stored_plan.error());
+  co_return out;
+}
+
+asio::awaitable<plan_result<std::uint64_t>> ConfirmPlan(
+    platform_client& client,
+    std::string_view id,
+    std::string_view operator_name,
+    unix_ms now) {
+  auto wanted = co_await LoadPlan(client, id);
+  if (!wanted)
+    co_return tl::unexpected(wanted.error());
+  // True once a put of this call may have taken effect unseen.
+  bool uncertain = false;
+  plan_error last;
+  for (int attempt = 0; attempt < kConfirmTries; ++attempt) {
+    auto current = co_await ReadRootObject(client);
+    if (!current) {
+      last = current.error();
+      continue;
+    }
+    const std::uint64_t done = GenerationOfPlan(current->root, id);
+    if (done != 0)
+      co_return done;
+    if (current->root.generation != wanted->parent_generation)
+      co_return tl::unexpected(Superseded(current->root, *wanted));
+    const config_root next =
+        NextRoot(current->root, *wanted, operator_name, now);
+    auto put =
+        co_await PutObject(client, kRootKey, WriteRoot(next), current->version);
+    if (put)
+      co_return next.generation;
+    uncertain =
+        uncertain || put.error().failure == platform_failure::kUncertain;
+    last = FromPlatform(put.error());
+  }
+  if (uncertain)
+    last.failure = plan_failure::kUncertain;
+  co_return tl::unexpected(last);
+}
+
+std::string_view NameOf(plan_failure failure) {
+  switch (failure) {
+    case plan_failure::kBadIntent:
+      return "bad_intent";
+    case plan_failure::kUnknownPlan:
+      return "unknown_plan";
+    case plan_failure::kSuperseded:
+      return "superseded";
+    case plan_failure::kUnavailable:
+      return "platform_unavailable";
+    case plan_failure::kUncertain:
+      return "uncertain";
+  }
+  return "unknown";
+}
+
+}  // namespace waxwing
--- a/waxwing/prefix.cc
+++ b/waxwing/prefix.cc
@@ -62,8 +62,8 @@
   // A prompt of one message has its first checkpoint as head.
   if (head_messages == 0 && !out.checkpoints.empty())
     out.head = out.checkpoints.front().hash;
-  out.tokens = static_cast<std::uint32_t>(
-      (text.size() + kBytesPerToken - 1) / kBytesPerToken);
+  out.tokens = static_cast<std::uint32_t>((text.size() + kBytesPerToken - 1) /
+                                          kBytesPerToken);
   return out;
 }
 
--- a/waxwing/prefix_index.cc
+++ b/waxwing/prefix_index.cc
@@ -61,8 +61,7 @@
 }
 
 // Number of leading checkpoints that are in the index.
-std::size_t CountPresent(const prefix_index& index,
-                         const prefix_chain& chain) {
+std::size_t CountPresent(const prefix_index& index, const prefix_chain& chain) {
   std::size_t low = 0;
   std::size_t high = chain.checkpoints.size();
   while (low < high) {
--- a/waxwing/router.cc
+++ b/waxwing/router.cc
@@ -18,6 +18,8 @@
 constexpr milliseconds kQueueTick{20};
 constexpr milliseconds kLedgerSweep{1'000};
 constexpr milliseconds kDrainPoll{10};
+// A restarted agent waits only briefly for its router (see agent.cc).
+constexpr milliseconds kLongestRedial{100};
 constexpr std::size_t kTicketsPerVm = 8;
 
 asio::awaitable<void> SendError(http_exchange& exchange,
@@ -38,9 +40,11 @@
                                     ran::kNo, seconds(1)});
   const auto name = state.account_of_key.find(options->account_key);
   if (options->account_key.empty() || name == state.account_of_key.end())
-    return tl::unexpected(api_error{401, "unknown_account",
+    return tl::unexpected(api_error{401,
+                                    "unknown_account",
                                     "the key belongs to no client account",
-                                    ran::kNo, {}});
+                                    ran::kNo,
+                                    {}});
   admitted_request out;
   out.account = name->second;
   out.id = state.options.vm + "-" + ToHex(state.process_incarnation) + "-" +
@@ -50,8 +54,8 @@
   const account_config& account = state.active->accounts.at(out.account);
   const int allowed = PriorityOf(account, UnixNow());
   // A caller may lower its priority, never raise it.
-  out.priority = options->priority < 0 ? allowed
-                                       : std::min(options->priority, allowed);
+  out.priority =
+      options->priority < 0 ? allowed : std::min(options->priority, allowed);
   out.options = std::move(*options);
   EarnRetry(state.retries[out.account]);
   return out;
@@ -70,8 +74,8 @@
     co_return;
   }
   if (!state->active->models.contains(chat->model)) {
-    const api_error error{404, "unknown_model", "the model is not configured",
-                          ran::kNo, {}};
+    const api_error error{
+        404, "unknown_model", "the model is not configured", ran::kNo, {}};
     co_await SendError(exchange, error);
     co_return;
   }
@@ -98,8 +102,8 @@
   const std::string name(path.substr(0, slash));
   const std::string rest(path.substr(slash));
   if (!state->active->services.contains(name)) {
-    const api_error error{404, "unknown_service",
-                          "the service is not configured", ran::kNo, {}};
+    const api_error error{
+        404, "unknown_service", "the service is not configured", ran::kNo, {}};
     co_await SendError(exchange, error);
     co_return;
   }
@@ -131,8 +135,7 @@
   for (const member& vm : vms) {
     addresses.push_back(json::value(ToText(vm.router)));
     for (std::size_t i = 0; i < kTicketsPerVm; ++i)
-      tickets.push_back(
-          json::value(MintTicket(*state, request->account, vm)));
+      tickets.push_back(json::value(MintTicket(*state, request->account, vm)));
   }
   const http_response answer = JsonResponse(
       200, json::serialize(json::object{
@@ -143,14 +146,13 @@
 }
 
 http_response HealthPage(const router_state& state) {
-  return JsonResponse(
-      200, json::serialize(json::object{
-               {"vm", state.options.vm},
-               {"generation", state.active->generation},
-               {"agent", IsOpen(state.agent.link)},
-               {"draining", state.draining},
-               {"waiting", state.queue.waiting.size()},
-               {"targets", state.placement.targets.size()}}));
+  return JsonResponse(200, json::serialize(json::object{
+                               {"vm", state.options.vm},
+                               {"generation", state.active->generation},
+                               {"agent", IsOpen(state.agent.link)},
+                               {"draining", state.draining},
+                               {"waiting", state.queue.waiting.size()},
+                               {"targets", state.placement.targets.size()}}));
 }
 
 http_response MetricsPage(router_state& state) {
@@ -190,13 +192,17 @@
 
 // Requests may wait for a target to become usable again, which no event tells.
 asio::awaitable<void> QueueTicks(router_ptr state) {
-  while (co_await Pause(state->root, kQueueTick))
+  while (!IsStopping(state->root)) {
+    co_await Pause(state->root, kQueueTick);
     GrantTargets(*state);
+  }
 }
 
 asio::awaitable<void> LedgerSweeps(router_ptr state) {
-  while (co_await Pause(state->root, kLedgerSweep))
+  while (!IsStopping(state->root)) {
+    co_await Pause(state->root, kLedgerSweep);
     Prune(state->book, UnixNow());
+  }
 }
 
 target_view MakeView(const target_config& target, std::string_view own_zone) {
@@ -244,8 +250,7 @@
   state.account_of_key.clear();
   for (const auto& [name, account] : state.active->accounts) {
     state.account_of_key[account.key] = name;
-    const double rate =
-        static_cast<double>(account.tokens_per_second) / shares;
+    const double rate = static_cast<double>(account.tokens_per_second) / shares;
     const double burst = static_cast<double>(account.burst_tokens) / shares;
     const auto found = state.buckets.find(name);
     if (found == state.buckets.end())
@@ -265,6 +270,9 @@
   state->options = options;
   state->started = std::chrono::steady_clock::now();
   state->root = MakeSupervisor(executor, "router", {});
+  supervisor_limits redial;
+  redial.longest_backoff = kLongestRedial;
+  state->agent_root = MakeSupervisor(executor, "agent_client", redial);
   state->pool = MakeHttpPool(executor, {});
   state->placement.policy = options.policy;
   state->process_incarnation = RandomId();
@@ -305,13 +313,13 @@
 tl::expected<router, std::string> StartRouter(asio::any_io_executor executor,
                                               const router_options& options) {
   router_ptr state = MakeState(executor, options);
-  auto server = StartHttpServer(
-      executor, options.address, options.limits,
-      [weak = std::weak_ptr<router_state>(state)](
-          http_exchange& exchange) -> asio::awaitable<void> {
-        if (auto locked = weak.lock())
-          co_await Handle(locked, exchange);
-      });
+  auto server =
+      StartHttpServer(executor, options.address, options.limits,
+                      [weak = std::weak_ptr<router_state>(state)](
+                          http_exchange& exchange) -> asio::awaitable<void> {
+                        if (auto locked = weak.lock())
+                          co_await Handle(locked, exchange);
+                      });
   if (!server)
     return tl::unexpected(server.error());
   state->server = *server;
@@ -319,7 +327,7 @@
   Supervise(state->root, "ledger_sweeps",
             [state] { return LedgerSweeps(state); });
   if (options.agent)
-    Supervise(state->root, "agent_client",
+    Supervise(state->agent_root, "agent_client",
               [state] { return RunAgentClient(state); });
   LogInfo("router_started",
           {{"vm", options.vm}, {"address", ToText(server->address)}});
@@ -334,6 +342,12 @@
   const router_ptr state = of.state;
   state->draining = true;
   LogInfo("drain_started", {{"open", OpenExchanges(state->server)}});
+  // Callers may hold addresses of this VM until their answers' lifetime ends.
+  CloseAfterAnswers(state->server);
+  if (state->options.agent) {
+    SendApplied(*state);
+    co_await Pause(state->root, state->options.linger);
+  }
   StopAccepting(state->server);
   const instant limit =
       std::chrono::steady_clock::now() + state->options.drain_limit;
@@ -347,6 +361,7 @@
 }
 
 void StopRouter(router& of) {
+  StopSupervisor(of.state->agent_root);
   StopSupervisor(of.state->root);
   ClosePeer(of.state->agent.link);
   CloseServer(of.state->server);
--- a/waxwing/router.h
+++ b/waxwing/router.h
@@ -3,8 +3,8 @@
 // A request passes these steps, each in a file of its own:
 //
 //   router.cc        reads it, finds its client account, answers
-//   ticketing.cc     non-idempotent: claims its ticket, or forwards to the owner
-//   waiting.cc       checks the account's limit, waits in the fair queue
+//   ticketing.cc     non-idempotent: claims its ticket, or forwards to the
+//   owner waiting.cc       checks the account's limit, waits in the fair queue
 //   placement.cc     chooses the target
 //   chat_run.cc      runs a chat completion: streams, resumes, replays
 //   service_run.cc   runs a call to a plain service
@@ -48,6 +48,9 @@
   // Entry VMs that an account is told to use.
   std::size_t entry_vms = 2;
   milliseconds entry_lifetime{10'000};
+  // Time that a planned stop goes on serving new callers, who may still hold
+  // this VM's address.
+  milliseconds linger{10'000};
   // Longest time a planned stop waits for requests in flight.
   milliseconds drain_limit{120'000};
   std::uint64_t seed = 0;
--- a/waxwing/router_state.h
+++ b/waxwing/router_state.h
@@ -61,6 +61,7 @@
   boost::asio::any_io_executor executor;
   router_options options;
   supervisor root;
+  supervisor agent_root;
   http_server server;
   http_pool pool;
   metrics stats;
@@ -169,6 +170,9 @@
 // Keeps the connection to the agent; a duty of the supervisor.
 boost::asio::awaitable<void> RunAgentClient(router_ptr state);
 
+// Tells the agent the generation in force and whether the router is leaving.
+void SendApplied(const router_state& state);
+
 // Sends a ledger entry to the agent and waits for its word.
 boost::asio::awaitable<bool> NoteLedger(const router_ptr& state,
                                         const ticket_id& id);
--- a/waxwing/service_run.cc
+++ b/waxwing/service_run.cc
@@ -130,12 +130,13 @@
                                            const service_path& path,
                                            const ticket_id& id) {
   service_result result;
-  if (co_await NoteDispatched(state, id))
+  const bool noted = co_await NoteDispatched(state, id);
+  if (noted)
     result = co_await CallTargets(state, message, request, path, true);
   else
-    result.error = api_error{503, "agent_unavailable",
-                             "the VM's agent does not answer", ran::kNo,
-                             seconds(1)};
+    result.error =
+        api_error{503, "agent_unavailable", "the VM's agent does not answer",
+                  ran::kNo, seconds(1)};
   if (!result.error)
     co_await SettleAnswered(state, id, Keep(result.answer));
   else if (result.error->outcome == ran::kNo)
--- a/waxwing/settings.cc
+++ b/waxwing/settings.cc
@@ -72,6 +72,28 @@
   std::printf("  %-26s check the settings and exit\n", "--check-settings");
 }
 
+// The arguments with each bare flag of kind kFlag written as "--flag=true",
+// since popt would take the next argument for its value.
+std::vector<std::string> SpellOutFlags(std::span<const setting> table,
+                                       int argc,
+                                       const char** argv) {
+  std::vector<std::string> out(argv, argv + argc);
+  for (std::size_t i = 1; i < out.size(); ++i) {
+    for (const setting& row : table) {
+      if (row.kind != setting_kind::kFlag ||
+          out[i] != "--" + std::string(row.name))
+        continue;
+      const bool has_value =
+          i + 1 < out.size() && (out[i + 1] == "true" || out[i + 1] == "false");
+      out[i] += has_value ? "=" + out[i + 1] : "=true";
+      if (has_value)
+        out.erase(out.begin() + static_cast<std::ptrdiff_t>(i) + 1);
+      break;
+    }
+  }
+  return out;
+}
+
 // The values given as flags, by index in the table; null where not given.
 struct flag_values {
   std::vector<char*> given;
@@ -136,10 +158,8 @@
 
 }  // namespace detail
 
-tl::expected<settings, std::vector<settings_error>> ReadSettings(
-    std::span<const setting> table,
-    int argc,
-    const char** argv) {
+tl::expected<settings, std::vector<settings_error>>
+ReadSettings(std::span<const setting> table, int argc, const char** argv) {
   flag_values flags;
   flags.given.resize(table.size(), nullptr);
   std::vector<std::string> names;
@@ -148,31 +168,30 @@
     names.emplace_back(row.name);
   std::vector<poptOption> options;
   for (std::size_t i = 0; i < table.size(); ++i) {
-    const bool bare = table[i].kind == setting_kind::kFlag;
-    const int kind =
-        bare ? POPT_ARG_STRING | POPT_ARGFLAG_OPTIONAL : POPT_ARG_STRING;
-    options.push_back({names[i].c_str(), '\0', static_cast<unsigned>(kind),
-                       &flags.given[i], static_cast<int>(i) + 1, nullptr,
-                       nullptr});
+    options.push_back({names[i].c_str(), '\0', POPT_ARG_STRING, &flags.given[i],
+                       0, nullptr, nullptr});
   }
-  options.push_back({"help", 'h', POPT_ARG_NONE, &flags.help, 0, nullptr,
-                     nullptr});
-  options.push_back({"version", '\0', POPT_ARG_NONE, &flags.version, 0, nullptr,
-                     nullptr});
+  options.push_back(
+      {"help", 'h', POPT_ARG_NONE, &flags.help, 0, nullptr, nullptr});
+  options.push_back(
+      {"version", '\0', POPT_ARG_NONE, &flags.version, 0, nullptr, nullptr});
   options.push_back({"check-settings", '\0', POPT_ARG_NONE, &flags.check, 0,
                      nullptr, nullptr});
   options.push_back({nullptr, '\0', 0, nullptr, 0, nullptr, nullptr});
 
   std::vector<settings_error> errors;
   settings out;
-  std::vector<bool> seen(table.size(), false);
+  const std::vector<std::string> texts = SpellOutFlags(table, argc, argv);
+  std::vector<const char*> arguments;
+  arguments.reserve(texts.size());
+  for (const std::string& text : texts)
+    arguments.push_back(text.c_str());
   const std::unique_ptr<std::remove_pointer_t<poptContext>,
                         decltype(&poptFreeContext)>
-      context(poptGetContext(argv[0], argc, argv, options.data(), 0),
+      context(poptGetContext(arguments[0], static_cast<int>(arguments.size()),
+                             arguments.data(), options.data(), 0),
               &poptFreeContext);
-  int code = 0;
-  while ((code = poptGetNextOpt(context.get())) > 0)
-    seen[static_cast<std::size_t>(code) - 1] = true;
+  const int code = poptGetNextOpt(context.get());
   if (code < -1) {
     errors.push_back({settings_failure::kUnknownFlag,
                       std::string(poptBadOption(context.get(), 0)) + ": " +
@@ -188,24 +207,24 @@
 
   for (std::size_t i = 0; i < table.size(); ++i) {
     const setting& row = table[i];
-    const char* from_environment = std::getenv(EnvironmentName(row.name).c_str());
+    const char* from_environment =
+        std::getenv(EnvironmentName(row.name).c_str());
     std::string value(row.default_value);
     if (from_environment)
       value = from_environment;
     if (flags.given[i])
       value = flags.given[i];
-    else if (seen[i])
-      value = "true";
     std::free(flags.given[i]);
     if (value.empty()) {
       if (row.required)
         errors.push_back({settings_failure::kMissing,
                           "--" + names[i] + " (" + EnvironmentName(row.name) +
                               ") is required"});
-    } else if (const auto checked = detail::CheckSetting(row, value); !checked) {
-      errors.push_back({settings_failure::kBadValue, "--" + names[i] + " \"" +
-                                                         value + "\" " +
-                                                         checked.error()});
+    } else if (const auto checked = detail::CheckSetting(row, value);
+               !checked) {
+      errors.push_back(
+          {settings_failure::kBadValue,
+           "--" + names[i] + " \"" + value + "\" " + checked.error()});
     }
     out.values[names[i]] = value;
   }
--- a/waxwing/settings.h
+++ b/waxwing/settings.h
@@ -46,10 +46,10 @@
 };
 
 enum class settings_failure {
-  kBadValue,       // a value does not fit its kind or range
-  kMissing,        // a required setting has no value
-  kUnknownFlag,    // a flag that the program does not have
-  kHelpShown,      // --help or --version was answered; exit with success
+  kBadValue,     // a value does not fit its kind or range
+  kMissing,      // a required setting has no value
+  kUnknownFlag,  // a flag that the program does not have
+  kHelpShown,    // --help or --version was answered; exit with success
 };
 
 // One problem found, with the text to show to the operator.
@@ -71,10 +71,8 @@
 inline constexpr int kExitBadSettings = 2;
 
 // Reads `argv` and the environment against `table`.
-tl::expected<settings, std::vector<settings_error>> ReadSettings(
-    std::span<const setting> table,
-    int argc,
-    const char** argv);
+tl::expected<settings, std::vector<settings_error>>
+ReadSettings(std::span<const setting> table, int argc, const char** argv);
 
 // Reads settings; on --help, --version, --check-settings or a bad value prints
 // what there is to say and gives the code to exit with.
--- a/waxwing/target_view.cc
+++ b/waxwing/target_view.cc
@@ -44,8 +44,7 @@
 void LearnHorizon(target_view& view, duration age, bool was_cached) {
   if (was_cached) {
     if (age * kHorizonGrowth > view.horizon)
-      view.horizon =
-          std::chrono::duration_cast<duration>(age * kHorizonGrowth);
+      view.horizon = std::chrono::duration_cast<duration>(age * kHorizonGrowth);
   } else if (age < view.horizon) {
     view.horizon = std::chrono::duration_cast<duration>(age * kHorizonShrink);
   }
@@ -53,7 +52,8 @@
 }
 
 void NoteFailure(target_view& view, instant now) {
-  const int doublings = std::min(view.failures_in_a_row, kMostAvoidanceDoublings);
+  const int doublings =
+      std::min(view.failures_in_a_row, kMostAvoidanceDoublings);
   view.avoid_until = now + kShortestAvoidance * (1 << doublings);
   ++view.failures_in_a_row;
 }
--- a/waxwing/ticket.h
+++ b/waxwing/ticket.h
@@ -53,7 +53,8 @@
 // The ticket as text, with its MAC.
 std::string WriteTicket(const ticket& from, std::string_view key);
 
-// Reads a ticket and checks its MAC. Whether it has expired is up to the ledger.
+// Reads a ticket and checks its MAC. Whether it has expired is up to the
+// ledger.
 tl::expected<ticket, ticket_error> ReadTicket(std::string_view text,
                                               std::string_view key);
 
--- a/waxwing/ticketing.cc
+++ b/waxwing/ticketing.cc
@@ -44,15 +44,17 @@
 asio::awaitable<void> DemandTicket(const router_ptr& state,
                                    http_exchange& exchange,
                                    const admitted_request& request) {
-  const api_error error{428, "ticket_required",
+  const api_error error{428,
+                        "ticket_required",
                         "repeat the request with the X-Ticket given here",
-                        ran::kNo, {}};
+                        ran::kNo,
+                        {}};
   http_response answer = ErrorResponse(error);
   member self;
   self.vm = state->options.vm;
   self.incarnation = state->vm_incarnation;
-  answer.headers.push_back({std::string(kHeaderTicket),
-                            MintTicket(*state, request.account, self)});
+  answer.headers.push_back(
+      {std::string(kHeaderTicket), MintTicket(*state, request.account, self)});
   co_await Respond(exchange, answer);
 }
 
@@ -77,8 +79,7 @@
     return header.name == "Host" || header.name == "Content-Length" ||
            header.name == "Transfer-Encoding" || header.name == "Connection";
   });
-  message.headers.push_back(
-      {std::string(kHeaderForwarded), state->options.vm});
+  message.headers.push_back({std::string(kHeaderForwarded), state->options.vm});
   Count(state->stats, "waxwing_forwarded_total");
   const http_call_options options{
       std::chrono::duration_cast<milliseconds>(
@@ -170,8 +171,7 @@
                        std::string_view account,
                        const member& owner) {
   ticket fresh;
-  fresh.id = {state.options.vm, state.process_incarnation,
-              state.next_ticket++};
+  fresh.id = {state.options.vm, state.process_incarnation, state.next_ticket++};
   fresh.owner = owner.vm;
   fresh.owner_incarnation = owner.incarnation;
   fresh.account_hash = Hash64(account);
@@ -193,8 +193,8 @@
     checked = CheckTicket(*read, request.account, UnixNow());
   if (!read || !checked) {
     const ticket_error why = read ? checked.error() : read.error();
-    const api_error error{403, std::string(NameOf(why)),
-                          "the ticket is not valid", ran::kNo, {}};
+    const api_error error{
+        403, std::string(NameOf(why)), "the ticket is not valid", ran::kNo, {}};
     co_await Refuse(exchange, error);
     co_return false;
   }
@@ -204,12 +204,12 @@
   }
   const bool ledger_ready = co_await WaitForLedger(state);
   if (!ledger_ready || read->owner_incarnation != state->vm_incarnation) {
-    co_await Refuse(exchange,
-                    ledger_ready
-                        ? Unknown("owner_restarted",
-                                  "the owner has lost its ledger since")
-                        : Unknown("ledger_not_ready",
-                                  "the owner does not have its ledger yet"));
+    co_await Refuse(
+        exchange,
+        ledger_ready
+            ? Unknown("owner_restarted", "the owner has lost its ledger since")
+            : Unknown("ledger_not_ready",
+                      "the owner does not have its ledger yet"));
     co_return false;
   }
   claimed = read->id;
@@ -223,11 +223,12 @@
     co_await Refuse(exchange, *error);
     co_return false;
   }
-  if (verdict == ledger_verdict::kNotRun &&
-      !FindEntry(state->book, claimed)) {
-    const api_error error{409, "ticket_expired",
+  if (verdict == ledger_verdict::kNotRun && !FindEntry(state->book, claimed)) {
+    const api_error error{409,
+                          "ticket_expired",
                           "the ticket expired before the request ran",
-                          ran::kNo, {}};
+                          ran::kNo,
+                          {}};
     co_await Refuse(exchange, error);
     co_return false;
   }
--- a/waxwing/waiting.cc
+++ b/waxwing/waiting.cc
@@ -122,8 +122,8 @@
   waiting.wanted = wanted;
   waiting.wanted.random = state->random();
   const std::uint64_t number = state->next_request++;
-  waiting.position = Push(state->queue, request.account, request.priority, work,
-                          number);
+  waiting.position =
+      Push(state->queue, request.account, request.priority, work, number);
   state->waiting[number] = &waiting;
   state->placement.queued.resize(state->placement.targets.size(), 0);
   GrantTargets(*state);
@@ -135,9 +135,9 @@
     has_target = Place(state->placement, waiting.wanted, now).has_value();
   }
   if (!waiting.granted && !refusal) {
-    const instant limit =
-        has_target ? request.deadline
-                   : std::min(request.deadline, now + kNoTargetWait);
+    const instant limit = has_target
+                              ? request.deadline
+                              : std::min(request.deadline, now + kNoTargetWait);
     waiting.granted_or_late.expires_at(limit);
     co_await waiting.granted_or_late.async_wait(kUseTuple);
   }
@@ -146,12 +146,11 @@
   state->waiting.erase(number);
   Drop(state->queue, waiting.position);
   if (!refusal) {
-    refusal = has_target
-                  ? Refusal(503, "deadline_passed",
-                            "no target had room before the deadline",
-                            seconds(1))
-                  : Refusal(503, "no_target",
-                            "no target serves this now", seconds(2));
+    refusal = has_target ? Refusal(503, "deadline_passed",
+                                   "no target had room before the deadline",
+                                   seconds(1))
+                         : Refusal(503, "no_target",
+                                   "no target serves this now", seconds(2));
   }
   Count(state->stats,
         "waxwing_refused_total{reason=\"" + refusal->type + "\"}");
