--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -1793,6 +1793,7 @@
 
 struct ledger_copyT : public flatbuffers::NativeTable {
   typedef ledger_copy TableType;
+  int64_t clock = 0;
   std::vector<std::unique_ptr<waxwing::wire::ledger_noteT>> entries{};
   bool last = false;
   ledger_copyT() = default;
@@ -1806,9 +1807,13 @@
   typedef ledger_copyBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ENTRIES = 4,
-    VT_LAST = 6
+    VT_CLOCK = 4,
+    VT_ENTRIES = 6,
+    VT_LAST = 8
   };
+  int64_t clock() const {
+    return GetField<int64_t>(VT_CLOCK, 0);
+  }
   const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::ledger_note>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::ledger_note>> *>(VT_ENTRIES);
   }
@@ -1817,6 +1822,7 @@
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<int64_t>(verifier, VT_CLOCK, 8) &&
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
@@ -1832,6 +1838,9 @@
   typedef ledger_copy Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_clock(int64_t clock) {
+    fbb_.AddElement<int64_t>(ledger_copy::VT_CLOCK, clock, 0);
+  }
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::ledger_note>>> entries) {
     fbb_.AddOffset(ledger_copy::VT_ENTRIES, entries);
   }
@@ -1851,9 +1860,11 @@
 
 inline flatbuffers::Offset<ledger_copy> Createledger_copy(
     flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t clock = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::ledger_note>>> entries = 0,
     bool last = false) {
   ledger_copyBuilder builder_(_fbb);
+  builder_.add_clock(clock);
   builder_.add_entries(entries);
   builder_.add_last(last);
   return builder_.Finish();
@@ -1866,11 +1877,13 @@
 
 inline flatbuffers::Offset<ledger_copy> Createledger_copyDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
+    int64_t clock = 0,
     const std::vector<flatbuffers::Offset<waxwing::wire::ledger_note>> *entries = nullptr,
     bool last = false) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::ledger_note>>(*entries) : 0;
   return waxwing::wire::Createledger_copy(
       _fbb,
+      clock,
       entries__,
       last);
 }
@@ -2907,12 +2920,14 @@
 }
 
 inline ledger_copyT::ledger_copyT(const ledger_copyT &o)
-      : last(o.last) {
+      : clock(o.clock),
+        last(o.last) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new waxwing::wire::ledger_noteT(*entries_) : nullptr); }
 }
 
 inline ledger_copyT &ledger_copyT::operator=(ledger_copyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(clock, o.clock);
   std::swap(entries, o.entries);
   std::swap(last, o.last);
   return *this;
@@ -2927,6 +2942,7 @@
 inline void ledger_copy::UnPackTo(ledger_copyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = clock(); _o->clock = _e; }
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<waxwing::wire::ledger_noteT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = last(); _o->last = _e; }
 }
@@ -2939,10 +2955,12 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ledger_copyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _clock = _o->clock;
   auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::ledger_note>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return Createledger_note(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _last = _o->last;
   return waxwing::wire::Createledger_copy(
       _fbb,
+      _clock,
       _entries,
       _last);
 }
--- /dev/null
+++ b/testing/admission_test.cc
@@ -0,0 +1,146 @@
+// Limits and the fair queue, against simple statements of what they promise.
+
+#include "waxwing/admission.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+#include "waxwing/retry.h"
+
+namespace waxwing {
+namespace {
+
+constexpr int kAccounts = 3;
+
+RC_GTEST_PROP(TokenBucket, NeverPassesMoreThanItsRateAndBurst, ()) {
+  const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      rc::gen::pair(rc::gen::inRange(0, 500), rc::gen::inRange(1, 300)));
+  const double rate = 100;
+  const double burst = 200;
+  instant now{};
+  token_bucket bucket = MakeTokenBucket(rate, burst, now);
+  double taken = 0;
+  double largest = 0;
+  for (const auto& [gap, amount] : steps) {
+    now += milliseconds(gap);
+    if (TakeTokens(bucket, amount, now) == duration::zero()) {
+      taken += amount;
+      largest = std::max(largest, static_cast<double>(amount));
+    }
+    // One request larger than the burst may leave a debt.
+    const double allowed = burst + rate * ToSeconds(now - instant{}) +
+                           std::max(0.0, largest - burst);
+    RC_ASSERT(taken <= allowed + 1e-6);
+  }
+}
+
+RC_GTEST_PROP(TokenBucket, TheNamedWaitIsEnough, ()) {
+  const auto amount = *rc::gen::inRange(1, 500);
+  instant now{};
+  token_bucket bucket = MakeTokenBucket(100, 200, now);
+  TakeTokens(bucket, 200, now);
+  const duration wait = TakeTokens(bucket, amount, now);
+  RC_ASSERT(wait > duration::zero());
+  now += wait + milliseconds(1);
+  RC_ASSERT(TakeTokens(bucket, amount, now) == duration::zero());
+}
+
+TEST(TokenBucket, NoRateMeansNoLimit) {
+  token_bucket bucket = MakeTokenBucket(0, 0, instant{});
+  EXPECT_EQ(TakeTokens(bucket, 1e9, instant{}), duration::zero());
+}
+
+struct queued {
+  int account;
+  int priority;
+  int cost;
+};
+
+// Among accounts that always have requests waiting, served work differs by no
+// more than the largest request of each.
+RC_GTEST_PROP(FairQueue, ServesBackloggedAccountsAlike, ()) {
+  const auto requests = *rc::gen::container<std::vector<queued>>(
+      30,
+      rc::gen::construct<queued>(rc::gen::inRange(0, kAccounts),
+                                 rc::gen::just(4), rc::gen::inRange(1, 50)));
+  fair_queue queue;
+  std::map<std::uint64_t, queued> by_id;
+  std::map<int, int> left;
+  std::uint64_t id = 0;
+  for (const queued& r : requests) {
+    Push(queue, std::to_string(r.account), r.priority, r.cost, ++id);
+    by_id[id] = r;
+    ++left[r.account];
+  }
+  std::map<int, int> served;
+  while (!queue.waiting.empty()) {
+    const queue_position next = *queue.waiting.begin();
+    const queued r = by_id.at(next.id);
+    Serve(queue, next);
+    served[r.account] += r.cost;
+    --left[r.account];
+    for (int a = 0; a < kAccounts; ++a) {
+      if (left[a] > 0 && left[r.account] > 0)
+        RC_ASSERT(served[r.account] - served[a] <= 100);
+    }
+  }
+}
+
+RC_GTEST_PROP(FairQueue, HigherPriorityAlwaysGoesFirst, ()) {
+  const auto requests =
+      *rc::gen::container<std::vector<queued>>(rc::gen::construct<queued>(
+          rc::gen::inRange(0, kAccounts), rc::gen::inRange(0, 10),
+          rc::gen::inRange(1, 50)));
+  fair_queue queue;
+  std::uint64_t id = 0;
+  for (const queued& r : requests)
+    Push(queue, std::to_string(r.account), r.priority, r.cost, ++id);
+  int last = 9;
+  while (!queue.waiting.empty()) {
+    const queue_position next = *queue.waiting.begin();
+    RC_ASSERT(next.priority <= last);
+    last = next.priority;
+    Serve(queue, next);
+  }
+}
+
+TEST(FairQueue, AFloodDelaysOnlyItsOwnAccount) {
+  fair_queue queue;
+  std::uint64_t id = 0;
+  for (int i = 0; i < 1'000; ++i)
+    Push(queue, "flood", 4, 100, ++id);
+  Serve(queue, *queue.waiting.begin());
+  const queue_position quiet = Push(queue, "quiet", 4, 100, ++id);
+  const auto ahead =
+      std::distance(queue.waiting.begin(), queue.waiting.find(quiet));
+  EXPECT_LE(ahead, 1);
+}
+
+TEST(FairQueue, FinishTimesOfIdleAccountsAreDropped) {
+  fair_queue queue;
+  for (std::uint64_t id = 1; id <= 10'000; ++id) {
+    Push(queue, "account-" + std::to_string(id), 4, 1, id);
+    Serve(queue, *queue.waiting.begin());
+    // Moves the virtual time past what was served.
+    queue.virtual_time[4] += 1;
+  }
+  EXPECT_LT(queue.account_finish.size(), 2'000u);
+}
+
+TEST(RetryBudget, AStormOfFailuresIsBounded) {
+  retry_budget budget;
+  int retries = 0;
+  for (int request = 0; request < 10'000; ++request) {
+    EarnRetry(budget);
+    while (SpendRetry(budget))
+      ++retries;
+  }
+  EXPECT_LE(retries, 10'000 * budget.share + budget.most + 1);
+}
+
+}  // namespace
+}  // namespace waxwing
--- /dev/null
+++ b/testing/placement_test.cc
@@ -0,0 +1,223 @@
+// Placement: the prefix index against a slow oracle, and the policy's rules.
+
+#include "waxwing/placement.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+
+#include "waxwing/hash.h"
+
+namespace waxwing {
+namespace {
+
+constexpr int kTargets = 5;
+
+std::vector<chat_message> Prompt(int account_context, int request) {
+  return {
+      {"system", std::string(3'000, 's')},
+      {"user", std::string(5'000, static_cast<char>('a' + account_context))},
+      {"user", "request " + std::to_string(request)}};
+}
+
+prefix_chain Chain(std::string_view account,
+                   std::string_view version,
+                   int context,
+                   int request) {
+  return ComputePrefix({account, "model", version, ""},
+                       Prompt(context, request));
+}
+
+placement_state MakeState(int targets) {
+  placement_state state;
+  for (int i = 0; i < targets; ++i) {
+    target_view view;
+    view.name = "engine-" + std::to_string(i);
+    view.name_hash = Hash64(view.name);
+    view.serves = "model";
+    view.version = "v1";
+    view.boot_id = 1;
+    state.targets.push_back(view);
+  }
+  return state;
+}
+
+std::optional<placement> PlaceOne(placement_state& state,
+                                  const prefix_chain& chain,
+                                  instant now,
+                                  int avoid = -1) {
+  const placement_request request{&chain, "model", "v1", avoid, 0};
+  return Place(state, request, now);
+}
+
+TEST(Prefix, ScopesNeverShareAHash) {
+  std::set<std::uint64_t> seen;
+  std::size_t total = 0;
+  for (const auto account : {"a", "b"}) {
+    for (const auto version : {"v1", "v2"}) {
+      for (const checkpoint& point :
+           Chain(account, version, 0, 0).checkpoints) {
+        seen.insert(point.hash);
+        ++total;
+      }
+    }
+  }
+  EXPECT_EQ(seen.size(), total);
+}
+
+TEST(Prefix, EqualPrefixesShareAllTheirCheckpoints) {
+  const prefix_chain a = Chain("a", "v1", 0, 1);
+  const prefix_chain b = Chain("a", "v1", 0, 2);
+  ASSERT_EQ(a.checkpoints.size(), b.checkpoints.size());
+  for (std::size_t i = 0; i + 1 < a.checkpoints.size(); ++i)
+    EXPECT_EQ(a.checkpoints[i].hash, b.checkpoints[i].hash);
+  EXPECT_NE(a.checkpoints.back().hash, b.checkpoints.back().hash);
+  EXPECT_EQ(a.head, b.head);
+}
+
+// The slow oracle: every recorded checkpoint with its holder and epoch.
+using oracle = std::map<std::pair<std::uint64_t, std::uint32_t>,
+                        std::pair<std::uint32_t, instant>>;
+
+struct use {
+  int context;
+  int request;
+  std::uint32_t target;
+};
+
+RC_GTEST_PROP(PrefixIndex, NeverClaimsMoreThanWasRecorded, ()) {
+  const auto uses = *rc::gen::container<std::vector<use>>(
+      rc::gen::construct<use>(rc::gen::inRange(0, 3), rc::gen::inRange(0, 3),
+                              rc::gen::inRange<std::uint32_t>(0, kTargets)));
+  const auto capacity = *rc::gen::element<std::size_t>(8, 40, 100'000);
+  prefix_index index;
+  index.capacity = capacity;
+  oracle recorded;
+  instant now{};
+  for (const use& u : uses) {
+    now += milliseconds(1);
+    const prefix_chain chain = Chain("a", "v1", u.context, u.request);
+    std::vector<prefix_depth> found;
+    FindHolders(index, chain, found);
+    for (const prefix_depth& depth : found) {
+      bool is_recorded = false;
+      for (const checkpoint& point : chain.checkpoints) {
+        const auto entry = recorded.find({point.hash, depth.target});
+        is_recorded = is_recorded ||
+                      (point.tokens == depth.tokens && entry != recorded.end());
+      }
+      RC_ASSERT(is_recorded);
+    }
+    RecordUse(index, chain, chain.tokens, u.target, 1, now);
+    for (const checkpoint& point : chain.checkpoints)
+      recorded[{point.hash, u.target}] = {1, now};
+    RC_ASSERT(SizeOf(index) <= capacity + chain.checkpoints.size());
+  }
+}
+
+RC_GTEST_PROP(PrefixIndex, FindsTheDeepestHolderWhileThereIsRoom, ()) {
+  const auto uses = *rc::gen::container<std::vector<use>>(
+      rc::gen::construct<use>(rc::gen::inRange(0, 3), rc::gen::inRange(0, 3),
+                              rc::gen::inRange<std::uint32_t>(0, 3)));
+  prefix_index index;
+  std::map<std::uint64_t, std::set<std::uint32_t>> holders;
+  for (const use& u : uses) {
+    const prefix_chain chain = Chain("a", "v1", u.context, u.request);
+    std::vector<prefix_depth> found;
+    FindHolders(index, chain, found);
+    std::uint32_t deepest = 0;
+    for (const checkpoint& point : chain.checkpoints) {
+      if (!holders[point.hash].empty())
+        deepest = point.tokens;
+    }
+    std::uint32_t claimed = 0;
+    for (const prefix_depth& depth : found)
+      claimed = std::max(claimed, depth.tokens);
+    RC_ASSERT(claimed == deepest);
+    RecordUse(index, chain, chain.tokens, u.target, 1, instant{});
+    for (const checkpoint& point : chain.checkpoints)
+      holders[point.hash].insert(u.target);
+  }
+}
+
+TEST(Placement, ForgetsADeadEngineAtOnce) {
+  placement_state state = MakeState(kTargets);
+  const prefix_chain chain = Chain("a", "v1", 0, 0);
+  const auto first = PlaceOne(state, chain, instant{});
+  ASSERT_TRUE(first);
+  const std::uint32_t epoch = state.targets[first->target].epoch;
+  LearnFromAnswer(state, *first, epoch, chain, 0, instant{});
+  EXPECT_GT(PlaceOne(state, chain, instant{})->cached_tokens, 0u);
+  // The engine comes back with another boot id.
+  EXPECT_TRUE(ApplyIdentity(state.targets[first->target], 2, "v1"));
+  EXPECT_EQ(PlaceOne(state, chain, instant{})->cached_tokens, 0u);
+  // A late answer of the dead engine teaches nothing.
+  LearnFromAnswer(state, *first, epoch, chain, chain.tokens, instant{});
+  EXPECT_EQ(PlaceOne(state, chain, instant{})->cached_tokens, 0u);
+}
+
+TEST(Placement, OlderWeightsGiveNoEntry) {
+  placement_state state = MakeState(1);
+  const prefix_chain chain = Chain("a", "v1", 0, 0);
+  LearnFromAnswer(state, {0, 0, instant{}, true}, 1, chain, 0, instant{});
+  EXPECT_TRUE(ApplyIdentity(state.targets[0], 1, "v2"));
+  EXPECT_FALSE(PlaceOne(state, chain, instant{}));
+  EXPECT_TRUE(ApplyIdentity(state.targets[0], 1, "v1"));
+  EXPECT_EQ(PlaceOne(state, chain, instant{})->cached_tokens, 0u);
+}
+
+TEST(Placement, EmptyRoutersAgreeOnHomes) {
+  for (int context = 0; context < 5; ++context) {
+    placement_state one = MakeState(kTargets);
+    placement_state other = MakeState(kTargets);
+    // Different light loads, as two routers see them.
+    other.targets[0].others_in_flight = 1;
+    const auto a = PlaceOne(one, Chain("a", "v1", context, 1), instant{});
+    const auto b = PlaceOne(other, Chain("a", "v1", context, 2), instant{});
+    EXPECT_EQ(a->target, b->target);
+  }
+}
+
+TEST(Placement, HotPrefixWidensUnderLoad) {
+  placement_state state = MakeState(kTargets);
+  const prefix_chain chain = Chain("a", "v1", 0, 0);
+  const auto home = PlaceOne(state, chain, instant{});
+  LearnFromAnswer(state, *home, 1, chain, 0, instant{});
+  EXPECT_EQ(PlaceOne(state, chain, instant{})->target, home->target);
+  state.targets[home->target].own_in_flight = 30;
+  EXPECT_NE(PlaceOne(state, chain, instant{})->target, home->target);
+  state.targets[home->target].own_in_flight = 0;
+  EXPECT_EQ(PlaceOne(state, chain, instant{})->target, home->target);
+}
+
+TEST(Placement, LeavingAndFailedTargetsGetNothing) {
+  placement_state state = MakeState(2);
+  const prefix_chain chain = Chain("a", "v1", 0, 0);
+  state.targets[0].usable = false;
+  EXPECT_EQ(PlaceOne(state, chain, instant{})->target, 1u);
+  NoteFailure(state.targets[1], instant{});
+  EXPECT_FALSE(PlaceOne(state, chain, instant{}));
+  EXPECT_TRUE(PlaceOne(state, chain, instant{} + seconds(10)));
+}
+
+TEST(Placement, TheFailedTargetComesLast) {
+  placement_state state = MakeState(2);
+  const prefix_chain chain = Chain("a", "v1", 0, 0);
+  const auto first = PlaceOne(state, chain, instant{});
+  const auto second =
+      PlaceOne(state, chain, instant{}, static_cast<int>(first->target));
+  EXPECT_NE(first->target, second->target);
+}
+
+TEST(TargetView, LearnsTheHorizonFromMissesAndHits) {
+  target_view view;
+  LearnHorizon(view, seconds(5), false);
+  EXPECT_LT(view.horizon, seconds(5));
+  LearnHorizon(view, seconds(8), true);
+  EXPECT_GE(view.horizon, seconds(8));
+}
+
+}  // namespace
+}  // namespace waxwing
--- a/waxwing/agent_client.cc
+++ b/waxwing/agent_client.cc
@@ -32,21 +32,20 @@
     }
   }
   copy.last = true;
+  copy.clock = state.book.clock;
   SendMessage(state.agent.link, std::move(copy));
 }
 
 // Takes over what an earlier router of this VM left with the agent. A run that
 // this process knows nothing of was cut off by a restart.
 void TakeInLedger(router_state& state, const wire::ledger_copyT& copy) {
+  TakeOverClock(state.book, copy.clock);
   for (const auto& note : copy.entries) {
     ticket_id id;
     auto entry = FromWire(*note, id);
     if (!entry)
       continue;
-    const bool is_own = FindEntry(state.book, id) != nullptr;
-    if (!is_own && entry->step == ledger_step::kDispatched)
-      entry->step = ledger_step::kUnknown;
-    Restore(state.book, id, std::move(*entry), UnixNow());
+    TakeOver(state.book, id, std::move(*entry), UnixNow());
   }
   if (copy.last)
     state.agent.ready = true;
--- a/waxwing/agent_links.cc
+++ b/waxwing/agent_links.cc
@@ -75,6 +75,7 @@
     }
   }
   copy.last = true;
+  copy.clock = state.book.clock;
   SendMessage(state.router, std::move(copy));
 }
 
@@ -103,6 +104,7 @@
 }
 
 void TakeInLedgerCopy(agent_state& state, const wire::ledger_copyT& copy) {
+  TakeOverClock(state.book, copy.clock);
   for (const auto& note : copy.entries) {
     ticket_id id;
     if (auto entry = FromWire(*note, id))
--- a/waxwing/ledger.cc
+++ b/waxwing/ledger.cc
@@ -125,14 +125,17 @@
   return found == book.entries.end() ? nullptr : &found->second;
 }
 
-void SettleAfterRestart(ledger& book) {
-  std::erase_if(book.entries, [](const auto& entry) {
-    return entry.second.step == ledger_step::kClaimed;
-  });
-  for (auto& [id, entry] : book.entries) {
-    if (entry.step == ledger_step::kDispatched)
-      entry.step = ledger_step::kUnknown;
-  }
+void TakeOver(ledger& book,
+              const ticket_id& id,
+              ledger_entry entry,
+              unix_ms now) {
+  if (!FindEntry(book, id) && entry.step == ledger_step::kDispatched)
+    entry.step = ledger_step::kUnknown;
+  Restore(book, id, std::move(entry), now);
+}
+
+void TakeOverClock(ledger& book, unix_ms clock) {
+  AdvanceClock(book, clock);
 }
 
 void Prune(ledger& book, unix_ms now) {
--- a/waxwing/ledger.h
+++ b/waxwing/ledger.h
@@ -106,9 +106,16 @@
 // The entry of a ticket, or null.
 const ledger_entry* FindEntry(const ledger& book, const ticket_id& id);
 
-// Turns every run that a stopped router left behind into its known outcome:
-// a dispatched request into "unknown". Claimed ones are dropped: no byte left.
-void SettleAfterRestart(ledger& book);
+// Takes over an entry that another process of this VM left behind. A run in
+// progress that this ledger knows nothing of was cut off: its outcome becomes
+// unknown.
+void TakeOver(ledger& book,
+              const ticket_id& id,
+              ledger_entry entry,
+              unix_ms now);
+
+// Takes over the largest time that another process of this VM has seen.
+void TakeOverClock(ledger& book, unix_ms clock);
 
 // Drops entries whose retention is over.
 void Prune(ledger& book, unix_ms now);
