--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -98,8 +98,7 @@
   for (placement_state& state : r.routers) {
     for (std::size_t i = 0; i < state.targets.size(); ++i) {
       target_view& view = state.targets[i];
-      view.others_in_flight =
-          std::max(0, r.in_flight[i] - view.own_in_flight);
+      view.others_in_flight = std::max(0, r.in_flight[i] - view.own_in_flight);
     }
   }
 }
@@ -116,8 +115,8 @@
         standin::CachedBlocks(r.caches[i], blocks) * standin::kTokensPerBlock);
     const instant slot =
         *std::min_element(r.slot_free[i].begin(), r.slot_free[i].end());
-    const double wait = std::max(
-        0.0, ToSeconds(std::max(slot, r.prefill_free[i]) - now));
+    const double wait =
+        std::max(0.0, ToSeconds(std::max(slot, r.prefill_free[i]) - now));
     const double cost = wait + 2 * (tokens - cached) / kPrefillRate;
     if (cost < best_cost) {
       best_cost = cost;
@@ -136,14 +135,14 @@
              int answer_tokens,
              instant now) {
   const std::size_t target = chosen.target;
-  const double cached = static_cast<double>(
-      standin::CachedBlocks(r.caches[target], blocks) *
-      standin::kTokensPerBlock);
+  const double cached =
+      static_cast<double>(standin::CachedBlocks(r.caches[target], blocks) *
+                          standin::kTokensPerBlock);
   std::vector<std::uint64_t> stored;
   std::vector<std::uint64_t> evicted;
   standin::UseBlocks(r.caches[target], blocks, stored, evicted);
-  auto slot = std::min_element(r.slot_free[target].begin(),
-                               r.slot_free[target].end());
+  auto slot =
+      std::min_element(r.slot_free[target].begin(), r.slot_free[target].end());
   const instant start = std::max({now, *slot, r.prefill_free[target]});
   r.prefill_free[target] =
       start + FromSeconds((tokens - cached) / kPrefillRate);
@@ -199,12 +198,12 @@
     }
     const std::string text = PromptText(request.messages);
     const auto blocks = standin::BlockHashes(text, Hash64(request.account));
-    const prefix_chain chain = ComputePrefix(
-        {request.account, "model", "v1", ""}, request.messages);
+    const prefix_chain chain =
+        ComputePrefix({request.account, "model", "v1", ""}, request.messages);
     r.random = MixHash(r.random, 1);
     // Each account uses two entry VMs in turn.
-    const int router = static_cast<int>(
-        (Hash64(request.account) + r.random % 2) % kRouters);
+    const int router =
+        static_cast<int>((Hash64(request.account) + r.random % 2) % kRouters);
     placement_state& state = r.routers[static_cast<std::size_t>(router)];
     const placement_request wanted{&chain, "model", "v1", -1, r.random};
     const placement chosen =
@@ -214,8 +213,8 @@
     NoteDispatch(state, chosen, 0);
     const double cached = RunAt(r, router, chosen, blocks, chain.tokens,
                                 request.answer_tokens, now);
-    LearnFromAnswer(state, chosen, 1, chain,
-                    static_cast<std::uint32_t>(cached), now);
+    LearnFromAnswer(state, chosen, 1, chain, static_cast<std::uint32_t>(cached),
+                    now);
     Note(out, chain.tokens, cached, best);
     if (now >= halfway - seconds(10) && now < halfway) {
       out.before[0] += cached;
--- a/testing/cluster.cc
+++ b/testing/cluster.cc
@@ -68,8 +68,8 @@
   posix_spawn_file_actions_addopen(&actions, 2, log ? log : "/dev/null",
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   pid_t pid = 0;
-  const int error = posix_spawn(&pid, path.c_str(), &actions, nullptr,
-                                argv.data(), environ);
+  const int error =
+      posix_spawn(&pid, path.c_str(), &actions, nullptr, argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   EXPECT_EQ(error, 0) << path;
   return error == 0 ? pid : 0;
@@ -83,24 +83,23 @@
   return "vm-" + std::to_string(index);
 }
 
-json::array TargetArray(const cluster& c, const std::string& model,
+json::array TargetArray(const cluster& c,
+                        const std::string& model,
                         const std::string& service) {
   json::array out;
   for (std::size_t i = 0; i < c.engines.size(); ++i)
-    out.push_back(json::object{
-        {"name", "engine-" + std::to_string(i)},
-        {"kind", "model"},
-        {"address", ToText(c.engines[i].address)},
-        {"zone", ZoneOf(static_cast<int>(i))},
-        {"serves", model},
-        {"version", "v1"}});
+    out.push_back(json::object{{"name", "engine-" + std::to_string(i)},
+                               {"kind", "model"},
+                               {"address", ToText(c.engines[i].address)},
+                               {"zone", ZoneOf(static_cast<int>(i))},
+                               {"serves", model},
+                               {"version", "v1"}});
   for (std::size_t i = 0; i < c.services.size(); ++i)
-    out.push_back(json::object{
-        {"name", "service-" + std::to_string(i)},
-        {"kind", "application"},
-        {"address", ToText(c.services[i].address)},
-        {"zone", ZoneOf(static_cast<int>(i))},
-        {"serves", service}});
+    out.push_back(json::object{{"name", "service-" + std::to_string(i)},
+                               {"kind", "application"},
+                               {"address", ToText(c.services[i].address)},
+                               {"zone", ZoneOf(static_cast<int>(i))},
+                               {"serves", service}});
   return out;
 }
 
@@ -110,9 +109,8 @@
   const std::string service = standin::ServiceOf(shape);
   json::array accounts;
   for (int i = 0; i < 8; ++i)
-    accounts.push_back(
-        json::object{{"name", standin::AccountName(shape, i)},
-                     {"key", standin::AccountKey(shape, i)}});
+    accounts.push_back(json::object{{"name", standin::AccountName(shape, i)},
+                                    {"key", standin::AccountKey(shape, i)}});
   json::array versions{json::object{{"version", "v1"}, {"percent", 100}}};
   json::array models{
       json::object{{"name", model}, {"versions", std::move(versions)}}};
@@ -181,13 +179,14 @@
     StartVmRouter(*c, i);
   }
   for (int i = 0; i < options.vms; ++i)
-    EXPECT_TRUE(RunUntil(*c, [&] { return IsUp(*c, i); }, kStartLimit));
+    EXPECT_TRUE(RunUntil(
+        *c, [&] { return IsUp(*c, i); }, kStartLimit));
   // All members known to the first agent, then all with the configuration.
   EXPECT_TRUE(RunUntil(
       *c,
       [&] {
-        const auto status =
-            waxwing::ParseObject(CallOperators(*c, 0, "GET", "/v1/status").body);
+        const auto status = waxwing::ParseObject(
+            CallOperators(*c, 0, "GET", "/v1/status").body);
         const json::array* members =
             status ? waxwing::FindArray(*status, "members") : nullptr;
         return members &&
@@ -202,25 +201,24 @@
 
 void StartVmAgent(cluster& c, int index) {
   vm& v = c.vms[static_cast<std::size_t>(index)];
-  const std::string seeds = ToText(c.vms[0].agent_address) + "," +
-                            ToText(c.vms.back().agent_address);
-  v.agent = Spawn("waxwing-agent",
-                  {"--vm", VmName(index), "--zone", ZoneOf(index), "--listen",
-                   ToText(v.agent_address), "--operators",
-                   ToText(v.operator_address), "--router",
-                   ToText(v.router_address), "--platform",
-                   ToText(c.platform.address), "--seeds", seeds, "--key", kKey,
-                   "--operator-key", kOperatorKey});
+  const std::string seeds =
+      ToText(c.vms[0].agent_address) + "," + ToText(c.vms.back().agent_address);
+  v.agent =
+      Spawn("waxwing-agent",
+            {"--vm", VmName(index), "--zone", ZoneOf(index), "--listen",
+             ToText(v.agent_address), "--operators", ToText(v.operator_address),
+             "--router", ToText(v.router_address), "--platform",
+             ToText(c.platform.address), "--seeds", seeds, "--key", kKey,
+             "--operator-key", kOperatorKey});
 }
 
 void StartVmRouter(cluster& c, int index) {
   vm& v = c.vms[static_cast<std::size_t>(index)];
-  std::vector<std::string> arguments = {
-      "--vm",     VmName(index),
-      "--zone",   ZoneOf(index),
-      "--listen", ToText(v.router_address),
-      "--agent",  ToText(v.agent_address),
-      "--key",    kKey};
+  std::vector<std::string> arguments = {"--vm",     VmName(index),
+                                        "--zone",   ZoneOf(index),
+                                        "--listen", ToText(v.router_address),
+                                        "--agent",  ToText(v.agent_address),
+                                        "--key",    kKey};
   arguments.insert(arguments.end(), c.options.router_flags.begin(),
                    c.options.router_flags.end());
   v.router = Spawn("waxwing-router", arguments);
@@ -315,10 +313,9 @@
   return RunUntil(
       c,
       [&] {
-        const auto answer =
-            CallOperators(c, index, "GET",
-                          "/v1/in-force?generation=" +
-                              std::to_string(generation));
+        const auto answer = CallOperators(
+            c, index, "GET",
+            "/v1/in-force?generation=" + std::to_string(generation));
         const auto body = waxwing::ParseObject(answer.body);
         if (!body)
           return false;
@@ -335,30 +332,27 @@
                          bool stream) {
   json::array messages{json::object{{"role", "user"}, {"content", text}}};
   http_request out{"POST", "/v1/chat/completions", {}, ""};
-  out.body = json::serialize(
-      json::object{{"model", standin::ModelOf(c.options.shape)},
-                   {"messages", std::move(messages)},
-                   {"max_tokens", tokens},
-                   {"stream", stream}});
+  out.body =
+      json::serialize(json::object{{"model", standin::ModelOf(c.options.shape)},
+                                   {"messages", std::move(messages)},
+                                   {"max_tokens", tokens},
+                                   {"stream", stream}});
   out.headers.push_back(
-      {"Authorization",
-       "Bearer " + standin::AccountKey(c.options.shape, 0)});
+      {"Authorization", "Bearer " + standin::AccountKey(c.options.shape, 0)});
   return out;
 }
 
 http_request ServiceRequest(const cluster& c,
                             const std::string& body,
                             const std::string& ticket) {
-  const bool is_vannbrudd =
-      c.options.shape == standin::deployment::kVannbrudd;
+  const bool is_vannbrudd = c.options.shape == standin::deployment::kVannbrudd;
   http_request out{"POST",
                    "/v1/services/" + standin::ServiceOf(c.options.shape) +
                        (is_vannbrudd ? "/submit" : "/stop"),
                    {},
                    body};
   out.headers.push_back(
-      {"Authorization",
-       "Bearer " + standin::AccountKey(c.options.shape, 0)});
+      {"Authorization", "Bearer " + standin::AccountKey(c.options.shape, 0)});
   if (!ticket.empty())
     out.headers.push_back({"X-Ticket", ticket});
   return out;
@@ -371,11 +365,8 @@
   return std::string(FindHeader(answer.headers, "X-Ticket"));
 }
 
-std::shared_ptr<std::optional<standin::load_result>> StartLoad(
-    cluster& c,
-    double rate,
-    milliseconds length,
-    std::uint64_t seed) {
+std::shared_ptr<std::optional<standin::load_result>>
+StartLoad(cluster& c, double rate, milliseconds length, std::uint64_t seed) {
   standin::trace_options trace;
   trace.shape = c.options.shape;
   trace.requests_per_second = rate;
--- a/testing/cluster.h
+++ b/testing/cluster.h
@@ -95,11 +95,11 @@
 }
 
 // Calls. The answer's status is 0 if there was none.
-waxwing::http_response Call(cluster& c,
-                            const waxwing::endpoint& address,
-                            const waxwing::http_request& request,
-                            waxwing::milliseconds timeout =
-                                waxwing::milliseconds(5'000));
+waxwing::http_response Call(
+    cluster& c,
+    const waxwing::endpoint& address,
+    const waxwing::http_request& request,
+    waxwing::milliseconds timeout = waxwing::milliseconds(5'000));
 waxwing::http_response CallOperators(cluster& c,
                                      int vm,
                                      const std::string& method,
--- a/testing/fault_test.cc
+++ b/testing/fault_test.cc
@@ -32,12 +32,20 @@
 };
 
 const char* NameOf(fault f) {
-  constexpr const char* kNames[] = {
-      "None",           "EngineCrash",          "SilentEngine",
-      "CutStreams",     "Refusals",             "SilentService",
-      "ServiceLosesAnswers", "RouterKilled",    "AllRoutersKilled",
-      "AgentKilled",    "VmKilled",             "StoreDown",
-      "StoreLosesAnswers", "SlowEngine"};
+  constexpr const char* kNames[] = {"None",
+                                    "EngineCrash",
+                                    "SilentEngine",
+                                    "CutStreams",
+                                    "Refusals",
+                                    "SilentService",
+                                    "ServiceLosesAnswers",
+                                    "RouterKilled",
+                                    "AllRoutersKilled",
+                                    "AgentKilled",
+                                    "VmKilled",
+                                    "StoreDown",
+                                    "StoreLosesAnswers",
+                                    "SlowEngine"};
   return kNames[static_cast<std::size_t>(f)];
 }
 
--- a/testing/golden_test.cc
+++ b/testing/golden_test.cc
@@ -61,8 +61,8 @@
 }
 
 std::string Show(const std::string& title, const http_request& request) {
-  std::string out = ">>> " + title + "\n" + request.method + " " +
-                    request.target + "\n";
+  std::string out =
+      ">>> " + title + "\n" + request.method + " " + request.target + "\n";
   for (const auto& header : request.headers)
     out += header.name + ": " + header.value + "\n";
   return out + "\n" + request.body + "\n";
--- a/testing/http_test.cc
+++ b/testing/http_test.cc
@@ -98,8 +98,8 @@
 
 TEST(Http, ASilentPeerTimesOutAndCountsAsSent) {
   asio::io_context context;
-  asio::ip::tcp::acceptor silent(
-      context, {asio::ip::make_address("127.0.0.1"), 0});
+  asio::ip::tcp::acceptor silent(context,
+                                 {asio::ip::make_address("127.0.0.1"), 0});
   const auto pool = MakeHttpPool(context.get_executor(), {});
   http_request request;
   const http_call_options options{milliseconds(50), false};
@@ -112,12 +112,11 @@
 
 TEST(Http, AHandlerThatFailsStillAnswers) {
   asio::io_context context;
-  auto server = *StartHttpServer(
-      context.get_executor(), {"127.0.0.1", 0}, {},
-      [](http_exchange&) -> asio::awaitable<void> {
-        throw std::runtime_error("broken");
-        co_return;
-      });
+  auto server = *StartHttpServer(context.get_executor(), {"127.0.0.1", 0}, {},
+                                 [](http_exchange&) -> asio::awaitable<void> {
+                                   throw std::runtime_error("broken");
+                                   co_return;
+                                 });
   const auto pool = MakeHttpPool(context.get_executor(), {});
   http_request request;
   const http_call_options options{milliseconds(300), true};
--- a/testing/membership_test.cc
+++ b/testing/membership_test.cc
@@ -54,9 +54,9 @@
 };
 
 RC_GTEST_PROP(MembershipFuzz, HealsAfterAnyFalseSuspicion, ()) {
-  const auto ops = *rc::gen::container<std::vector<op>>(rc::gen::construct<op>(
-      rc::gen::inRange(0, 4), rc::gen::inRange(0, kVms),
-      rc::gen::inRange(0, kVms)));
+  const auto ops = *rc::gen::container<std::vector<op>>(
+      rc::gen::construct<op>(rc::gen::inRange(0, 4), rc::gen::inRange(0, kVms),
+                             rc::gen::inRange(0, kVms)));
   auto tables = MakeTables(kVms);
   instant now{};
   ExchangeAll(tables, now);
--- a/testing/plan_fuzz_test.cc
+++ b/testing/plan_fuzz_test.cc
@@ -120,8 +120,8 @@
   const std::string two = w.plans.back();
   std::optional<tl::expected<std::uint64_t, plan_error>> first;
   std::optional<tl::expected<std::uint64_t, plan_error>> second;
-  for (const auto& [id, slot] : {std::pair(&one, &first),
-                                 std::pair(&two, &second)}) {
+  for (const auto& [id, slot] :
+       {std::pair(&one, &first), std::pair(&two, &second)}) {
     asio::co_spawn(w.context, ConfirmPlan(w.client, *id, "operator", 1),
                    [slot = slot](const std::exception_ptr&, auto result) {
                      slot->emplace(std::move(result));
--- a/testing/system_test.cc
+++ b/testing/system_test.cc
@@ -25,16 +25,14 @@
 }
 
 std::int64_t StatusNumber(cluster& c, int vm, std::string_view field) {
-  const auto body =
-      ParseObject(CallOperators(c, vm, "GET", "/v1/status").body);
+  const auto body = ParseObject(CallOperators(c, vm, "GET", "/v1/status").body);
   return body ? waxwing::ReadIntegerOr(*body, field, 0, 1LL << 53, -1)
                     .value_or(-1)
               : -1;
 }
 
 bool StatusFlag(cluster& c, int vm, std::string_view field) {
-  const auto body =
-      ParseObject(CallOperators(c, vm, "GET", "/v1/status").body);
+  const auto body = ParseObject(CallOperators(c, vm, "GET", "/v1/status").body);
   return body && waxwing::ReadBoolOr(*body, field, false).value_or(false);
 }
 
@@ -54,10 +52,8 @@
 }
 
 // Starts a call whose answer is filled in when it comes.
-std::shared_ptr<std::optional<http_response>> SendLater(
-    cluster& c,
-    int vm,
-    const http_request& request) {
+std::shared_ptr<std::optional<http_response>>
+SendLater(cluster& c, int vm, const http_request& request) {
   auto out = std::make_shared<std::optional<http_response>>();
   asio::co_spawn(
       c.context,
@@ -124,8 +120,8 @@
     answers.push_back(
         SendLater(*c, copy % 3, ServiceRequest(*c, "{\"n\":1}", ticket)));
   for (const auto& answer : answers) {
-    ASSERT_TRUE(
-        RunUntil(*c, [&] { return answer->has_value(); }, kPatience));
+    ASSERT_TRUE(RunUntil(
+        *c, [&] { return answer->has_value(); }, kPatience));
     EXPECT_EQ((*answer)->status, 200u) << (*answer)->body;
   }
   EXPECT_EQ(standin::RunsOf(c->services[0], "{\"n\":1}"), 1u);
@@ -144,8 +140,7 @@
   standin::FaultsOf(c->services[0]).lose_answer = 0;
   const auto first = SendLater(*c, 0, request);
   RunUntil(
-      *c,
-      [&] { return standin::RunsOf(c->services[0], "{\"n\":2}") > 0; },
+      *c, [&] { return standin::RunsOf(c->services[0], "{\"n\":2}") > 0; },
       kPatience);
   KillProcess(c->vms[0].router);
   StartVmRouter(*c, 0);
@@ -224,7 +219,8 @@
   RunFor(*c, milliseconds(200));
   ASSERT_FALSE(stream->has_value());
   EXPECT_EQ(TerminateProcess(*c, c->vms[0].router), 0);
-  ASSERT_TRUE(RunUntil(*c, [&] { return stream->has_value(); }, kPatience));
+  ASSERT_TRUE(RunUntil(
+      *c, [&] { return stream->has_value(); }, kPatience));
   EXPECT_EQ((*stream)->status, 200u);
   EXPECT_NE((*stream)->body.find("id: 149\n"), std::string::npos);
   EXPECT_TRUE((*stream)->body.ends_with("data: [DONE]\n\n"));
@@ -234,8 +230,9 @@
   const auto c = StartCluster({});
   const auto load = StartLoad(*c, 60, milliseconds(7'000), 5);
   RunFor(*c, milliseconds(1'000));
-  ASSERT_GT(ApplyIntent(*c, 1, R"({"kind":"remove_target","target":"engine-0"})"),
-            0u);
+  ASSERT_GT(
+      ApplyIntent(*c, 1, R"({"kind":"remove_target","target":"engine-0"})"),
+      0u);
   RunFor(*c, milliseconds(3'000));
   const std::uint64_t before = standin::CountsOf(c->engines[0]).runs;
   const standin::load_result result = FinishLoad(*c, load);
--- a/waxwing/placement.cc
+++ b/waxwing/placement.cc
@@ -49,18 +49,17 @@
 // request, best first; -1 where there are fewer.
 std::array<int, kPresumedShare.size()> FindHomes(
     const placement_state& state,
-    const placement_request& request,
-    instant now) {
+    const placement_request& request) {
   std::array<int, kPresumedShare.size()> homes;
   std::array<std::uint64_t, kPresumedShare.size()> weights{};
   homes.fill(-1);
-  for (std::size_t i = 0; i < state.targets.size(); ++i) {
-    const target_view& view = state.targets[i];
-    if (!Serves(view, request, now))
-      continue;
+  for (const std::uint32_t i : state.eligible) {
     int home = static_cast<int>(i);
     std::uint64_t weight =
-        RendezvousWeight(request.chain->head, view.name_hash);
+        RendezvousWeight(request.chain->head, state.targets[i].name_hash);
+    // Most targets are none of the homes.
+    if (homes.back() >= 0 && weight <= weights.back())
+      continue;
     for (std::size_t rank = 0; rank < homes.size(); ++rank) {
       if (homes[rank] < 0 || weight > weights[rank]) {
         std::swap(homes[rank], home);
@@ -104,6 +103,11 @@
                                      bool homes_in_use,
                                      instant now) {
   FindLiveHolders(state, request, now);
+  state.eligible.clear();
+  for (std::uint32_t i = 0; i < state.targets.size(); ++i) {
+    if (Serves(state.targets[i], request, now))
+      state.eligible.push_back(i);
+  }
   std::array<int, kPresumedShare.size()> homes;
   homes.fill(-1);
   // Holders of less than the head say nothing about where the head is.
@@ -112,12 +116,10 @@
         return d.tokens >= request.chain->head_tokens;
       });
   if (homes_in_use && !head_is_known)
-    homes = FindHomes(state, request, now);
+    homes = FindHomes(state, request);
   candidate best;
   bool found = false;
-  for (std::uint32_t i = 0; i < state.targets.size(); ++i) {
-    if (!Serves(state.targets[i], request, now))
-      continue;
+  for (const std::uint32_t i : state.eligible) {
     candidate option{i, 0, now};
     option.cached = CachedAt(state, i, option.since);
     double presumed = option.cached;
--- a/waxwing/placement.h
+++ b/waxwing/placement.h
@@ -49,8 +49,10 @@
   std::uint64_t next_turn = 0;
   // Requests waiting for each target, filled while the queue is walked.
   std::vector<int> queued;
-  // Reused by each decision.
+  // Reused by each decision: the holders of the prompt, and the targets that
+  // can run it.
   std::vector<prefix_depth> scratch;
+  std::vector<std::uint32_t> eligible;
 };
 
 struct placement_request {
