--- a/standin/trace.cc
+++ b/standin/trace.cc
@@ -92,7 +92,7 @@
       return out;
     trace_request next;
     next.at = at;
-    const int account = accounts.ranks(random);
+    const int account = options.first_account + accounts.ranks(random);
     next.account = AccountName(options.shape, account);
     next.key = AccountKey(options.shape, account);
     const std::uint64_t unique = random();
--- a/standin/trace.h
+++ b/standin/trace.h
@@ -30,6 +30,8 @@
   waxwing::milliseconds surge_from{0};
   waxwing::milliseconds surge_to{0};
   int accounts = 8;
+  // Index of the first of them.
+  int first_account = 0;
   int contexts = 24;
   // Share of calls to the plain service that must not be repeated.
   double service_share = 0.1;
--- a/testing/plan_fuzz_test.cc
+++ b/testing/plan_fuzz_test.cc
@@ -193,6 +193,19 @@
   EXPECT_EQ(lost.error().changes[0].plan, w.plans[1]);
 }
 
+TEST(Plan, APlanIsMadeAndConfirmedOverAnUnreliablePlatform) {
+  world w;
+  Plan(w, 1);
+  Confirm(w, 0);
+  standin::FaultsOf(w.store).reject = 0.2;
+  standin::FaultsOf(w.store).lose_answer = 0.3;
+  const auto made = w.Run(MakePlan(w.client, LimitIntent(7), "operator", 1));
+  ASSERT_TRUE(made) << made.error().message;
+  const auto done = w.Run(ConfirmPlan(w.client, made->id, "operator", 1));
+  ASSERT_TRUE(done) << done.error().message;
+  EXPECT_EQ(*done, 2u);
+}
+
 TEST(Plan, ALostAnswerIsReadBack) {
   world w;
   Plan(w, 1);
--- a/waxwing/agent_config.cc
+++ b/waxwing/agent_config.cc
@@ -109,6 +109,9 @@
 
 asio::awaitable<void> PullFromPlatform(agent_ptr state) {
   auto object = co_await GetObject(state->platform, kRootKey);
+  const bool is_absent =
+      !object && object.error().failure == platform_failure::kAbsent;
+  state->pull_failed = !object && !is_absent;
   if (!object)
     co_return;
   const auto root = ReadRoot(object->value);
@@ -116,6 +119,7 @@
     co_return;
   std::map<std::string, std::string> shards;
   const bool fetched = co_await FetchShards(state, *root, shards);
+  state->pull_failed = !fetched;
   if (fetched)
     AdoptConfig(*state, object->value, std::move(shards));
 }
@@ -139,7 +143,11 @@
     }
     if (*now != revision || revision == 0)
       co_await PullFromPlatform(state);
-    revision = std::max<std::uint64_t>(*now, 1);
+    // A pull that failed is made up for by looking again soon.
+    const bool pulled = !state->pull_failed;
+    revision = pulled ? std::max<std::uint64_t>(*now, 1) : 0;
+    if (!pulled)
+      co_await Pause(state->root, kPlatformBackoff);
   }
 }
 
--- a/waxwing/agent_state.h
+++ b/waxwing/agent_state.h
@@ -85,7 +85,8 @@
   std::string root_text;
   std::map<std::string, std::string> shards;
   config active;
-  bool fetching = false;
+  // Set while the last pull from the platform has failed.
+  bool pull_failed = false;
   ledger book;
   std::map<std::string, known_target> targets;
   lease_view orders_lease;
--- a/waxwing/plan.cc
+++ b/waxwing/plan.cc
@@ -1,6 +1,7 @@
 #include "waxwing/plan.h"
 
 #include <algorithm>
+#include <boost/asio.hpp>
 #include <boost/json.hpp>
 
 #include "waxwing/hash.h"
@@ -16,7 +17,8 @@
 
 constexpr std::int64_t kLargestNumber = std::int64_t{1} << 53;
 constexpr int kConfirmTries = 6;
-constexpr int kStoreRetries = 3;
+constexpr int kCallTries = 6;
+constexpr milliseconds kFirstPause{10};
 constexpr std::string_view kNoSummary = "nothing changes";
 
 template <typename T>
@@ -107,10 +109,31 @@
   std::uint64_t version = 0;
 };
 
+// Waits before the next try of a call; longer after each failure.
+asio::awaitable<void> PauseAfter(int failures) {
+  asio::steady_timer timer(co_await asio::this_coro::executor,
+                           kFirstPause * (1 << failures));
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+// Reads an object, again if the platform did not do the call.
+asio::awaitable<platform_result<platform_object>> Read(platform_client& client,
+                                                       std::string key) {
+  auto object = co_await GetObject(client, key);
+  for (int failures = 0;
+       failures + 1 < kCallTries && !object &&
+       object.error().failure == platform_failure::kUnavailable;
+       ++failures) {
+    co_await PauseAfter(failures);
+    object = co_await GetObject(client, key);
+  }
+  co_return object;
+}
+
 // The root object; generation 0 and version 0 if there is none yet.
 asio::awaitable<plan_result<root_read>> ReadRootObject(
     platform_client& client) {
-  auto object = co_await GetObject(client, kRootKey);
+  auto object = co_await Read(client, std::string(kRootKey));
   if (!object && object.error().failure == platform_failure::kAbsent)
     co_return root_read{};
   if (!object)
@@ -124,7 +147,7 @@
 asio::awaitable<plan_result<plan>> LoadPlan(platform_client& client,
                                             std::string_view id) {
   const std::string key = std::string(kPlanPrefix) + std::string(id);
-  auto object = co_await GetObject(client, key);
+  auto object = co_await Read(client, key);
   if (!object && object.error().failure == platform_failure::kAbsent)
     co_return tl::unexpected(plan_error{
         plan_failure::kUnknownPlan, "no plan " + std::string(id), {}});
@@ -136,16 +159,18 @@
   co_return std::move(*read);
 }
 
-// Stores an immutable object. A create whose answer was lost is repeated: its
-// key is unique to its content, so it can only meet itself.
+// Stores an immutable object. A create that failed or whose answer was lost is
+// repeated: its key is unique to its content, so it can only meet itself.
 asio::awaitable<plan_result<void>> Store(platform_client& client,
                                          std::string key,
                                          std::string value) {
   auto put = co_await PutImmutable(client, key, value);
-  for (int retry = 0; retry < kStoreRetries && !put &&
-                      put.error().failure == platform_failure::kUncertain;
-       ++retry)
+  for (int failures = 0; failures + 1 < kCallTries && !put &&
+                         put.error().failure != platform_failure::kRefused;
+       ++failures) {
+    co_await PauseAfter(failures);
     put = co_await PutImmutable(client, key, value);
+  }
   if (!put)
     co_return tl::unexpected(FromPlatform(put.error()));
   co_return plan_result<void>();
@@ -202,7 +227,7 @@
     if (shards.contains(hash))
       continue;
     const std::string key = std::string(kShardPrefix) + hash;
-    auto shard = co_await GetObject(client, key);
+    auto shard = co_await Read(client, key);
     if (!shard)
       co_return tl::unexpected(FromPlatform(shard.error()));
     shards[hash] = std::move(shard->value);
@@ -279,6 +304,7 @@
     uncertain =
         uncertain || put.error().failure == platform_failure::kUncertain;
     last = FromPlatform(put.error());
+    co_await PauseAfter(attempt);
   }
   if (uncertain)
     last.failure = plan_failure::kUncertain;
