--- a/bench/router_bench.cc
+++ b/bench/router_bench.cc
@@ -73,13 +73,13 @@
     options.seed = static_cast<std::uint64_t>(i) + 1;
     out->engines.push_back(*standin::StartEngine(
         out->engine_lanes.back()->context.get_executor(), options));
-    targets.push_back(json::object{
-        {"name", "engine-" + std::to_string(i)},
-        {"kind", "model"},
-        {"address", ToText(out->engines.back().address)},
-        {"zone", "a"},
-        {"serves", "triage"},
-        {"version", "v1"}});
+    targets.push_back(
+        json::object{{"name", "engine-" + std::to_string(i)},
+                     {"kind", "model"},
+                     {"address", ToText(out->engines.back().address)},
+                     {"zone", "a"},
+                     {"serves", "triage"},
+                     {"version", "v1"}});
   }
   json::array accounts{json::object{{"name", "a"}, {"key", "k"}}};
   json::array versions{json::object{{"version", "v1"}, {"percent", 100}}};
@@ -219,9 +219,9 @@
   options.token_interval = milliseconds(4);
   const rate_result streams =
       MeasureRate(options, 3, 240, kStreamTokens, seconds(4));
-  std::printf("router_tokens_per_s=%.0f\n",
-              static_cast<double>(streams.done) * kStreamTokens /
-                  streams.cpu_seconds);
+  std::printf(
+      "router_tokens_per_s=%.0f\n",
+      static_cast<double>(streams.done) * kStreamTokens / streams.cpu_seconds);
 }
 
 }  // namespace
--- a/testing/plan_fuzz_test.cc
+++ b/testing/plan_fuzz_test.cc
@@ -99,7 +99,7 @@
 void Plan(world& w, int amount) {
   const std::string intent =
       w.confirmed.empty() ? std::string(kFirst) : LimitIntent(amount);
-  const auto made = w.Run(MakePlan(w.client, intent, "operator", 1));
+  const auto made = w.Run(MakePlan(w.client, {}, intent, "operator", 1));
   if (made)
     w.plans.push_back(made->id);
 }
@@ -199,7 +199,8 @@
   Confirm(w, 0);
   standin::FaultsOf(w.store).reject = 0.2;
   standin::FaultsOf(w.store).lose_answer = 0.3;
-  const auto made = w.Run(MakePlan(w.client, LimitIntent(7), "operator", 1));
+  const auto made =
+      w.Run(MakePlan(w.client, {}, LimitIntent(7), "operator", 1));
   ASSERT_TRUE(made) << made.error().message;
   const auto done = w.Run(ConfirmPlan(w.client, made->id, "operator", 1));
   ASSERT_TRUE(done) << done.error().message;
--- a/waxwing/admission.cc
+++ b/waxwing/admission.cc
@@ -73,6 +73,41 @@
   now = std::max(now, position.start);
 }
 
+void NoteArrival(account_usage& usage, std::string_view account, instant now) {
+  const auto found = usage.last_seen.find(account);
+  if (found != usage.last_seen.end())
+    found->second = now;
+  else
+    usage.last_seen.emplace(std::string(account), now);
+}
+
+void NoteStarted(account_usage& usage, std::string_view account) {
+  ++usage.in_flight[std::string(account)];
+  ++usage.total;
+}
+
+void NoteEnded(account_usage& usage, std::string_view account) {
+  const auto found = usage.in_flight.find(account);
+  if (found == usage.in_flight.end())
+    return;
+  --usage.total;
+  if (--found->second == 0)
+    usage.in_flight.erase(found);
+}
+
+void SweepUsage(account_usage& usage, instant now) {
+  std::erase_if(usage.last_seen, [&](const auto& entry) {
+    return now - entry.second > kAccountActive;
+  });
+}
+
+bool IsAboveShare(const account_usage& usage, std::string_view account) {
+  const auto found = usage.in_flight.find(account);
+  const int own = found == usage.in_flight.end() ? 0 : found->second;
+  const auto active = static_cast<int>(usage.last_seen.size());
+  return active > 1 && own * active > usage.total + 1;
+}
+
 void Drop(fair_queue& queue, const queue_position& position) {
   queue.waiting.erase(position);
 }
--- a/waxwing/admission.h
+++ b/waxwing/admission.h
@@ -78,6 +78,28 @@
 // Removes a request because it is being served.
 void Serve(fair_queue& queue, const queue_position& position);
 
+// Work of client accounts that runs now, for sharing the last slots of targets.
+struct account_usage {
+  std::map<std::string, int, std::less<>> in_flight;
+  int total = 0;
+  // When each account last sent a request.
+  std::map<std::string, instant, std::less<>> last_seen;
+};
+
+// Time without a request after which an account no longer counts for a share.
+inline constexpr milliseconds kAccountActive{10'000};
+
+void NoteArrival(account_usage& usage, std::string_view account, instant now);
+void NoteStarted(account_usage& usage, std::string_view account);
+void NoteEnded(account_usage& usage, std::string_view account);
+
+// Forgets accounts that have been silent.
+void SweepUsage(account_usage& usage, instant now);
+
+// True if the account runs more than its even share among the active ones. An
+// account that is alone never does.
+bool IsAboveShare(const account_usage& usage, std::string_view account);
+
 // Removes a request that gave up.
 void Drop(fair_queue& queue, const queue_position& position);
 
--- a/waxwing/agent_operators.cc
+++ b/waxwing/agent_operators.cc
@@ -123,8 +123,8 @@
 asio::awaitable<http_response> HandleIntent(agent_ptr state,
                                             http_exchange& exchange) {
   const std::string who = OperatorOf(exchange);
-  auto made =
-      co_await MakePlan(state->platform, exchange.request.body, who, UnixNow());
+  auto made = co_await MakePlan(state->platform, state->shards,
+                                exchange.request.body, who, UnixNow());
   if (!made)
     co_return PlanErrorAnswer(made.error());
   LogInfo("plan_made", {{"plan", made->id},
--- a/waxwing/chat_run.cc
+++ b/waxwing/chat_run.cc
@@ -311,6 +311,7 @@
   if (!sent.prefilled)
     NotePrefilled(state.placement, sent.chosen, sent.missed);
   NoteFinished(state.placement, sent.chosen);
+  NoteEnded(state.usage, run.request.account);
   target_view& view = state.placement.targets[sent.chosen.target];
   if (end == attempt_end::kDone) {
     NoteSuccess(view, now - sent.started);
--- a/waxwing/config.h
+++ b/waxwing/config.h
@@ -22,7 +22,7 @@
 
 namespace waxwing {
 
-inline constexpr std::size_t kAccountShards = 16;
+inline constexpr std::size_t kAccountShards = 64;
 inline constexpr int kLowestPriority = 0;
 inline constexpr int kHighestPriority = 9;
 inline constexpr int kDefaultPriority = 4;
--- a/waxwing/plan.cc
+++ b/waxwing/plan.cc
@@ -212,8 +212,8 @@
   return out;
 }
 
-asio::awaitable<plan_result<stored_config>> LoadConfig(
-    platform_client& client) {
+asio::awaitable<plan_result<stored_config>> LoadConfig(platform_client& client,
+                                                       shard_texts known) {
   auto read = co_await ReadRootObject(client);
   if (!read)
     co_return tl::unexpected(read.error());
@@ -222,17 +222,16 @@
   out.root_version = read->version;
   if (out.root.generation == 0)
     co_return out;
-  std::map<std::string, std::string> shards;
   for (const std::string& hash : out.root.shards) {
-    if (shards.contains(hash))
+    if (known.contains(hash))
       continue;
     const std::string key = std::string(kShardPrefix) + hash;
     auto shard = co_await Read(client, key);
     if (!shard)
       co_return tl::unexpected(FromPlatform(shard.error()));
-    shards[hash] = std::move(shard->value);
+    known[hash] = std::move(shard->value);
   }
-  auto content = AssembleConfig(out.root, shards);
+  auto content = AssembleConfig(out.root, known);
   if (!content)
     co_return tl::unexpected(FromConfig(content.error()));
   out.content = std::move(*content);
@@ -240,10 +239,11 @@
 }
 
 asio::awaitable<plan_result<plan>> MakePlan(platform_client& client,
+                                            shard_texts known,
                                             std::string_view intent,
                                             std::string_view operator_name,
                                             unix_ms now) {
-  auto stored = co_await LoadConfig(client);
+  auto stored = co_await LoadConfig(client, std::move(known));
   if (!stored)
     co_return tl::unexpected(stored.error());
   const auto after = ApplyIntent(stored->content, intent);
--- a/waxwing/plan.h
+++ b/waxwing/plan.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -63,13 +64,19 @@
 std::string WritePlan(const plan& from);
 tl::expected<plan, config_error> ReadPlan(std::string_view text);
 
-// Reads the root and its shards.
+// Shard texts by content hash.
+using shard_texts = std::map<std::string, std::string>;
+
+// Reads the root and those of its shards that are not among `known`.
 boost::asio::awaitable<tl::expected<stored_config, plan_error>> LoadConfig(
-    platform_client& client);
+    platform_client& client,
+    shard_texts known);
 
-// Makes and stores a plan for an intent.
+// Makes and stores a plan for an intent. `known` spares reading shards that the
+// caller has.
 boost::asio::awaitable<tl::expected<plan, plan_error>> MakePlan(
     platform_client& client,
+    shard_texts known,
     std::string_view intent,
     std::string_view operator_name,
     unix_ms now);
--- a/waxwing/router_state.h
+++ b/waxwing/router_state.h
@@ -33,6 +33,7 @@
 // A request in the fair queue. Lives in its handler's frame.
 struct waiting_request {
   placement_request wanted;
+  std::string_view account;
   queue_position position;
   // Cancelled when a target is granted.
   boost::asio::steady_timer granted_or_late;
@@ -71,6 +72,7 @@
   std::map<std::string, std::string, std::less<>> account_of_key;
   placement_state placement;
   fair_queue queue;
+  account_usage usage;
   std::map<std::uint64_t, waiting_request*> waiting;
   std::uint64_t next_request = 1;
   std::map<std::string, token_bucket, std::less<>> buckets;
--- a/waxwing/target_view.cc
+++ b/waxwing/target_view.cc
@@ -74,7 +74,14 @@
 }
 
 bool HasRoom(const target_view& view) {
-  return view.own_in_flight < std::max(1, view.slots - view.others_in_flight);
+  const int slack = view.slots / kSlotsPerSlack;
+  return view.own_in_flight <
+         std::max(1, view.slots + slack - view.others_in_flight);
+}
+
+bool IsNearlyFull(const target_view& view) {
+  const int reserve = std::max(1, view.slots / kSlotsPerReserve);
+  return InFlight(view) >= view.slots - reserve;
 }
 
 duration ExpectedWait(const target_view& view, int queued) {
--- a/waxwing/target_view.h
+++ b/waxwing/target_view.h
@@ -54,6 +54,9 @@
   duration distance{};
 };
 
+inline constexpr int kSlotsPerSlack = 8;
+inline constexpr int kSlotsPerReserve = 8;
+
 // Takes in a report. True if the epoch rose.
 bool ApplyReport(target_view& view, const target_report& report);
 
@@ -79,9 +82,15 @@
 // True if the target takes new work at `now` at all.
 bool IsUsable(const target_view& view, instant now);
 
-// True if a new request would not queue inside it.
+// True if a new request would not queue inside it, as far as is known: a report
+// may miss others' latest work, so one more in kSlotsPerSlack is risked rather
+// than leaving slots unused.
 bool HasRoom(const target_view& view);
 
+// True if only the few slots are left that are kept for client accounts below
+// their share.
+bool IsNearlyFull(const target_view& view);
+
 // Expected wait of a new request that has `queued` others before it here.
 duration ExpectedWait(const target_view& view, int queued);
 
--- a/waxwing/waiting.cc
+++ b/waxwing/waiting.cc
@@ -49,6 +49,7 @@
            waiting_request& request,
            const placement& chosen) {
   NoteDispatch(state.placement, chosen, MissedTokens(request, chosen));
+  NoteStarted(state.usage, request.account);
   request.granted = chosen;
   request.granted_or_late.cancel();
 }
@@ -100,7 +101,13 @@
     const auto chosen = Place(state.placement, request.wanted, now);
     if (!chosen)
       continue;
-    if (!chosen->has_room) {
+    // The last slots of a target are kept for accounts below their share, so
+    // that one account's flood can't make the others wait for a slot.
+    const bool must_wait =
+        !chosen->has_room ||
+        (IsNearlyFull(state.placement.targets[chosen->target]) &&
+         IsAboveShare(state.usage, request.account));
+    if (must_wait) {
       ++state.placement.queued[chosen->target];
       continue;
     }
@@ -120,7 +127,9 @@
         Refusal(503, "queue_full", "too many requests wait", seconds(2)));
   waiting_request waiting(state->executor);
   waiting.wanted = wanted;
+  waiting.account = request.account;
   waiting.wanted.random = state->random();
+  NoteArrival(state->usage, request.account, std::chrono::steady_clock::now());
   const std::uint64_t number = state->next_request++;
   waiting.position =
       Push(state->queue, request.account, request.priority, work, number);
