Keep slots free of a dominant account; read another's lease once a second

Cause: isolation: a quiet account's p99 under a flood was 794 ms against 89 ms alone. Its router saw full targets in reports up to half a second old and, with one slot of its own in use, waited for that one to end. Ruled out: the fair queue (its order was right) and prefill (prompts hit). Change: an account with more than half of all work in flight, while others are active, keeps to its part of what is not reserved at each router; others may send a few requests to a target that seems full, which the engine prefers.

--- a/bench/state_bench.cc
+++ b/bench/state_bench.cc
@@ -123,11 +123,11 @@
   for (int i = 0; i < kRounds; ++i)
     sum += ChooseEntryVms(table, "account-" + std::to_string(i), "zone-1", 2)
                .size();
-  std::printf("members_%d_entry_choice_us=%.1f\n", count,
-              sum > 0 ? Milliseconds(std::chrono::steady_clock::now() -
-                                     entry_start) *
-                            1e3 / kRounds
-                      : 0.0);
+  std::printf(
+      "members_%d_entry_choice_us=%.1f\n", count,
+      sum > 0 ? Milliseconds(std::chrono::steady_clock::now() - entry_start) *
+                    1e3 / kRounds
+              : 0.0);
 }
 
 }  // namespace
--- a/testing/admission_test.cc
+++ b/testing/admission_test.cc
@@ -131,17 +131,17 @@
   EXPECT_LT(queue.account_finish.size(), 2'000u);
 }
 
-TEST(AccountUsage, AFloodIsAboveItsShareAndAQuietAccountIsNot) {
+TEST(AccountUsage, AFloodDominatesAndAQuietAccountDoesNot) {
   account_usage usage;
   NoteArrival(usage, "flood", instant{});
   for (int i = 0; i < 30; ++i)
     NoteStarted(usage, "flood");
   // Alone it may have everything.
-  EXPECT_FALSE(IsAboveShare(usage, "flood"));
+  EXPECT_FALSE(IsDominant(usage, "flood"));
   NoteArrival(usage, "quiet", instant{} + seconds(5));
   NoteStarted(usage, "quiet");
-  EXPECT_TRUE(IsAboveShare(usage, "flood"));
-  EXPECT_FALSE(IsAboveShare(usage, "quiet"));
+  EXPECT_TRUE(IsDominant(usage, "flood"));
+  EXPECT_FALSE(IsDominant(usage, "quiet"));
   NoteEnded(usage, "quiet");
   SweepUsage(usage, instant{} + kAccountActive + seconds(1));
   EXPECT_EQ(usage.last_seen.size(), 1u);
--- a/waxwing/admission.cc
+++ b/waxwing/admission.cc
@@ -101,11 +101,10 @@
   });
 }
 
-bool IsAboveShare(const account_usage& usage, std::string_view account) {
+bool IsDominant(const account_usage& usage, std::string_view account) {
   const auto found = usage.in_flight.find(account);
   const int own = found == usage.in_flight.end() ? 0 : found->second;
-  const auto active = static_cast<int>(usage.last_seen.size());
-  return active > 1 && own * active > usage.total + 1;
+  return usage.last_seen.size() > 1 && own * 2 > usage.total + 1;
 }
 
 void Drop(fair_queue& queue, const queue_position& position) {
--- a/waxwing/admission.h
+++ b/waxwing/admission.h
@@ -96,9 +96,10 @@
 // Forgets accounts that have been silent.
 void SweepUsage(account_usage& usage, instant now);
 
-// True if the account runs more than its even share among the active ones. An
-// account that is alone never does.
-bool IsAboveShare(const account_usage& usage, std::string_view account);
+// True if the account runs more than half of all work while others are active.
+// Weighed: more than its even share, which also held back the larger accounts
+// of an ordinary surge and left slots unused.
+bool IsDominant(const account_usage& usage, std::string_view account);
 
 // Removes a request that gave up.
 void Drop(fair_queue& queue, const queue_position& position);
--- a/waxwing/agent_orders.cc
+++ b/waxwing/agent_orders.cc
@@ -20,6 +20,8 @@
 
 constexpr std::string_view kOrdersLease = "leases/orders";
 constexpr milliseconds kLeasePoll{500};
+// A candidate looks at another's lease this often.
+constexpr milliseconds kLeaseRead{1'000};
 constexpr std::size_t kCandidates = 2;
 
 bool IsOpenForOrders(const agent_state& state) {
@@ -62,8 +64,10 @@
   const instant sent = std::chrono::steady_clock::now();
   const lease_action action = NextAction(lease, sent);
   if (action == lease_action::kWait) {
-    if (!HoldsLease(lease, sent))
+    if (!HoldsLease(lease, sent) && sent - state->lease_read >= kLeaseRead) {
+      state->lease_read = sent;
       co_await ReadLeaseObject(state, std::nullopt);
+    }
     co_return;
   }
   const lease_record next = NextRecord(lease, action);
--- a/waxwing/agent_state.h
+++ b/waxwing/agent_state.h
@@ -90,6 +90,7 @@
   ledger book;
   std::map<std::string, known_target> targets;
   lease_view orders_lease;
+  instant lease_read;
   instant last_load;
   std::uint64_t orders_sent = 0;
   std::uint64_t next_query = 1;
--- a/waxwing/chat_run.cc
+++ b/waxwing/chat_run.cc
@@ -59,6 +59,7 @@
   bool began = false;
   bool caller_gone = false;
   bool sent = false;
+  bool is_dominant = false;
   int attempts = 0;
   duration token_gap{};
   instant last_token;
@@ -75,12 +76,17 @@
   bool learned = false;
 };
 
+// Within a priority, engines prefer accounts that are not dominant.
+int TargetPriority(const chat_run& run) {
+  return 2 * run.request.priority + (run.is_dominant ? 0 : 1);
+}
+
 http_request MakeTargetRequest(const chat_run& run, bool resume_only) {
   http_request out{"POST", "/v1/chat/completions", {}, run.chat.target_body};
   out.headers = {{"Content-Type", "application/json"},
                  {"X-Request-Id", run.request.id},
                  {"X-Attempt", std::to_string(run.attempts)},
-                 {"X-Priority", std::to_string(run.request.priority)},
+                 {"X-Priority", std::to_string(TargetPriority(run))},
                  {"X-Cache-Salt", run.request.account},
                  {"X-Expect-Version", run.version}};
   if (!run.chat.adapter.empty())
@@ -355,7 +361,8 @@
         error.outcome = ran::kUnknown;
       co_return tl::unexpected(error);
     }
-    dispatch sent = MakeDispatch(run, *chosen);
+    run.is_dominant = chosen->is_dominant;
+    dispatch sent = MakeDispatch(run, chosen->chosen);
     const attempt_end end = co_await RunAtTarget(run, sent);
     FinishDispatch(run, sent, end);
     if (end == attempt_end::kDone || end == attempt_end::kCallerGone)
@@ -366,7 +373,7 @@
                                          "the target did not complete it",
                                          run.sent ? ran::kUnknown : ran::kNo,
                                          {}});
-    avoid = static_cast<int>(chosen->target);
+    avoid = static_cast<int>(chosen->chosen.target);
     Count(run.state->stats, "waxwing_retries_total");
   }
 }
--- a/waxwing/router_state.h
+++ b/waxwing/router_state.h
@@ -38,6 +38,8 @@
   // Cancelled when a target is granted.
   boost::asio::steady_timer granted_or_late;
   std::optional<placement> granted;
+  // Whether the account was dominant when that was decided.
+  bool is_dominant = false;
 
   explicit waiting_request(boost::asio::any_io_executor executor)
       : granted_or_late(executor) {}
@@ -110,9 +112,15 @@
                                                 const std::string& account,
                                                 double work);
 
+// What the queue grants.
+struct granted_target {
+  placement chosen;
+  bool is_dominant = false;
+};
+
 // Waits until the queue grants a target. On success NoteDispatch() has been
 // called for it, and the caller owes NoteFinished().
-boost::asio::awaitable<tl::expected<placement, api_error>> WaitForTarget(
+boost::asio::awaitable<tl::expected<granted_target, api_error>> WaitForTarget(
     const router_ptr& state,
     const admitted_request& request,
     placement_request wanted,
--- a/waxwing/target_view.cc
+++ b/waxwing/target_view.cc
@@ -79,9 +79,16 @@
          std::max(1, view.slots + slack - view.others_in_flight);
 }
 
-bool IsNearlyFull(const target_view& view) {
+bool IsNearlyFull(const target_view& view, int routers) {
   const int reserve = std::max(1, view.slots / kSlotsPerReserve);
-  return InFlight(view) >= view.slots - reserve;
+  const int usable = view.slots - reserve;
+  return InFlight(view) >= usable ||
+         (view.own_in_flight > 0 &&
+          (view.own_in_flight + 1) * routers > usable);
+}
+
+bool HasReservedRoom(const target_view& view) {
+  return view.own_in_flight < std::max(1, view.slots / kSlotsPerRouterShare);
 }
 
 duration ExpectedWait(const target_view& view, int queued) {
--- a/waxwing/target_view.h
+++ b/waxwing/target_view.h
@@ -56,6 +56,7 @@
 
 inline constexpr int kSlotsPerSlack = 8;
 inline constexpr int kSlotsPerReserve = 8;
+inline constexpr int kSlotsPerRouterShare = 4;
 
 // Takes in a report. True if the epoch rose.
 bool ApplyReport(target_view& view, const target_report& report);
@@ -87,9 +88,14 @@
 // than leaving slots unused.
 bool HasRoom(const target_view& view);
 
-// True if only the few slots are left that are kept for client accounts below
-// their share.
-bool IsNearlyFull(const target_view& view);
+// True if a dominant account may take no further slot. Reports of other
+// routers' work come too late to keep slots free by; therefore each of the
+// `routers` that the account uses keeps to its part of what is not reserved.
+bool IsNearlyFull(const target_view& view, int routers);
+
+// True if a request of an account that is not dominant may be sent although the
+// target seems full: a few from each router, which the engine then prefers.
+bool HasReservedRoom(const target_view& view);
 
 // Expected wait of a new request that has `queued` others before it here.
 duration ExpectedWait(const target_view& view, int queued);
--- a/waxwing/waiting.cc
+++ b/waxwing/waiting.cc
@@ -31,11 +31,11 @@
 }
 
 bool AnyRoom(const router_state& state, instant now) {
-  return std::any_of(state.placement.targets.begin(),
-                     state.placement.targets.end(),
-                     [&](const target_view& view) {
-                       return IsUsable(view, now) && HasRoom(view);
-                     });
+  return std::any_of(
+      state.placement.targets.begin(), state.placement.targets.end(),
+      [&](const target_view& view) {
+        return IsUsable(view, now) && (HasRoom(view) || HasReservedRoom(view));
+      });
 }
 
 // Prompt tokens that the chosen target is expected to compute.
@@ -49,11 +49,24 @@
            waiting_request& request,
            const placement& chosen) {
   NoteDispatch(state.placement, chosen, MissedTokens(request, chosen));
+  request.is_dominant = IsDominant(state.usage, request.account);
   NoteStarted(state.usage, request.account);
   request.granted = chosen;
   request.granted_or_late.cancel();
 }
 
+// The last slots of a target are kept for the other accounts, so that
+// one account's flood can't make the others wait for a slot.
+bool MustWait(const router_state& state,
+              const waiting_request& request,
+              const placement& chosen) {
+  const target_view& view = state.placement.targets[chosen.target];
+  if (!IsDominant(state.usage, request.account))
+    return !chosen.has_room && !HasReservedRoom(view);
+  const auto routers = static_cast<int>(state.options.entry_vms);
+  return !chosen.has_room || IsNearlyFull(view, routers);
+}
+
 // Why a request that is not granted at once must be refused at once, if so.
 std::optional<api_error> RefuseEarly(router_state& state,
                                      const waiting_request& request,
@@ -101,13 +114,7 @@
     const auto chosen = Place(state.placement, request.wanted, now);
     if (!chosen)
       continue;
-    // The last slots of a target are kept for accounts below their share, so
-    // that one account's flood can't make the others wait for a slot.
-    const bool must_wait =
-        !chosen->has_room ||
-        (IsNearlyFull(state.placement.targets[chosen->target]) &&
-         IsAboveShare(state.usage, request.account));
-    if (must_wait) {
+    if (MustWait(state, request, *chosen)) {
       ++state.placement.queued[chosen->target];
       continue;
     }
@@ -117,7 +124,7 @@
   }
 }
 
-asio::awaitable<tl::expected<placement, api_error>> WaitForTarget(
+asio::awaitable<tl::expected<granted_target, api_error>> WaitForTarget(
     const router_ptr& state,
     const admitted_request& request,
     placement_request wanted,
@@ -151,7 +158,7 @@
     co_await waiting.granted_or_late.async_wait(kUseTuple);
   }
   if (waiting.granted)
-    co_return *waiting.granted;
+    co_return granted_target{*waiting.granted, waiting.is_dominant};
   state->waiting.erase(number);
   Drop(state->queue, waiting.position);
   if (!refusal) {
