Exchange member tables only on links that are kept

Links opened for a digest now and then were closed by their silent end after 15 s and opened again, and each opening sent the whole member table both ways. Change: the table travels on links dialled for membership, and once in return.

--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -889,6 +889,7 @@
 
 struct member_listT : public flatbuffers::NativeTable {
   typedef member_list TableType;
+  bool is_whole = false;
   std::vector<std::unique_ptr<waxwing::wire::member_recordT>> records{};
   member_listT() = default;
   member_listT(const member_listT &o);
@@ -901,13 +902,18 @@
   typedef member_listBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_RECORDS = 4
+    VT_IS_WHOLE = 4,
+    VT_RECORDS = 6
   };
+  bool is_whole() const {
+    return GetField<uint8_t>(VT_IS_WHOLE, 0) != 0;
+  }
   const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::member_record>> *records() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::member_record>> *>(VT_RECORDS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_IS_WHOLE, 1) &&
            VerifyOffset(verifier, VT_RECORDS) &&
            verifier.VerifyVector(records()) &&
            verifier.VerifyVectorOfTables(records()) &&
@@ -922,6 +928,9 @@
   typedef member_list Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_is_whole(bool is_whole) {
+    fbb_.AddElement<uint8_t>(member_list::VT_IS_WHOLE, static_cast<uint8_t>(is_whole), 0);
+  }
   void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::member_record>>> records) {
     fbb_.AddOffset(member_list::VT_RECORDS, records);
   }
@@ -938,9 +947,11 @@
 
 inline flatbuffers::Offset<member_list> Createmember_list(
     flatbuffers::FlatBufferBuilder &_fbb,
+    bool is_whole = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::member_record>>> records = 0) {
   member_listBuilder builder_(_fbb);
   builder_.add_records(records);
+  builder_.add_is_whole(is_whole);
   return builder_.Finish();
 }
 
@@ -951,10 +962,12 @@
 
 inline flatbuffers::Offset<member_list> Createmember_listDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
+    bool is_whole = false,
     const std::vector<flatbuffers::Offset<waxwing::wire::member_record>> *records = nullptr) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::member_record>>(*records) : 0;
   return waxwing::wire::Createmember_list(
       _fbb,
+      is_whole,
       records__);
 }
 
@@ -2576,12 +2589,14 @@
       _wants_reply);
 }
 
-inline member_listT::member_listT(const member_listT &o) {
+inline member_listT::member_listT(const member_listT &o)
+      : is_whole(o.is_whole) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new waxwing::wire::member_recordT(*records_) : nullptr); }
 }
 
 inline member_listT &member_listT::operator=(member_listT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(is_whole, o.is_whole);
   std::swap(records, o.records);
   return *this;
 }
@@ -2595,6 +2610,7 @@
 inline void member_list::UnPackTo(member_listT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = is_whole(); _o->is_whole = _e; }
   { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<waxwing::wire::member_recordT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
@@ -2606,9 +2622,11 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const member_listT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _is_whole = _o->is_whole;
   auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::member_record>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return Createmember_record(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
   return waxwing::wire::Createmember_list(
       _fbb,
+      _is_whole,
       _records);
 }
 
--- a/waxwing/agent_links.cc
+++ b/waxwing/agent_links.cc
@@ -36,8 +36,10 @@
   return out;
 }
 
-wire::member_listT MakeMemberList(const std::vector<member>& records) {
+wire::member_listT MakeMemberList(const std::vector<member>& records,
+                                  bool is_whole = false) {
   wire::member_listT out;
+  out.is_whole = is_whole;
   for (const member& record : records)
     out.records.push_back(
         std::make_unique<wire::member_recordT>(ToWire(record)));
@@ -240,6 +242,8 @@
   if (auto* heartbeat = message.Asheartbeat()) {
     TakeInHeartbeat(state, link, *heartbeat);
   } else if (auto* list = message.Asmember_list()) {
+    if (list->is_whole)
+      SendTable(state, link);
     TakeInMembers(state, *list, vm);
   } else if (auto* request = message.Asconfig_request()) {
     SendMessage(link.link, MakeConfigUpdate(state, request->have));
@@ -262,15 +266,31 @@
   }
 }
 
-asio::awaitable<void> ServeAgent(agent_ptr state, peer_link link) {
+// What a link is dialled for. Member tables are exchanged only on links that
+// are kept, so that a link for a digest now and then costs no table.
+enum class link_purpose { kMembership, kMessages };
+
+// Sends the whole table, once on each link.
+void SendTable(const agent_state& state, agent_link& link) {
+  if (link.table_sent)
+    return;
+  link.table_sent = true;
+  SendMessage(link.link, MakeMemberList(AllMembers(state), true));
+}
+
+asio::awaitable<void> ServeAgent(agent_ptr state,
+                                 peer_link link,
+                                 link_purpose purpose) {
   const std::string vm = link.peer.vm;
   const instant start = std::chrono::steady_clock::now();
   agent_link& slot = state->links[vm];
   if (IsOpen(slot.link) && slot.link.state != link.state)
     ClosePeer(slot.link);
-  slot = agent_link{link, false, start, 0};
-  SendMessage(link, MakeMemberList(AllMembers(*state)));
-  SendMessage(link, MakeHeartbeat(*state));
+  slot = agent_link{link, false, start, 0, false};
+  if (purpose == link_purpose::kMembership) {
+    SendTable(*state, slot);
+    SendMessage(link, MakeHeartbeat(*state));
+  }
   while (!IsStopping(state->root)) {
     auto frame = co_await ReadFrame(link, kIdleLink);
     const auto current = state->links.find(vm);
@@ -302,7 +322,7 @@
     else
       ClosePeer(*link);
   } else if (link->peer.vm != state->options.vm && state->has_settled) {
-    co_await ServeAgent(state, *link);
+    co_await ServeAgent(state, *link, link_purpose::kMessages);
   } else {
     ClosePeer(*link);
   }
@@ -311,7 +331,8 @@
 // Dials an agent and serves the link; a failure is left to the next period.
 asio::awaitable<void> DialAgent(agent_ptr state,
                                 endpoint address,
-                                std::string name) {
+                                std::string name,
+                                link_purpose purpose) {
   if (!state->dialling.insert(name).second)
     co_return;
   auto link = co_await DialPeer(state->executor, address, Identity(*state),
@@ -324,13 +345,14 @@
     ClosePeer(*link);
     co_return;
   }
-  co_await ServeAgent(state, *link);
+  co_await ServeAgent(state, *link, purpose);
 }
 
 void StartDial(const agent_ptr& state,
                const endpoint& address,
-               const std::string& name) {
-  asio::co_spawn(state->executor, DialAgent(state, address, name),
+               const std::string& name,
+               link_purpose purpose) {
+  asio::co_spawn(state->executor, DialAgent(state, address, name, purpose),
                  asio::detached);
 }
 
@@ -348,9 +370,12 @@
     if (!link.is_watched) {
       link.is_watched = true;
       link.last_heard = now;
+      if (IsOpen(link.link))
+        SendTable(*state, link);
     }
     if (!IsOpen(link.link))
-      StartDial(state, state->members.members.at(vm).data.agent, vm);
+      StartDial(state, state->members.members.at(vm).data.agent, vm,
+                link_purpose::kMembership);
   }
   for (auto& [vm, link] : state->links) {
     if (std::find(wanted.begin(), wanted.end(), vm) == wanted.end())
@@ -402,7 +427,7 @@
   if (absent.empty())
     return;
   const endpoint address = absent[state->random() % absent.size()];
-  StartDial(state, address, ToText(address));
+  StartDial(state, address, ToText(address), link_purpose::kMembership);
 }
 
 }  // namespace
@@ -445,7 +470,7 @@
 
 asio::awaitable<void> KeepLinks(agent_ptr state) {
   for (const endpoint& seed : state->options.seeds)
-    StartDial(state, seed, ToText(seed));
+    StartDial(state, seed, ToText(seed), link_purpose::kMembership);
   std::vector<std::string> wanted;
   for (int period = 1;
        co_await Pause(state->root, state->options.heartbeat_period); ++period) {
@@ -466,7 +491,7 @@
   const auto found = state->members.members.find(vm);
   if (found == state->members.members.end())
     co_return std::nullopt;
-  StartDial(state, found->second.data.agent, vm);
+  StartDial(state, found->second.data.agent, vm, link_purpose::kMessages);
   constexpr int kPolls = 50;
   constexpr milliseconds kPoll{10};
   for (int i = 0; i < kPolls && !HasOpenLink(*state, vm); ++i)
--- a/waxwing/agent_state.h
+++ b/waxwing/agent_state.h
@@ -37,6 +37,7 @@
   instant last_heard;
   // Heartbeats in a row whose table hash differed.
   int table_differences = 0;
+  bool table_sent = false;
 };
 
 // A digest of one target and what was last passed on of it.
