--- a/waxwing/agent_links.cc
+++ b/waxwing/agent_links.cc
@@ -53,6 +53,14 @@
   return out;
 }
 
+// Sends the whole table, once on each link.
+void SendTable(const agent_state& state, agent_link& link) {
+  if (link.table_sent)
+    return;
+  link.table_sent = true;
+  SendMessage(link.link, MakeMemberList(AllMembers(state), true));
+}
+
 const member& Self(const agent_state& state) {
   return state.members.members.at(state.options.vm).data;
 }
@@ -270,14 +278,6 @@
 // are kept, so that a link for a digest now and then costs no table.
 enum class link_purpose { kMembership, kMessages };
 
-// Sends the whole table, once on each link.
-void SendTable(const agent_state& state, agent_link& link) {
-  if (link.table_sent)
-    return;
-  link.table_sent = true;
-  SendMessage(link.link, MakeMemberList(AllMembers(state), true));
-}
-
 asio::awaitable<void> ServeAgent(agent_ptr state,
                                  peer_link link,
                                  link_purpose purpose) {
