--- a/testing/cluster.h
+++ b/testing/cluster.h
@@ -17,6 +17,7 @@
 #include "standin/load.h"
 #include "standin/platform.h"
 #include "standin/service.h"
+#include "testing/event_loop.h"
 #include "waxwing/http_client.h"
 #include "waxwing/types.h"
 
@@ -82,16 +83,7 @@
 // Runs the loop until the coroutine has ended.
 template <typename T>
 T Await(cluster& c, asio::awaitable<T> body) {
-  std::optional<T> out;
-  asio::co_spawn(c.context, std::move(body),
-                 [&](const std::exception_ptr&, T result) {
-                   out.emplace(std::move(result));
-                 });
-  while (!out) {
-    c.context.restart();
-    c.context.run_one();
-  }
-  return std::move(*out);
+  return RunToEnd(c.context, std::move(body));
 }
 
 // Calls. The answer's status is 0 if there was none.
--- a/testing/http_test.cc
+++ b/testing/http_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 
+#include "testing/event_loop.h"
 #include "waxwing/http_client.h"
 #include "waxwing/http_server.h"
 #include "waxwing/log.h"
@@ -14,19 +15,7 @@
 
 namespace asio = boost::asio;
 
-template <typename T>
-T Drive(asio::io_context& context, asio::awaitable<T> body) {
-  std::optional<T> out;
-  asio::co_spawn(context, std::move(body),
-                 [&](const std::exception_ptr&, T result) {
-                   out.emplace(std::move(result));
-                 });
-  while (!out) {
-    context.restart();
-    context.run_one();
-  }
-  return std::move(*out);
-}
+using testing_support::RunToEnd;
 
 struct fixture {
   asio::io_context context;
@@ -49,7 +38,7 @@
   tl::expected<http_response, http_error> Post(std::string body, bool reuse) {
     http_request request{"POST", "/", {}, std::move(body)};
     const http_call_options options{milliseconds(300), reuse};
-    return Drive(context, Fetch(pool, server.address, request, options));
+    return RunToEnd(context, Fetch(pool, server.address, request, options));
   }
 };
 
@@ -90,7 +79,7 @@
   http_request request;
   const http_call_options options{milliseconds(300), false};
   const auto answer =
-      Drive(f.context, Fetch(f.pool, address, request, options));
+      RunToEnd(f.context, Fetch(f.pool, address, request, options));
   ASSERT_FALSE(answer);
   EXPECT_EQ(answer.error().failure, http_failure::kConnect);
   EXPECT_FALSE(answer.error().sent);
@@ -104,7 +93,7 @@
   http_request request;
   const http_call_options options{milliseconds(50), false};
   const endpoint address{"127.0.0.1", silent.local_endpoint().port()};
-  const auto answer = Drive(context, Fetch(pool, address, request, options));
+  const auto answer = RunToEnd(context, Fetch(pool, address, request, options));
   ASSERT_FALSE(answer);
   EXPECT_EQ(answer.error().failure, http_failure::kTimeout);
   EXPECT_TRUE(answer.error().sent);
@@ -121,7 +110,7 @@
   http_request request;
   const http_call_options options{milliseconds(300), true};
   const auto answer =
-      Drive(context, Fetch(pool, server.address, request, options));
+      RunToEnd(context, Fetch(pool, server.address, request, options));
   ASSERT_TRUE(answer);
   EXPECT_EQ(answer->status, 500u);
   EXPECT_NE(answer->body.find("\"ran\":\"unknown\""), std::string::npos);
--- a/testing/plan_fuzz_test.cc
+++ b/testing/plan_fuzz_test.cc
@@ -11,6 +11,7 @@
 #include <set>
 
 #include "standin/platform.h"
+#include "testing/event_loop.h"
 
 namespace waxwing {
 namespace {
@@ -45,21 +46,13 @@
     standin::FaultsOf(store).latency = milliseconds(0);
     client.pool = MakeHttpPool(context.get_executor(), {});
     client.address = store.address;
+    client.first_pause = milliseconds(0);
   }
   ~world() { standin::StopPlatform(store); }
 
   template <typename T>
   T Run(asio::awaitable<T> body) {
-    std::optional<T> out;
-    asio::co_spawn(context, std::move(body),
-                   [&](const std::exception_ptr&, T result) {
-                     out.emplace(std::move(result));
-                   });
-    while (!out) {
-      context.restart();
-      context.run_one();
-    }
-    return std::move(*out);
+    return testing_support::RunToEnd(context, std::move(body));
   }
 };
 
--- a/waxwing/agent.cc
+++ b/waxwing/agent.cc
@@ -4,6 +4,7 @@
 
 #include "waxwing/agent_state.h"
 #include "waxwing/hash.h"
+#include "waxwing/listener.h"
 #include "waxwing/log.h"
 
 namespace waxwing {
@@ -37,28 +38,6 @@
   return self;
 }
 
-tl::expected<void, std::string> Listen(agent_state& state) {
-  const endpoint& address = state.options.address;
-  auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(state.executor);
-  boost::system::error_code error;
-  const asio::ip::tcp::endpoint local(
-      asio::ip::make_address(address.host, error), address.port);
-  if (!error)
-    acceptor->open(local.protocol(), error);
-  if (!error)
-    acceptor->set_option(asio::socket_base::reuse_address(true), error);
-  if (!error)
-    acceptor->bind(local, error);
-  if (!error)
-    acceptor->listen(asio::socket_base::max_listen_connections, error);
-  if (error)
-    return tl::unexpected("can't listen at " + ToText(address) + ": " +
-                          error.message());
-  state.options.address.port = acceptor->local_endpoint().port();
-  state.acceptor = acceptor;
-  return {};
-}
-
 // Takes on the incarnation that a router still running on this VM knows, so
 // that its tickets stay valid; otherwise keeps the fresh one.
 asio::awaitable<void> SettleIncarnation(agent_ptr state) {
@@ -92,8 +71,12 @@
   state->incarnation = NewIncarnation();
   state->started = std::chrono::steady_clock::now();
   state->router_seen = state->started;
-  if (const auto listening = Listen(*state); !listening)
-    return tl::unexpected(listening.error());
+  auto acceptor = OpenListener(executor, options.address);
+  if (!acceptor)
+    return tl::unexpected(acceptor.error());
+  state->options.address.port = acceptor->local_endpoint().port();
+  state->acceptor =
+      std::make_shared<asio::ip::tcp::acceptor>(std::move(*acceptor));
   if (const auto api = StartOperatorApi(state); !api)
     return tl::unexpected(api.error());
   state->members = MakeMembership(options.limits,
--- a/waxwing/agent.h
+++ b/waxwing/agent.h
@@ -2,8 +2,8 @@
 //
 // Its duties, each in a file of its own:
 //
-//   agent_links.cc      connections to other agents and to the VM's router,
-//                       heartbeats, membership
+//   agent_links.cc      connections to other agents, heartbeats, membership
+//   agent_router.cc     the connection to the VM's router, the ledger's copy
 //   agent_config.cc     the configuration in force: from the platform's watch
 //                       on a few agents of each zone, from peers on the others
 //   agent_targets.cc    reports of the targets assigned to this agent, passed
--- /dev/null
+++ b/waxwing/agent_router.cc
@@ -0,0 +1,154 @@
+// The agent's side of the connection to its VM's router (see agent_client.cc
+// for the other side).
+
+#include <algorithm>
+
+#include "waxwing/agent_state.h"
+#include "waxwing/log.h"
+#include "waxwing/wire_convert.h"
+
+namespace waxwing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds kRouterSilence{4'000};
+constexpr milliseconds kRouterAbsence{1'000};
+constexpr std::size_t kEntriesPerCopy = 256;
+
+void SendLedgerCopy(const agent_state& state) {
+  wire::ledger_copyT copy;
+  for (const auto& [id, entry] : state.book.entries) {
+    copy.entries.push_back(
+        std::make_unique<wire::ledger_noteT>(ToWire(id, entry, 0)));
+    if (copy.entries.size() == kEntriesPerCopy) {
+      SendMessage(state.router, std::move(copy));
+      copy = {};
+    }
+  }
+  copy.last = true;
+  copy.clock = state.book.clock;
+  SendMessage(state.router, std::move(copy));
+}
+
+// Everything a router needs to serve, also with the platform down.
+void WelcomeRouter(agent_state& state) {
+  SendRouterView(state);
+  SendLedgerCopy(state);
+  if (state.active_root.generation > 0)
+    SendMessage(state.router, MakeConfigUpdate(state, {}));
+  SendMessage(state.router, AllDigests(state));
+}
+
+// Takes in a step of a non-idempotent request and says so.
+void TakeInNote(agent_state& state,
+                const peer_link& from,
+                const wire::ledger_noteT& note) {
+  ticket_id id;
+  auto entry = FromWire(note, id);
+  wire::ledger_ackT ack;
+  ack.number = note.number;
+  // An older router of this VM, still running, may dispatch nothing.
+  ack.accepted = entry.has_value() && from.state == state.router.state;
+  if (ack.accepted)
+    Restore(state.book, id, std::move(*entry), UnixNow());
+  SendMessage(from, ack);
+}
+
+void TakeInLedgerCopy(agent_state& state, const wire::ledger_copyT& copy) {
+  TakeOverClock(state.book, copy.clock);
+  for (const auto& note : copy.entries) {
+    ticket_id id;
+    if (auto entry = FromWire(*note, id))
+      Restore(state.book, id, std::move(*entry), UnixNow());
+  }
+}
+
+void TakeInRouterFrame(agent_state& state,
+                       const peer_link& from,
+                       wire::frameT& frame) {
+  auto& message = frame.message;
+  if (auto* note = message.Asledger_note()) {
+    TakeInNote(state, from, *note);
+  } else if (auto* copy = message.Asledger_copy()) {
+    TakeInLedgerCopy(state, *copy);
+  } else if (auto* applied = message.Asapplied()) {
+    state.router_generation = applied->generation;
+    state.router_leaving = applied->leaving;
+    UpdateOwnStatus(state);
+  }
+}
+
+// A router that outlived the agent knows under which incarnation the VM has
+// been known. Once others know the agent under its own, it keeps that.
+void AdoptIncarnation(agent_state& state, std::uint64_t known_to_router) {
+  if (known_to_router == 0 || known_to_router == state.incarnation ||
+      !state.links.empty() || state.has_settled)
+    return;
+  state.incarnation = known_to_router;
+  state.members.members.at(state.options.vm).data.incarnation = known_to_router;
+  LogInfo("incarnation_adopted", {{"incarnation", known_to_router}});
+}
+
+}  // namespace
+
+const member& Self(const agent_state& state) {
+  return state.members.members.at(state.options.vm).data;
+}
+
+std::uint64_t OwnGeneration(const agent_state& state) {
+  const std::uint64_t own = state.active_root.generation;
+  if (!state.options.has_router)
+    return own;
+  return std::min(own, state.router_generation);
+}
+
+void SendRouterView(const agent_state& state) {
+  wire::router_viewT view;
+  view.incarnation = state.incarnation;
+  for (const auto& [vm, record] : state.members.members)
+    view.members.push_back(
+        std::make_unique<wire::member_recordT>(ToWire(record.data)));
+  SendMessage(state.router, std::move(view));
+}
+
+void UpdateOwnStatus(agent_state& state) {
+  if (!state.options.has_router || state.stopping)
+    return;
+  const bool is_serving = IsOpen(state.router) && !state.router_leaving;
+  const instant now = std::chrono::steady_clock::now();
+  const bool is_absent =
+      state.router_leaving || now - state.router_seen > kRouterAbsence;
+  const member_status current = Self(state).status;
+  if (is_serving && current == member_status::kLeaving)
+    SetOwnStatus(state.members, member_status::kAlive, now);
+  else if (!is_serving && is_absent && current == member_status::kAlive)
+    SetOwnStatus(state.members, member_status::kLeaving, now);
+  else
+    return;
+  SpreadMembers(state, {Self(state)}, "");
+}
+
+asio::awaitable<void> ServeRouter(agent_ptr state, peer_link link) {
+  // A newer router takes the place of an older one.
+  ClosePeer(state->router);
+  state->router = link;
+  AdoptIncarnation(*state, link.peer.incarnation);
+  state->router_generation = 0;
+  state->router_leaving = false;
+  LogInfo("router_connected", {{"incarnation", link.peer.incarnation}});
+  WelcomeRouter(*state);
+  while (!IsStopping(state->root)) {
+    state->router_seen = std::chrono::steady_clock::now();
+    auto frame = co_await ReadFrame(link, kRouterSilence);
+    if (!frame)
+      break;
+    TakeInRouterFrame(*state, link, *frame);
+  }
+  ClosePeer(link);
+  if (state->router.state == link.state)
+    state->router_generation = 0;
+}
+
+}  // namespace waxwing
--- a/waxwing/agent_state.h
+++ b/waxwing/agent_state.h
@@ -117,9 +117,24 @@
                    const std::vector<member>& records,
                    std::string_view except);
 
+// --- agent_router.cc
+
+// Serves the router until its connection ends; a newer router takes its place.
+boost::asio::awaitable<void> ServeRouter(agent_ptr state, peer_link link);
+
+// Gives the router the members, among whom it chooses entry VMs.
+void SendRouterView(const agent_state& state);
+
+// The VM takes new callers only while its router serves; tells the others if
+// that has changed.
+void UpdateOwnStatus(agent_state& state);
+
 // The generation that the VM has in force: what its router has put in force.
 std::uint64_t OwnGeneration(const agent_state& state);
 
+// This VM's own record.
+const member& Self(const agent_state& state);
+
 // --- agent_config.cc
 
 boost::asio::awaitable<void> WatchPlatform(agent_ptr state);
--- a/waxwing/http_server.cc
+++ b/waxwing/http_server.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "waxwing/listener.h"
 #include "waxwing/log.h"
 
 namespace waxwing {
@@ -33,8 +34,11 @@
   std::size_t open_exchanges = 0;
   std::set<http_connection*> connections;
 
-  http_listener(asio::any_io_executor e, const http_limits& l, http_handler h)
-      : executor(e), acceptor(e), limits(l), handler(std::move(h)) {}
+  http_listener(asio::ip::tcp::acceptor a, const http_limits& l, http_handler h)
+      : executor(a.get_executor()),
+        acceptor(std::move(a)),
+        limits(l),
+        handler(std::move(h)) {}
 };
 
 }  // namespace detail
@@ -234,23 +238,11 @@
     const endpoint& address,
     const http_limits& limits,
     http_handler handler) {
-  auto listener = std::make_shared<detail::http_listener>(executor, limits,
-                                                          std::move(handler));
-  beast::error_code error;
-  const asio::ip::tcp::endpoint local(
-      asio::ip::make_address(address.host, error), address.port);
-  if (!error)
-    listener->acceptor.open(local.protocol(), error);
-  if (!error)
-    listener->acceptor.set_option(asio::socket_base::reuse_address(true),
-                                  error);
-  if (!error)
-    listener->acceptor.bind(local, error);
-  if (!error)
-    listener->acceptor.listen(asio::socket_base::max_listen_connections, error);
-  if (error)
-    return tl::unexpected("can't listen at " + ToText(address) + ": " +
-                          error.message());
+  auto acceptor = OpenListener(executor, address);
+  if (!acceptor)
+    return tl::unexpected(acceptor.error());
+  auto listener = std::make_shared<detail::http_listener>(
+      std::move(*acceptor), limits, std::move(handler));
   const std::uint16_t port = listener->acceptor.local_endpoint().port();
   asio::co_spawn(executor, AcceptLoop(listener), asio::detached);
   return http_server{listener, endpoint{address.host, port}};
--- /dev/null
+++ b/waxwing/listener.cc
@@ -0,0 +1,31 @@
+#include "waxwing/listener.h"
+
+#include <boost/asio.hpp>
+
+namespace waxwing {
+
+namespace asio = boost::asio;
+
+tl::expected<asio::ip::tcp::acceptor, std::string> OpenListener(
+    asio::any_io_executor executor,
+    const endpoint& address) {
+  asio::ip::tcp::acceptor acceptor(executor);
+  boost::system::error_code error;
+  const asio::ip::tcp::endpoint local(
+      asio::ip::make_address(address.host, error), address.port);
+  if (!error)
+    acceptor.open(local.protocol(), error);
+  // A restarted process takes its address over at once.
+  if (!error)
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error)
+    acceptor.bind(local, error);
+  if (!error)
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error)
+    return tl::unexpected("can't listen at " + ToText(address) + ": " +
+                          error.message());
+  return acceptor;
+}
+
+}  // namespace waxwing
--- a/waxwing/plan.cc
+++ b/waxwing/plan.cc
@@ -18,7 +18,6 @@
 constexpr std::int64_t kLargestNumber = std::int64_t{1} << 53;
 constexpr int kConfirmTries = 6;
 constexpr int kCallTries = 6;
-constexpr milliseconds kFirstPause{10};
 constexpr std::string_view kNoSummary = "nothing changes";
 
 template <typename T>
@@ -110,9 +109,9 @@
 };
 
 // Waits before the next try of a call; longer after each failure.
-asio::awaitable<void> PauseAfter(int failures) {
+asio::awaitable<void> PauseAfter(const platform_client& client, int failures) {
   asio::steady_timer timer(co_await asio::this_coro::executor,
-                           kFirstPause * (1 << failures));
+                           client.first_pause * (1 << failures));
   co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
@@ -124,7 +123,7 @@
        failures + 1 < kCallTries && !object &&
        object.error().failure == platform_failure::kUnavailable;
        ++failures) {
-    co_await PauseAfter(failures);
+    co_await PauseAfter(client, failures);
     object = co_await GetObject(client, key);
   }
   co_return object;
@@ -168,7 +167,7 @@
   for (int failures = 0; failures + 1 < kCallTries && !put &&
                          put.error().failure != platform_failure::kRefused;
        ++failures) {
-    co_await PauseAfter(failures);
+    co_await PauseAfter(client, failures);
     put = co_await PutImmutable(client, key, value);
   }
   if (!put)
@@ -304,7 +303,7 @@
     uncertain =
         uncertain || put.error().failure == platform_failure::kUncertain;
     last = FromPlatform(put.error());
-    co_await PauseAfter(attempt);
+    co_await PauseAfter(client, attempt);
   }
   if (uncertain)
     last.failure = plan_failure::kUncertain;
--- a/waxwing/platform_client.h
+++ b/waxwing/platform_client.h
@@ -43,6 +43,8 @@
   http_pool pool;
   endpoint address;
   milliseconds timeout{1'000};
+  // Pause before a call that failed is made again; doubles with each failure.
+  milliseconds first_pause{10};
   // Calls made so far.
   std::uint64_t calls = 0;
 };
