Prove crossed answers and early refusals; let a first limit start full

The new test failed: an account that gets its first limit was refused its first request, since its bucket began empty. Change: a fault of the stand-in engine that sends another request's answer, alone and before a crash; a test of limits and doomed requests; SetLimit() fills the bucket of an account that had no limit.

--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -410,6 +410,26 @@
   run->last_read = Now();
 }
 
+// Sends the whole answer of some other request in place of this one's.
+asio::awaitable<void> SendCrossed(const state_ptr& state,
+                                  http_exchange& exchange,
+                                  http_response head) {
+  for (waxwing::http_header& header : head.headers) {
+    if (header.name == "X-Request-Id")
+      header.value = "another-request";
+  }
+  engine_run other(state->executor);
+  other.request_id = "another-request";
+  other.tokens = 1;
+  const bool began = co_await waxwing::BeginStream(exchange, head);
+  if (!began)
+    co_return;
+  const std::string piece =
+      TokenEvent(other, state->options, 0) + LastEvents(other, state->options);
+  co_await waxwing::WriteStream(exchange, piece);
+  co_await waxwing::EndStream(exchange);
+}
+
 asio::awaitable<void> HandleChat(const state_ptr& state,
                                  http_exchange& exchange) {
   ++state->counts.requests;
@@ -442,6 +462,10 @@
   if (!run)
     run = StartRun(state, *request);
   http_response head = StreamHead(*state, *request);
+  if (Chance(*state, state->faults.cross)) {
+    co_await SendCrossed(state, exchange, head);
+    co_return;
+  }
   if (!co_await waxwing::BeginStream(exchange, head))
     co_return;
   co_await StreamRun(state, run, exchange, request->resume_from);
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -50,6 +50,8 @@
   // Share of streams cut after `cut_after` tokens; the run itself goes on.
   double cut = 0;
   int cut_after = 3;
+  // Share of answers that are another request's: other id, other tokens.
+  double cross = 0;
   // Factor on all times.
   double slow = 1;
 };
--- a/testing/admission_test.cc
+++ b/testing/admission_test.cc
@@ -54,6 +54,13 @@
   EXPECT_EQ(TakeTokens(bucket, 1e9, instant{}), duration::zero());
 }
 
+TEST(TokenBucket, AFirstLimitStartsFull) {
+  token_bucket bucket = MakeTokenBucket(0, 0, instant{});
+  SetLimit(bucket, 10, 100, instant{});
+  EXPECT_EQ(TakeTokens(bucket, 100, instant{}), duration::zero());
+  EXPECT_GT(TakeTokens(bucket, 1, instant{}), duration::zero());
+}
+
 struct queued {
   int account;
   int priority;
--- a/testing/fault_test.cc
+++ b/testing/fault_test.cc
@@ -29,6 +29,7 @@
   kStoreDown,
   kStoreLosesAnswers,
   kSlowEngine,
+  kCrossedAnswers,
 };
 
 const char* NameOf(fault f) {
@@ -45,7 +46,8 @@
                                     "VmKilled",
                                     "StoreDown",
                                     "StoreLosesAnswers",
-                                    "SlowEngine"};
+                                    "SlowEngine",
+                                    "CrossedAnswers"};
   return kNames[static_cast<std::size_t>(f)];
 }
 
@@ -100,6 +102,10 @@
     case fault::kSlowEngine:
       standin::FaultsOf(c.engines[2]).slow = 4;
       break;
+    case fault::kCrossedAnswers:
+      for (standin::engine& engine : c.engines)
+        standin::FaultsOf(engine).cross = 0.2;
+      break;
   }
 }
 
@@ -141,7 +147,8 @@
                       fault_pair{fault::kAgentKilled, fault::kNone},
                       fault_pair{fault::kVmKilled, fault::kNone},
                       fault_pair{fault::kStoreDown, fault::kNone},
-                      fault_pair{fault::kSlowEngine, fault::kNone}),
+                      fault_pair{fault::kSlowEngine, fault::kNone},
+                      fault_pair{fault::kCrossedAnswers, fault::kNone}),
     PairName);
 
 INSTANTIATE_TEST_SUITE_P(
@@ -158,6 +165,7 @@
         fault_pair{fault::kAgentKilled, fault::kRouterKilled},
         fault_pair{fault::kVmKilled, fault::kEngineCrash},
         fault_pair{fault::kSlowEngine, fault::kCutStreams},
+        fault_pair{fault::kCrossedAnswers, fault::kEngineCrash},
         fault_pair{fault::kRefusals, fault::kAllRoutersKilled}),
     PairName);
 
--- a/testing/system_test.cc
+++ b/testing/system_test.cc
@@ -427,5 +427,32 @@
   EXPECT_EQ(Call(*c, c->vms[0].operator_address, status).status, 401u);
 }
 
+TEST(SystemTest, OverloadIsRefusedAtOnceWithATimeToComeBack) {
+  const auto c = StartCluster({});
+  const std::uint64_t generation =
+      ApplyIntent(*c, 0, R"({"kind":"limit_account","account":"contractor-0",
+          "tokens_per_second":2,"burst_tokens":60})");
+  ASSERT_TRUE(WaitInForce(*c, 0, generation));
+  // Half of the burst is this VM's share.
+  EXPECT_EQ(Send(*c, 0, ChatRequest(*c, "hello", 20, false)).status, 200u);
+  const auto limited = Send(*c, 0, ChatRequest(*c, "hello", 20, false));
+  EXPECT_EQ(limited.status, 429u);
+  EXPECT_EQ(RanOf(limited), "no");
+  EXPECT_FALSE(FindHeader(limited.headers, "Retry-After").empty());
+  // Other accounts are not touched; one that can't make its deadline is told
+  // so long before it ends.
+  for (standin::engine& engine : c->engines)
+    standin::FaultsOf(engine).refuse = 1;
+  http_request doomed = ChatRequest(*c, "hello", 3, false);
+  doomed.headers[0].value =
+      "Bearer " + standin::AccountKey(c->options.shape, 1);
+  doomed.headers.push_back({"X-Deadline-Ms", "30000"});
+  const auto begin = std::chrono::steady_clock::now();
+  const auto refused = Send(*c, 0, doomed);
+  EXPECT_GE(refused.status, 500u);
+  EXPECT_NE(RanOf(refused), "yes");
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, milliseconds(15'000));
+}
+
 }  // namespace
 }  // namespace testing_support
--- a/waxwing/admission.cc
+++ b/waxwing/admission.cc
@@ -30,6 +30,11 @@
 }
 
 void SetLimit(token_bucket& bucket, double rate, double burst, instant now) {
+  // An account without a limit so far has saved up nothing to start from.
+  if (bucket.rate <= 0) {
+    bucket = MakeTokenBucket(rate, burst, now);
+    return;
+  }
   Refill(bucket, now);
   bucket.rate = rate;
   bucket.burst = burst;
