--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -129,6 +129,7 @@
   std::deque<cache_event> events;
   std::uint64_t next_event = 1;
   std::deque<load_sample> samples;
+  std::string transcript;
 };
 
 namespace {
@@ -354,6 +355,21 @@
           ""};
 }
 
+void Transcribe(engine_state& state,
+                const waxwing::http_request& request,
+                const http_response& head) {
+  if (!state.options.keep_transcript)
+    return;
+  state.transcript += ">>> " + request.method + " " + request.target + "\n";
+  for (const waxwing::http_header& header : request.headers)
+    state.transcript += header.name + ": " + header.value + "\n";
+  state.transcript +=
+      "\n" + request.body + "\n<<< " + std::to_string(head.status) + "\n";
+  for (const waxwing::http_header& header : head.headers)
+    state.transcript += header.name + ": " + header.value + "\n";
+  state.transcript += "\n";
+}
+
 // True if the connection was made before connections went silent.
 bool IsSilent(const engine_state& state, const http_exchange& exchange) {
   return exchange.accepted < state.silent_before;
@@ -462,6 +478,7 @@
   if (!run)
     run = StartRun(state, *request);
   http_response head = StreamHead(*state, *request);
+  Transcribe(*state, exchange.request, head);
   if (Chance(*state, state->faults.cross)) {
     co_await SendCrossed(state, exchange, head);
     co_return;
@@ -709,6 +726,10 @@
   return of.state->counts;
 }
 
+const std::string& TranscriptOf(const engine& of) {
+  return of.state->transcript;
+}
+
 void Crash(engine& crashed) {
   CrashState(crashed.state);
 }
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -41,6 +41,8 @@
   // Time that an order to load weights takes.
   waxwing::milliseconds load_time{300};
   std::uint64_t seed = 1;
+  // Keep a transcript of all chat requests and the heads of their answers.
+  bool keep_transcript = false;
 };
 
 // Faults that can be set at run time.
@@ -83,6 +85,8 @@
 // Fault control for tests in the same process.
 engine_faults& FaultsOf(engine& of);
 const engine_counts& CountsOf(const engine& of);
+// What it was asked and how it began to answer, as text; empty unless kept.
+const std::string& TranscriptOf(const engine& of);
 // Breaks all connections, forgets everything and starts anew after the cold
 // start.
 void Crash(engine& crashed);
--- a/testing/cluster.cc
+++ b/testing/cluster.cc
@@ -138,6 +138,7 @@
     options.token_interval = milliseconds(5);
     options.cold_start = milliseconds(500);
     options.honours_fencing = c.options.honours_fencing;
+    options.keep_transcript = c.options.keep_transcript;
     options.seed = static_cast<std::uint64_t>(i) + 1;
     c.engines.push_back(
         *standin::StartEngine(c.context.get_executor(), options));
--- a/testing/cluster.h
+++ b/testing/cluster.h
@@ -31,6 +31,7 @@
   int services = 1;
   standin::deployment shape = standin::deployment::kVannbrudd;
   bool honours_fencing = true;
+  bool keep_transcript = false;
   std::vector<std::string> router_flags = {"--linger-ms", "100"};
 };
 
--- a/testing/golden_test.cc
+++ b/testing/golden_test.cc
@@ -80,6 +80,7 @@
   options.vms = 1;
   options.engines = 1;
   options.shape = standin::deployment::kErgastirio;
+  options.keep_transcript = true;
   const auto c = StartCluster(options);
   std::string session;
   const auto step = [&](const std::string& title, const http_request& request) {
@@ -102,6 +103,8 @@
   http_request stranger = ChatRequest(*c, "hello", 1, false);
   stranger.headers[0].value = "Bearer nobody";
   step("an unknown key", stranger);
+  session += "=== what the router and the engine said to each other\n" +
+             standin::TranscriptOf(c->engines[0]);
   CompareWithGolden(session, "caller_session.txt");
   EXPECT_EQ(standin::RunsOf(c->services[0], "{\"s\":2}"), 1u);
 }
