--- a/testing/fault_test.cc
+++ b/testing/fault_test.cc
@@ -147,6 +147,7 @@
                       fault_pair{fault::kAgentKilled, fault::kNone},
                       fault_pair{fault::kVmKilled, fault::kNone},
                       fault_pair{fault::kStoreDown, fault::kNone},
+                      fault_pair{fault::kStoreLosesAnswers, fault::kNone},
                       fault_pair{fault::kSlowEngine, fault::kNone},
                       fault_pair{fault::kCrossedAnswers, fault::kNone}),
     PairName);
