Give back an account's tokens for work that did not run; drop what nothing calls

Cause: reading as a newcomer: ReturnTokens() had no caller, so an account whose requests were refused by the queue paid for them; a dozen functions had none. Change: a request that ends with ran "no" returns its tokens; unused functions and the platform's list of VMs at the client are gone until something needs them.

--- a/testing/admission_test.cc
+++ b/testing/admission_test.cc
@@ -61,6 +61,15 @@
   EXPECT_GT(TakeTokens(bucket, 1, instant{}), duration::zero());
 }
 
+TEST(TokenBucket, ReturnedTokensCanBeTakenAgainUpToTheBurst) {
+  token_bucket bucket = MakeTokenBucket(10, 100, instant{});
+  EXPECT_EQ(TakeTokens(bucket, 100, instant{}), duration::zero());
+  ReturnTokens(bucket, 100);
+  ReturnTokens(bucket, 100);
+  EXPECT_EQ(TakeTokens(bucket, 100, instant{}), duration::zero());
+  EXPECT_GT(TakeTokens(bucket, 1, instant{}), duration::zero());
+}
+
 struct queued {
   int account;
   int priority;
--- a/testing/system_test.cc
+++ b/testing/system_test.cc
@@ -439,6 +439,10 @@
   EXPECT_EQ(limited.status, 429u);
   EXPECT_EQ(RanOf(limited), "no");
   EXPECT_FALSE(FindHeader(limited.headers, "Retry-After").empty());
+  EXPECT_EQ(standin::CountsOf(c->engines[0]).runs +
+                standin::CountsOf(c->engines[1]).runs +
+                standin::CountsOf(c->engines[2]).runs,
+            1u);
   // Other accounts are not touched; one that can't make its deadline is told
   // so long before it ends.
   for (standin::engine& engine : c->engines)
--- a/waxwing/agent.cc
+++ b/waxwing/agent.cc
@@ -115,20 +115,4 @@
     ClosePeer(link.link);
 }
 
-std::uint64_t GenerationOf(const agent& of) {
-  return of.state->active_root.generation;
-}
-
-const membership& MembersOf(const agent& of) {
-  return of.state->members;
-}
-
-std::uint64_t IncarnationOf(const agent& of) {
-  return of.state->incarnation;
-}
-
-bool HoldsOrders(const agent& of) {
-  return HoldsLease(of.state->orders_lease, std::chrono::steady_clock::now());
-}
-
 }  // namespace waxwing
--- a/waxwing/agent.h
+++ b/waxwing/agent.h
@@ -74,12 +74,6 @@
 // Ends at once, as a crash would.
 void StopAgent(agent& of);
 
-// For tests and status.
-std::uint64_t GenerationOf(const agent& of);
-const membership& MembersOf(const agent& of);
-std::uint64_t IncarnationOf(const agent& of);
-bool HoldsOrders(const agent& of);
-
 }  // namespace waxwing
 
 #endif  // WAXWING_AGENT_H_
--- a/waxwing/chat_run.cc
+++ b/waxwing/chat_run.cc
@@ -466,6 +466,7 @@
   const double work = WorkTokens(run.chain.tokens, chat.max_tokens);
   tl::expected<void, api_error> result =
       TakeAccountTokens(*state, request.account, work);
+  const bool took_tokens = result.has_value();
   bool noted = true;
   if (result && claimed)
     noted = co_await NoteDispatched(state, *claimed);
@@ -476,6 +477,8 @@
   if (result)
     result = co_await RunToEnd(run);
   api_error* error = result ? nullptr : &result.error();
+  if (error && took_tokens && error->outcome == ran::kNo)
+    ReturnAccountTokens(*state, request.account, work);
   if (claimed)
     co_await SettleClaimed(run, error);
   Observe(state->stats, "waxwing_request_seconds",
--- a/waxwing/http.cc
+++ b/waxwing/http.cc
@@ -32,11 +32,6 @@
   return {};
 }
 
-std::string_view ReasonOf(unsigned status) {
-  return boost::beast::http::obsolete_reason(
-      boost::beast::http::int_to_status(status));
-}
-
 http_response JsonResponse(unsigned status, std::string body) {
   return {status, {{"Content-Type", "application/json"}}, std::move(body)};
 }
--- a/waxwing/http.h
+++ b/waxwing/http.h
@@ -56,9 +56,6 @@
 // The value of `name` in a target's query, or an empty view. No decoding.
 std::string_view QueryValue(std::string_view target, std::string_view name);
 
-// The standard reason phrase of a status code.
-std::string_view ReasonOf(unsigned status);
-
 // A response with a JSON body.
 http_response JsonResponse(unsigned status, std::string body);
 
--- a/waxwing/metrics.cc
+++ b/waxwing/metrics.cc
@@ -57,16 +57,6 @@
   return kHighestSeconds;
 }
 
-std::uint64_t CountOf(const latency_histogram& histogram) {
-  return histogram.data->count;
-}
-
-void Merge(latency_histogram& into, const latency_histogram& from) {
-  into.data->bins += from.data->bins;
-  into.data->count += from.data->count;
-  into.data->sum_seconds += from.data->sum_seconds;
-}
-
 void Count(metrics& all, std::string_view name, std::uint64_t n) {
   const auto found = all.counters.find(name);
   if (found != all.counters.end())
--- a/waxwing/metrics.h
+++ b/waxwing/metrics.h
@@ -35,12 +35,6 @@
 // seconds; 0 if there are none.
 double Quantile(const latency_histogram& histogram, double q);
 
-// Number of observations.
-std::uint64_t CountOf(const latency_histogram& histogram);
-
-// Adds all observations of `from` to `into`.
-void Merge(latency_histogram& into, const latency_histogram& from);
-
 // The metrics of one process, by name.
 struct metrics {
   std::map<std::string, std::uint64_t, std::less<>> counters;
--- a/waxwing/platform_client.cc
+++ b/waxwing/platform_client.cc
@@ -7,8 +7,6 @@
 namespace waxwing {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
-
 namespace {
 
 constexpr std::string_view kObjectsPath = "/v1/objects/";
@@ -118,30 +116,6 @@
   co_return static_cast<std::uint64_t>(*now);
 }
 
-asio::awaitable<platform_result<std::vector<platform_vm>>> ListVms(
-    platform_client& client) {
-  http_request request;
-  request.target = "/v1/vms";
-  auto answer = co_await Call(client, std::move(request), client.timeout);
-  if (!answer)
-    co_return tl::unexpected(answer.error());
-  const auto body = ParseObject(answer->body);
-  const json::array* list = body ? FindArray(*body, "vms") : nullptr;
-  if (!list)
-    co_return tl::unexpected(
-        platform_error{platform_failure::kRefused, "malformed list of VMs"});
-  std::vector<platform_vm> out;
-  for (const json::value& entry : *list) {
-    if (!entry.is_object())
-      continue;
-    const auto name = ReadText(entry.as_object(), "name");
-    const auto state = ReadText(entry.as_object(), "state");
-    if (name && state)
-      out.push_back({*name, *state == "leaving"});
-  }
-  co_return out;
-}
-
 std::string_view NameOf(platform_failure failure) {
   switch (failure) {
     case platform_failure::kAbsent:
--- a/waxwing/platform_client.h
+++ b/waxwing/platform_client.h
@@ -12,7 +12,6 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include <tl/expected.hpp>
 
@@ -76,14 +75,6 @@
     std::uint64_t revision,
     milliseconds wait);
 
-// Names of the VMs that the platform lists as live or leaving, some time late.
-struct platform_vm {
-  std::string name;
-  bool leaving = false;
-};
-boost::asio::awaitable<platform_result<std::vector<platform_vm>>> ListVms(
-    platform_client& client);
-
 // Short word for a failure, for logs and operators.
 std::string_view NameOf(platform_failure failure);
 
--- a/waxwing/prefix_index.cc
+++ b/waxwing/prefix_index.cc
@@ -51,15 +51,6 @@
   *slot = holder;
 }
 
-void RemoveHolder(prefix_entry& entry, std::uint32_t target) {
-  for (std::uint32_t i = 0; i < entry.count; ++i) {
-    if (entry.holders[i].target == target) {
-      entry.holders[i] = entry.holders[--entry.count];
-      return;
-    }
-  }
-}
-
 // Number of leading checkpoints that are in the index.
 std::size_t CountPresent(const prefix_index& index, const prefix_chain& chain) {
   std::size_t low = 0;
@@ -105,22 +96,6 @@
   }
 }
 
-void ForgetBelow(prefix_index& index,
-                 const prefix_chain& chain,
-                 std::uint32_t tokens,
-                 std::uint32_t target) {
-  for (const checkpoint& point : chain.checkpoints) {
-    if (point.tokens <= tokens)
-      continue;
-    const auto recent = index.recent.find(point.hash);
-    if (recent != index.recent.end())
-      RemoveHolder(recent->second, target);
-    const auto older = index.older.find(point.hash);
-    if (older != index.older.end())
-      RemoveHolder(older->second, target);
-  }
-}
-
 void FindHolders(const prefix_index& index,
                  const prefix_chain& chain,
                  std::vector<prefix_depth>& out) {
--- a/waxwing/prefix_index.h
+++ b/waxwing/prefix_index.h
@@ -62,12 +62,6 @@
                std::uint32_t epoch,
                instant now);
 
-// Forgets that `target` holds anything of the prompt deeper than `tokens`.
-void ForgetBelow(prefix_index& index,
-                 const prefix_chain& chain,
-                 std::uint32_t tokens,
-                 std::uint32_t target);
-
 // Appends the deepest known entry of each holder to `out`. The result may miss
 // a shallow holder, but never claims more than was recorded.
 void FindHolders(const prefix_index& index,
--- a/waxwing/router.cc
+++ b/waxwing/router.cc
@@ -368,8 +368,4 @@
   CloseServer(of.state->server);
 }
 
-std::size_t OpenRequests(const router& of) {
-  return OpenExchanges(of.state->server);
-}
-
 }  // namespace waxwing
--- a/waxwing/router.h
+++ b/waxwing/router.h
@@ -77,9 +77,6 @@
 // Ends at once, as a crash would.
 void StopRouter(router& of);
 
-// Number of requests being handled.
-std::size_t OpenRequests(const router& of);
-
 }  // namespace waxwing
 
 #endif  // WAXWING_ROUTER_H_
--- a/waxwing/router_state.h
+++ b/waxwing/router_state.h
@@ -112,6 +112,11 @@
                                                 const std::string& account,
                                                 double work);
 
+// Gives back what was taken for a request that did not run.
+void ReturnAccountTokens(router_state& state,
+                         const std::string& account,
+                         double work);
+
 // What the queue grants.
 struct granted_target {
   placement chosen;
--- a/waxwing/supervisor.cc
+++ b/waxwing/supervisor.cc
@@ -108,8 +108,4 @@
   co_return !parent.state->stopping;
 }
 
-std::uint64_t RestartsOf(const supervisor& parent) {
-  return parent.state->restarts;
-}
-
 }  // namespace waxwing
--- a/waxwing/supervisor.h
+++ b/waxwing/supervisor.h
@@ -51,9 +51,6 @@
 // Waits for `time`; false if the supervisor is stopping.
 boost::asio::awaitable<bool> Pause(const supervisor& parent, duration time);
 
-// Number of restarts so far, for metrics.
-std::uint64_t RestartsOf(const supervisor& parent);
-
 }  // namespace waxwing
 
 #endif  // WAXWING_SUPERVISOR_H_
--- a/waxwing/waiting.cc
+++ b/waxwing/waiting.cc
@@ -101,6 +101,14 @@
                                 "the client account's limit is reached", wait));
 }
 
+void ReturnAccountTokens(router_state& state,
+                         const std::string& account,
+                         double work) {
+  const auto found = state.buckets.find(account);
+  if (found != state.buckets.end())
+    ReturnTokens(found->second, work);
+}
+
 void GrantTargets(router_state& state) {
   const instant now = std::chrono::steady_clock::now();
   if (state.queue.waiting.empty() || !AnyRoom(state, now))
