Roll weights out by breaking resumable runs; fetch shared prefixes from the cache store

Change: lease records carry a count of renewals; targets are steered around 0.5 s ahead and loaded with their streams broken; salts carry the weights version, requests expect it, parts are fetched from the cache store and saved there once a VM.

--- /dev/null
+++ b/waxwing/cache_saves.h
@@ -0,0 +1,34 @@
+// Which prefixes this VM has had saved to the store of KV cache.
+
+#ifndef WAXWING_CACHE_SAVES_H_
+#define WAXWING_CACHE_SAVES_H_
+
+#include <cstdint>
+#include <unordered_map>
+
+#include "waxwing/types.h"
+
+namespace waxwing {
+
+struct cache_saves {
+  // Bound on the memory: about 3 MB.
+  std::size_t capacity = 50'000;
+  // The store drops what is least recently used, and all of it when it
+  // restarts; after this time a prefix in use is saved again.
+  milliseconds saved_for{20'000};
+  std::unordered_map<std::uint64_t, instant> saved_at;
+};
+
+// True if the prefix should be saved by the request that is sent now, which is
+// then noted.
+bool NoteSaved(cache_saves& saves, std::uint64_t prefix, instant now);
+
+// Forgets that the prefix was saved: the request did not run to its end.
+void ForgetSaved(cache_saves& saves, std::uint64_t prefix);
+
+// Forgets all: the store has restarted.
+void ForgetAllSaved(cache_saves& saves);
+
+}  // namespace waxwing
+
+#endif  // WAXWING_CACHE_SAVES_H_
--- a/waxwing/dialect.h
+++ b/waxwing/dialect.h
@@ -105,6 +105,12 @@
   std::int64_t weights_version = 0;
 };
 
+// What a target does with its runs before it loads other weights.
+enum class runs_at_load {
+  kFinish,  // lets them end; new ones wait or are refused meanwhile
+  kBreak,   // breaks their streams, which may be resumed elsewhere
+};
+
 // An order to bring a target's weights to a version.
 struct weights_order {
   std::string target;
@@ -115,6 +121,7 @@
   std::uint64_t fence = 0;
   // Orders that the target has accepted; it refuses if that has changed.
   std::int64_t precondition = 0;
+  runs_at_load runs = runs_at_load::kFinish;
 };
 
 // What a target says of its own state.
@@ -123,6 +130,8 @@
   std::int64_t born = 0;
   bool is_busy = false;
   std::int64_t orders_accepted = 0;
+  // Requests that run there.
+  int running = 0;
 };
 
 enum class order_outcome { kAccepted, kHolds, kRefused, kUnknown };
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -151,16 +151,33 @@
 }
 
 // Accounts that are not isolated share cache entries.
-std::string CacheSalt(const forward_run& run) {
+std::string CacheOwner(const forward_run& run) {
   return run.account.is_isolated ? "a-" + run.account.name : "shared";
 }
 
+// Entries made under other weights never match.
+std::string CacheSalt(const forward_run& run, std::int64_t weights) {
+  return CacheOwner(run) + "-" + std::to_string(weights);
+}
+
 void PreparePrompt(forward_run& run) {
-  const std::string salt = CacheSalt(run);
-  run.chain = ComputeNamedPrefix({salt, run.request.model, "", ""},
+  const std::string owner = CacheOwner(run);
+  run.chain = ComputeNamedPrefix({owner, run.request.model, "", ""},
                                  run.request.parts, run.request.prompt_tokens);
 }
 
+// The store of KV cache to use: the nearest one.
+std::optional<endpoint> FindCacheStore(const forward_run& run) {
+  std::optional<endpoint> out;
+  for (const auto& [name, service] : run.table->services) {
+    if (!service.cache_store)
+      continue;
+    if (!out || service.zone == run.state->options.zone)
+      out = service.cache_store;
+  }
+  return out;
+}
+
 struct dispatch {
   placement chosen;
   listed_target target;
@@ -230,6 +247,22 @@
   }
 }
 
+// What the target fetches from the cache store, and what it saves there: a
+// prefix is saved once by each VM that sees it, for each version of weights.
+void AddCacheTransfers(const forward_run& run,
+                       std::int64_t weights,
+                       run_order& out) {
+  const auto store = FindCacheStore(run);
+  if (!store || run.chain.head_tokens == 0)
+    return;
+  out.cache_source = store;
+  const std::uint64_t saved_as =
+      MixHash(run.chain.head, static_cast<std::uint64_t>(weights));
+  if (NoteSaved(run.state->saved, saved_as,
+                std::chrono::steady_clock::now()))
+    out.cache_store = store;
+}
+
 run_order MakeOrder(const forward_run& run, const dispatch& sent) {
   run_order out;
   out.target = sent.target.record.id;
@@ -237,7 +270,13 @@
   out.time_left = std::max(milliseconds(1), TimeLeft(run) - kReturnTime);
   if (run.path->has_prompt) {
     out.priority = run.account.priority.value_or(run.path->priority);
-    out.cache_salt = CacheSalt(run);
+    const std::int64_t weights = sent.target.record.weights_version;
+    out.cache_salt = CacheSalt(run, weights);
+    // Without a version a cached part could be of any weights.
+    if (weights > 0) {
+      out.weights_version = weights;
+      AddCacheTransfers(run, weights, out);
+    }
   }
   out.resume_after = run.request.resume_after;
   if (run.began)
--- a/waxwing/entry_rollout.cc
+++ b/waxwing/entry_rollout.cc
@@ -30,7 +30,7 @@
 constexpr milliseconds kOthersWait{2'500};
 // Time in which the other VMs learn of new weights and steer work away from
 // the targets that load first.
-constexpr milliseconds kSteerAhead{250};
+constexpr milliseconds kSteerAhead{500};
 constexpr std::string_view kLeaseName = "weights";
 constexpr std::string_view kDuty = "weights";
 
@@ -127,9 +127,14 @@
       goal != state->goals.end() && goal->second.version == load.goal;
   if (!is_current || !HoldsLease(state->lease, SuspendAwareNow()))
     co_return;
-  weights_order order{load.target,       load.model,
-                      load.goal,         state->options.vm,
-                      state->lease.record.fence, now->orders_accepted};
+  weights_order order;
+  order.target = load.target;
+  order.model = load.model;
+  order.version = load.goal;
+  order.holder = state->options.vm;
+  order.fence = state->lease.record.fence;
+  order.precondition = now->orders_accepted;
+  order.runs = runs_at_load::kBreak;
   Count(state->stats, "waxwing_weights_orders_total");
   const order_outcome outcome = co_await state->spoken.send_order(
       state->pool, load.address, order, kOrderTimeout);
@@ -137,6 +142,7 @@
                               {"version", load.goal},
                               {"from", now->weights_version},
                               {"fence", order.fence},
+                              {"running", now->running},
                               {"outcome", static_cast<int>(outcome)}});
 }
 
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "waxwing/agent.h"
+#include "waxwing/cache_saves.h"
 #include "waxwing/entry.h"
 #include "waxwing/http_server.h"
 #include "waxwing/lease.h"
@@ -70,6 +71,7 @@
   std::map<std::string, known_goal, std::less<>> goals;
   // By service.
   std::map<std::string, retry_budget, std::less<>> retries;
+  cache_saves saved;
   lease_view lease;
   std::map<std::string, rollout_progress, std::less<>> rollouts;
 };
@@ -86,6 +88,11 @@
 // Brings the placement's list in line with a record, new or changed.
 void InstallTarget(entry_state& state, const target_record& record);
 
+// Notes that a target has other weights than its record says.
+void NoteWeights(entry_state& state,
+                 std::string_view target,
+                 std::int64_t version);
+
 // No new work for the target.
 void RetireTarget(entry_state& state, const std::string& id);
 
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -11,9 +11,14 @@
 
 // Cost of a target in another zone: a round trip there and back.
 constexpr milliseconds kOtherZone{2};
+// Prompt tokens that an engine reads in a second, until its own answers tell.
+constexpr double kEnginePrefillRate = 90'000;
 // Cost of a target that is about to load new weights.
 constexpr milliseconds kAboutToLoad{1'000};
 // Cost of older weights, from the time on at which their answers lose worth.
+// Loads ahead of those in progress that work is steered away from, as a
+// multiple of the loads side by side.
+constexpr std::size_t kSteeredLoads = 2;
 constexpr milliseconds kOlderWeights{150};
 constexpr milliseconds kOlderWeightsFrom{1'200};
 
@@ -41,8 +46,10 @@
   view.slots = record.slots;
   const auto service = state.table->services.find(record.service);
   if (service != state.table->services.end() &&
-      service->second.engine_slots > 0)
+      service->second.engine_slots > 0) {
     view.slots = service->second.engine_slots;
+    view.prefill_tokens_per_second = kEnginePrefillRate;
+  }
   return view;
 }
 
@@ -59,11 +66,19 @@
     listed_target& target = found->second;
     target_view& view = state.placement.targets[target.index];
     target.drop_at.reset();
-    ApplyIdentity(view, view.boot_id, std::to_string(record.weights_version));
+    ApplyIdentity(view, view.boot_id,
+                  std::to_string(std::max(target.record.weights_version,
+                                          record.weights_version)));
     view.usable = !record.is_leaving;
     if (record.is_leaving && !target.record.is_leaving)
       LogInfo("target_leaving", {{"target", record.id}});
+    if (record.weights_version != target.record.weights_version)
+      LogInfo("target_weights", {{"target", record.id},
+                                 {"version", record.weights_version}});
+    const std::int64_t known = target.record.weights_version;
     target.record = record;
+    // The record may lag behind what the target itself has told.
+    target.record.weights_version = std::max(known, record.weights_version);
     RefreshTargets(state, std::chrono::steady_clock::now());
     return;
   }
@@ -83,6 +98,19 @@
   RefreshTargets(state, std::chrono::steady_clock::now());
 }
 
+void NoteWeights(entry_state& state,
+                 std::string_view target,
+                 std::int64_t version) {
+  const auto found = state.targets.find(target);
+  if (found == state.targets.end() ||
+      version <= found->second.record.weights_version)
+    return;
+  target_record fresh = found->second.record;
+  fresh.weights_version = version;
+  LogInfo("weights_noted", {{"target", target}, {"version", version}});
+  InstallTarget(state, fresh);
+}
+
 void RetireTarget(entry_state& state, const std::string& id) {
   const auto found = state.targets.find(id);
   if (found == state.targets.end())
@@ -120,7 +148,8 @@
       if (is_worth_less && list[i].version < goal->second.version)
         views[model][i]->distance += kOlderWeights;
     }
-    for (const std::size_t i : ChooseLoads(list, goal->second.version))
+    for (const std::size_t i :
+         ChooseLoads(list, goal->second.version, kSteeredLoads))
       views[model][i]->distance += kAboutToLoad;
   }
   for (const std::string& id : lapsed)
--- a/waxwing/lease.cc
+++ b/waxwing/lease.cc
@@ -22,7 +22,8 @@
       json::object{{"holder", from.holder},
                    // As text: a JSON number does not carry 64 bits everywhere.
                    {"incarnation", std::to_string(from.incarnation)},
-                   {"fence", from.fence}});
+                   {"fence", from.fence},
+                   {"renewals", from.renewals}});
 }
 
 tl::expected<lease_record, json_error> ReadLease(std::string_view text) {
@@ -38,8 +39,12 @@
   const auto fence = ReadInteger(*parsed, "fence", 1, kLargestNumber);
   if (!fence)
     return tl::unexpected(fence.error());
+  const auto renewals = ReadIntegerOr(*parsed, "renewals", 0, kLargestNumber, 0);
+  if (!renewals)
+    return tl::unexpected(renewals.error());
   return lease_record{*holder, std::strtoull(incarnation->c_str(), nullptr, 10),
-                      static_cast<std::uint64_t>(*fence)};
+                      static_cast<std::uint64_t>(*fence),
+                      static_cast<std::uint64_t>(*renewals)};
 }
 
 void ObserveLease(lease_view& view,
@@ -69,7 +74,8 @@
 }
 
 lease_record NextRecord(const lease_view& view, lease_action action) {
-  lease_record out{view.self, view.incarnation, view.record.fence};
+  lease_record out{view.self, view.incarnation, view.record.fence,
+                   view.record.renewals + 1};
   if (action == lease_action::kTake)
     ++out.fence;
   return out;
--- a/waxwing/lease.h
+++ b/waxwing/lease.h
@@ -47,6 +47,9 @@
   std::string holder;
   std::uint64_t incarnation = 0;
   std::uint64_t fence = 0;
+  // Rises with each renewal: a store may pass over a write that changes
+  // nothing, and then nobody would see that the holder lives.
+  std::uint64_t renewals = 0;
 
   bool operator==(const lease_record&) const = default;
 };
--- a/waxwing/rollout.h
+++ b/waxwing/rollout.h
@@ -27,9 +27,11 @@
   std::int64_t version = 0;
 };
 
-// Indexes of the targets that should load `goal` now.
+// Indexes of the targets that should load `goal` now, or with `rounds` above 1
+// now and in the rounds after.
 std::vector<std::size_t> ChooseLoads(std::span<const rollout_target> targets,
-                                     std::int64_t goal);
+                                     std::int64_t goal,
+                                     std::size_t rounds = 1);
 
 // What the holder of the duty has sent so far for one model.
 struct rollout_progress {
