Choose engines by what they hold, fetch or must read; follow cache events

Cause: homes were drawn by the whole prompt, whose last part is the request's own, so sessions had no home; the cache store was written by every VM and read for every prompt. Change: caches are known from the targets' and the store's events; an engine's cost is reading, moving and waiting; a prefix is saved once the store lacks it.

--- a/programs/waxwing_entry.cc
+++ b/programs/waxwing_entry.cc
@@ -126,6 +126,6 @@
                         boost::asio::detached);
   boost::asio::co_spawn(context, ReloadOnSignal(*entry, path, key),
                         boost::asio::detached);
-  return waxwing::RunUntilStopped(
-      context, [&] { return waxwing::DrainEntry(*entry); });
+  return waxwing::RunUntilStopped(context,
+                                  [&] { return waxwing::DrainEntry(*entry); });
 }
--- a/testing/placement_test.cc
+++ b/testing/placement_test.cc
@@ -197,7 +197,7 @@
   const prefix_chain chain = Chain("a", "v1", 0, 0);
   state.targets[0].usable = false;
   EXPECT_EQ(PlaceOne(state, chain, instant{})->target, 1u);
-  NoteFailure(state.targets[1], instant{});
+  NoteFailure(state.targets[1], instant{}, instant{});
   EXPECT_FALSE(PlaceOne(state, chain, instant{}));
   EXPECT_TRUE(PlaceOne(state, chain, instant{} + seconds(10)));
 }
--- a/waxwing/cache_saves.h
+++ b/waxwing/cache_saves.h
@@ -13,9 +13,8 @@
 struct cache_saves {
   // Bound on the memory: about 3 MB.
   std::size_t capacity = 50'000;
-  // The store drops what is least recently used, and all of it when it
-  // restarts; after this time a prefix in use is saved again.
-  milliseconds saved_for{20'000};
+  // Time in which the store's events tell that the prefix has arrived.
+  milliseconds saved_for{3'000};
   std::unordered_map<std::uint64_t, instant> saved_at;
 };
 
--- a/waxwing/chat_run.cc
+++ b/waxwing/chat_run.cc
@@ -322,7 +322,7 @@
   if (end == attempt_end::kDone) {
     NoteSuccess(view, now - sent.started);
   } else if (end != attempt_end::kCallerGone) {
-    NoteFailure(view, now);
+    NoteFailure(view, sent.started, now);
     LogInfo("attempt_failed", {{"request", run.request.id},
                                {"target", view.name},
                                {"end", static_cast<int>(end)},
--- a/waxwing/dialect.h
+++ b/waxwing/dialect.h
@@ -111,6 +111,23 @@
   kBreak,   // breaks their streams, which may be resumed elsewhere
 };
 
+// What has changed in a target's cache.
+struct cache_events {
+  // Another number than before: the target has started anew.
+  std::int64_t epoch = 0;
+  // To continue from.
+  std::int64_t next = 0;
+  // Events before these are gone.
+  bool has_gap = false;
+  struct change {
+    std::string salt;
+    std::uint64_t part = 0;
+    // Tokens of the part that it holds now.
+    std::uint32_t tokens = 0;
+  };
+  std::vector<change> changes;
+};
+
 // An order to bring a target's weights to a version.
 struct weights_order {
   std::string target;
@@ -216,12 +233,17 @@
                             const inbound_request&,
                             const run_order&) = nullptr;
   answer_facts (*read_answer)(const http_response& head) = nullptr;
-  boost::asio::awaitable<tl::expected<target_state, http_error>> (
-      *read_target)(const http_pool&,
-                    endpoint,
-                    std::string target,
-                    std::string model,
-                    milliseconds timeout) = nullptr;
+  boost::asio::awaitable<tl::expected<target_state, http_error>> (*read_target)(
+      const http_pool&,
+      endpoint,
+      std::string target,
+      std::string model,
+      milliseconds timeout) = nullptr;
+  boost::asio::awaitable<tl::expected<cache_events, http_error>> (
+      *read_cache_events)(const http_pool&,
+                          endpoint,
+                          std::int64_t since,
+                          milliseconds wait) = nullptr;
   boost::asio::awaitable<order_outcome> (*send_order)(const http_pool&,
                                                       endpoint,
                                                       weights_order,
@@ -247,9 +269,8 @@
                                    milliseconds timeout) = nullptr;
   tl::expected<route_table, std::string> (*read_config)(std::string_view) =
       nullptr;
-  tl::expected<target_record, std::string> (*read_target_record)(
-      std::string_view name,
-      std::string_view) = nullptr;
+  tl::expected<target_record, std::string> (
+      *read_target_record)(std::string_view name, std::string_view) = nullptr;
   tl::expected<weights_goal, std::string> (*read_weights_goal)(
       std::string_view) = nullptr;
 };
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -63,8 +63,8 @@
   }
   const bool is_ready = !state->is_draining && CanServe(*state);
   http_response answer =
-      JsonResponse(is_ready ? 200 : 503, is_ready ? R"({"ready":true})"
-                                                  : R"({"ready":false})");
+      JsonResponse(is_ready ? 200 : 503,
+                   is_ready ? R"({"ready":true})" : R"({"ready":false})");
   co_await Respond(exchange, std::move(answer));
 }
 
@@ -97,14 +97,13 @@
 
 tl::expected<void, std::string> StartListeners(const entry_ptr& state) {
   http_limits limits;
-  limits.connections =
-      state->options.descriptors > 2 * kReservedDescriptors
-          ? state->options.descriptors - kReservedDescriptors
-          : kReservedDescriptors;
+  limits.connections = state->options.descriptors > 2 * kReservedDescriptors
+                           ? state->options.descriptors - kReservedDescriptors
+                           : kReservedDescriptors;
   const auto start = [&](const endpoint& address, entry_handler handler,
                          http_server& out) -> tl::expected<void, std::string> {
-    auto server = StartHttpServer(state->executor, address, limits,
-                                  Bind(state, handler));
+    auto server =
+        StartHttpServer(state->executor, address, limits, Bind(state, handler));
     if (!server)
       return tl::unexpected(server.error());
     out = *server;
@@ -151,6 +150,7 @@
   Supervise(state->root, "watch_weights",
             [state] { return WatchKind(state, object_kind::kWeights); });
   Supervise(state->root, "weights", [state] { return KeepWeights(state); });
+  Supervise(state->root, "caches", [state] { return FollowCaches(state); });
   Supervise(state->root, "refresh", [state] { return RefreshLoop(state); });
 }
 
@@ -201,8 +201,8 @@
   state.members.state->options.seeds = fresh.seeds;
   state.options.store = fresh.store;
   state.store.address = fresh.store;
-  LogInfo("settings_reloaded", {{"seeds", fresh.seeds.size()},
-                                {"store", ToText(fresh.store)}});
+  LogInfo("settings_reloaded",
+          {{"seeds", fresh.seeds.size()}, {"store", ToText(fresh.store)}});
 }
 
 asio::awaitable<bool> DrainEntry(entry& of) {
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -51,6 +51,8 @@
   account_info account;
   std::string service;
   prefix_chain chain;
+  // The parts as cached under a salt, by weights version.
+  std::map<std::string, std::vector<cached_part>, std::less<>> parts;
   instant arrived;
   instant deadline;
   http_abort abort;
@@ -62,6 +64,15 @@
   // The caller has the head of a stream, and its events up to `last_event`.
   bool began = false;
   std::uint64_t last_event = 0;
+  // Figures for the log: time to the first byte, the longest pause between
+  // events, and what was known of the target when it was chosen.
+  std::optional<duration> first_byte;
+  duration longest_pause{};
+  instant last_delivery;
+  std::string target;
+  std::uint32_t cached_tokens = 0;
+  int in_flight = 0;
+  std::string cache_source;
   // Kept while another target is tried.
   std::optional<http_response> failure;
 };
@@ -98,8 +109,8 @@
                              unsigned status,
                              std::string_view reason,
                              std::optional<duration> retry_after) {
-  Count(run.state->stats, "waxwing_refused_total{reason=\"" +
-                              std::string(reason) + "\"}");
+  Count(run.state->stats,
+        "waxwing_refused_total{reason=\"" + std::string(reason) + "\"}");
   LogInfo("request_refused",
           {{"request", run.request.id},
            {"status", status},
@@ -137,8 +148,7 @@
   if (!run.path)
     return refusal{404, "no_route", {}};
   if (run.table->has_accounts && !run.path->is_anonymous) {
-    const auto found =
-        run.table->account_of_key.find(run.request.account_key);
+    const auto found = run.table->account_of_key.find(run.request.account_key);
     if (found == run.table->account_of_key.end())
       return refusal{401, "unknown_key", {}};
     run.account = found->second;
@@ -167,43 +177,100 @@
 }
 
 // The store of KV cache to use: the nearest one.
-std::optional<endpoint> FindCacheStore(const forward_run& run) {
-  std::optional<endpoint> out;
+const service_info* FindCacheStore(const forward_run& run) {
+  const service_info* out = nullptr;
   for (const auto& [name, service] : run.table->services) {
-    if (!service.cache_store)
-      continue;
-    if (!out || service.zone == run.state->options.zone)
-      out = service.cache_store;
+    if (service.cache_store &&
+        (!out || service.zone == run.state->options.zone))
+      out = &service;
   }
   return out;
 }
 
+std::span<const cached_part> PartsAt(forward_run& run,
+                                     const target_view& view) {
+  const auto found = run.parts.find(view.version);
+  if (found != run.parts.end())
+    return found->second;
+  const std::string salt = CacheOwner(run) + "-" + view.version;
+  auto& made = run.parts[view.version];
+  made = CachedParts(salt, run.request.parts);
+  return made;
+}
+
 struct dispatch {
   placement chosen;
+  engine_choice engine;
   listed_target target;
   std::uint32_t missed = 0;
   std::uint32_t epoch = 0;
   instant started;
   bool prefilled = false;
+  // The target has begun to answer.
+  bool heard = false;
 };
 
-std::optional<dispatch> ChooseTarget(forward_run& run) {
+// Time in which one token of KV cache moves within a zone.
+duration MovePerToken(const service_info& engine) {
+  constexpr double kBitsPerByte = 8;
+  constexpr double kBitsPerMegabit = 1e6;
+  if (engine.link_mbps <= 0)
+    return {};
+  return FromSeconds(engine.bytes_per_token * kBitsPerByte /
+                     (engine.link_mbps * kBitsPerMegabit));
+}
+
+std::optional<engine_choice> ChooseEngineFor(forward_run& run) {
+  engine_request wanted;
+  wanted.service = run.service;
+  wanted.prompt = {run.chain.tokens, run.chain.head_tokens, run.chain.head,
+                   run.request.output_tokens};
+  wanted.parts_at = [&run](const target_view& view) {
+    return PartsAt(run, view);
+  };
+  const auto service = run.table->services.find(run.service);
+  if (service != run.table->services.end())
+    wanted.move_per_token = MovePerToken(service->second);
+  wanted.has_store = run.state->is_store_usable;
+  wanted.avoid = run.avoid;
+  return ChooseEngine(run.state->placement.targets, run.state->caches, wanted,
+                      std::chrono::steady_clock::now());
+}
+
+std::optional<placement> ChoosePlace(forward_run& run, engine_choice& engine) {
   entry_state& state = *run.state;
+  const instant now = std::chrono::steady_clock::now();
+  if (run.path->has_prompt) {
+    const auto chosen = ChooseEngineFor(run);
+    if (!chosen)
+      return std::nullopt;
+    engine = *chosen;
+    return placement{chosen->target, chosen->held + chosen->fetched, now, true};
+  }
   const placement_request wanted{&run.chain, run.service, "", run.avoid,
                                  state.random()};
-  const auto chosen =
-      Place(state.placement, wanted, std::chrono::steady_clock::now());
+  return Place(state.placement, wanted, now);
+}
+
+std::optional<dispatch> ChooseTarget(forward_run& run) {
+  entry_state& state = *run.state;
+  dispatch out;
+  const auto chosen = ChoosePlace(run, out.engine);
   if (!chosen)
     return std::nullopt;
-  const target_view& view = state.placement.targets[chosen->target];
-  dispatch out;
+  target_view& view = state.placement.targets[chosen->target];
   out.chosen = *chosen;
   out.target = state.targets.at(view.name);
   out.missed =
       run.chain.tokens - std::min(run.chain.tokens, chosen->cached_tokens);
   out.epoch = view.epoch;
+  run.target = view.name;
+  run.cached_tokens = chosen->cached_tokens;
+  run.in_flight = InFlight(view);
   out.started = std::chrono::steady_clock::now();
   NoteDispatch(state.placement, out.chosen, out.missed);
+  NoteSent(view, out.started);
+  view.own_tokens += run.chain.tokens + run.request.output_tokens;
   return out;
 }
 
@@ -213,6 +280,14 @@
          sent.target.record.id;
 }
 
+void MarkHeard(entry_state& state, dispatch& sent) {
+  if (sent.heard)
+    return;
+  sent.heard = true;
+  NoteHeard(state.placement.targets[sent.chosen.target],
+            std::chrono::steady_clock::now());
+}
+
 void LearnLoad(entry_state& state,
                const dispatch& sent,
                const answer_facts& facts) {
@@ -230,40 +305,62 @@
   NotePrefilled(state.placement, sent.chosen, sent.missed);
 }
 
+// The target has read the prompt: it holds the shared parts now.
+void NotePartsHeld(forward_run& run, const dispatch& sent) {
+  entry_state& state = *run.state;
+  const target_view& view = state.placement.targets[sent.chosen.target];
+  if (!IsCurrent(state, sent) || view.epoch != sent.epoch)
+    return;
+  for (const cached_part& part : PartsAt(run, view))
+    NoteHeld(state.caches, part.key, sent.chosen.target, sent.epoch,
+             part.tokens);
+}
+
 void FinishDispatch(forward_run& run, dispatch& sent, run_end end) {
   entry_state& state = *run.state;
   const instant now = std::chrono::steady_clock::now();
   MarkPrefilled(state, sent);
   NoteFinished(state.placement, sent.chosen);
+  target_view& view = state.placement.targets[sent.chosen.target];
+  view.own_tokens = std::max(
+      0.0, view.own_tokens - run.chain.tokens - run.request.output_tokens);
+  const bool was_silent = !sent.heard && IsSilent(view, now);
+  if (!sent.heard)
+    NoteUnanswered(view);
   if (!IsCurrent(state, sent))
     return;
-  target_view& view = state.placement.targets[sent.chosen.target];
   if (end == run_end::kDone) {
     NoteSuccess(view, now - sent.started);
-    RecordUse(state.placement.index, run.chain, run.chain.tokens,
-              sent.chosen.target, sent.epoch, now);
-  } else if (end != run_end::kCallerGone) {
-    NoteFailure(view, now);
+  } else if ((end != run_end::kCallerGone || was_silent) && !view.is_loading) {
+    NoteFailure(view, sent.started, now);
   }
 }
 
-// What the target fetches from the cache store, and what it saves there: a
-// prefix is saved once by each VM that sees it, for each version of weights.
-void AddCacheTransfers(const forward_run& run,
-                       std::int64_t weights,
+// Where the target gets the shared parts that it lacks, and whether it saves
+// them to the store.
+void AddCacheTransfers(forward_run& run,
+                       const dispatch& sent,
                        run_order& out) {
-  const auto store = FindCacheStore(run);
-  if (!store || run.chain.head_tokens == 0)
+  const entry_state& state = *run.state;
+  if (sent.engine.source && *sent.engine.source != kCacheStore)
+    out.cache_source = state.placement.targets[*sent.engine.source].address;
+  const service_info* store = FindCacheStore(run);
+  if (!store || !state.is_store_usable || run.chain.head_tokens == 0)
+    return;
+  if (sent.engine.source && *sent.engine.source == kCacheStore)
+    out.cache_source = store->cache_store;
+  const target_view& view = state.placement.targets[sent.chosen.target];
+  const std::uint32_t stored =
+      HeldTokens(state.caches, PartsAt(run, view), kCacheStore, 0);
+  if (stored >= run.chain.head_tokens)
     return;
-  out.cache_source = store;
   const std::uint64_t saved_as =
-      MixHash(run.chain.head, static_cast<std::uint64_t>(weights));
-  if (NoteSaved(run.state->saved, saved_as,
-                std::chrono::steady_clock::now()))
-    out.cache_store = store;
+      MixHash(run.chain.head, Hash64(view.version));
+  if (NoteSaved(run.state->saved, saved_as, std::chrono::steady_clock::now()))
+    out.cache_store = store->cache_store;
 }
 
-run_order MakeOrder(const forward_run& run, const dispatch& sent) {
+run_order MakeOrder(forward_run& run, const dispatch& sent) {
   run_order out;
   out.target = sent.target.record.id;
   out.account = run.account.name;
@@ -275,12 +372,13 @@
     // Without a version a cached part could be of any weights.
     if (weights > 0) {
       out.weights_version = weights;
-      AddCacheTransfers(run, weights, out);
+      AddCacheTransfers(run, sent, out);
     }
   }
   out.resume_after = run.request.resume_after;
   if (run.began)
     out.resume_after = run.last_event;
+  run.cache_source = out.cache_source ? ToText(*out.cache_source) : "";
   return out;
 }
 
@@ -299,8 +397,8 @@
   answer.status = call.head.status;
   answer.headers = run.state->spoken.answer_headers(call.head.headers);
   while (true) {
-    const auto more = co_await ReadPiece(run.state->pool, call, TimeLeft(run),
-                                         answer.body);
+    const auto more =
+        co_await ReadPiece(run.state->pool, call, TimeLeft(run), answer.body);
     if (!more)
       co_return EndOfFailure(run, more.error());
     if (!*more)
@@ -320,13 +418,16 @@
 asio::awaitable<bool> DeliverEvents(forward_run& run,
                                     const http_call& call,
                                     std::string_view events) {
+  const instant now = std::chrono::steady_clock::now();
+  if (run.began)
+    run.longest_pause = std::max(run.longest_pause, now - run.last_delivery);
+  run.last_delivery = now;
   if (!run.began) {
     run.began = true;
-    Observe(run.state->stats, "waxwing_ttft_seconds",
-            std::chrono::steady_clock::now() - run.arrived);
+    run.first_byte = now - run.arrived;
+    Observe(run.state->stats, "waxwing_ttft_seconds", *run.first_byte);
     http_response head{run.failure ? run.failure->status : call.head.status,
-                       run.state->spoken.answer_headers(call.head.headers),
-                       ""};
+                       run.state->spoken.answer_headers(call.head.headers), ""};
     if (!co_await BeginStream(run.exchange, std::move(head)))
       co_return false;
   }
@@ -342,6 +443,8 @@
         co_await ReadPiece(run.state->pool, call, TimeLeft(run), buffer);
     if (!more)
       co_return EndOfFailure(run, more.error());
+    if (!sent.prefilled)
+      NotePartsHeld(run, sent);
     MarkPrefilled(*run.state, sent);
     if (!*more)
       break;
@@ -379,8 +482,8 @@
     if (is_own)
       co_return facts;
     Count(run.state->stats, "waxwing_foreign_answers_total");
-    LogWarning("foreign_answer", {{"request", run.request.id},
-                                  {"answer_to", facts.request_id}});
+    LogWarning("foreign_answer",
+               {{"request", run.request.id}, {"answer_to", facts.request_id}});
     const auto next = co_await SkipAnswer(run.state->pool, call, TimeLeft(run));
     if (!next)
       co_return tl::unexpected(next.error());
@@ -409,6 +512,7 @@
     CancelCall(*call);
     co_return EndOfFailure(run, facts.error());
   }
+  MarkHeard(*run.state, sent);
   LearnLoad(*run.state, sent, *facts);
   if (facts->not_run) {
     CancelCall(*call);
@@ -496,6 +600,29 @@
   }
 }
 
+std::int64_t ToMs(duration d) {
+  return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
+void LogEnd(const forward_run& run, run_end end) {
+  const duration took = std::chrono::steady_clock::now() - run.arrived;
+  LogInfo("request_ended",
+          {{"request", run.request.id},
+           {"end", NameOf(end)},
+           {"route", run.path->name},
+           {"config", run.table->version},
+           {"target", run.target},
+           {"sends", run.sends},
+           {"first_ms", ToMs(run.first_byte.value_or(took))},
+           {"pause_ms", ToMs(run.longest_pause)},
+           {"took_ms", ToMs(took)},
+           {"tokens", run.chain.tokens},
+           {"shared", run.chain.head_tokens},
+           {"cached", run.cached_tokens},
+           {"source", run.cache_source},
+           {"in_flight", run.in_flight}});
+}
+
 }  // namespace
 
 asio::awaitable<void> ForwardRequest(entry_ptr state, http_exchange& exchange) {
@@ -521,6 +648,7 @@
     Abort(run.abort);
   });
   const run_end end = co_await RunToEnd(run);
+  LogEnd(run, end);
   Observe(state->stats, "waxwing_request_seconds",
           std::chrono::steady_clock::now() - run.arrived);
   Count(state->stats,
--- a/waxwing/entry_rollout.cc
+++ b/waxwing/entry_rollout.cc
@@ -63,8 +63,7 @@
       records.push_back(&target.record);
     }
     for (const std::size_t i : ChooseLoads(list, goal.version))
-      out.push_back(
-          {records[i]->id, records[i]->address, model, goal.version});
+      out.push_back({records[i]->id, records[i]->address, model, goal.version});
   }
   return out;
 }
@@ -95,8 +94,8 @@
   const instant sent = SuspendAwareNow();
   const stored_object object{std::string(kLeaseName), state->lease.version,
                              WriteLease(next)};
-  const auto put = co_await state->spoken.put(
-      state->store, object_kind::kLease, object, kStoreTimeout);
+  const auto put = co_await state->spoken.put(state->store, object_kind::kLease,
+                                              object, kStoreTimeout);
   if (put) {
     ObserveLease(state->lease, next, *put, SuspendAwareNow(), sent);
     if (action == lease_action::kTake)
@@ -112,12 +111,11 @@
 asio::awaitable<void> LoadTarget(entry_ptr state, pending_load load) {
   rollout_progress& progress = state->rollouts[load.model];
   progress.orders[load.target] = {load.goal, std::chrono::steady_clock::now()};
-  const auto now =
-      co_await state->spoken.read_target(state->pool, load.address, load.target,
-                                         load.model, kOrderTimeout);
+  const auto now = co_await state->spoken.read_target(
+      state->pool, load.address, load.target, load.model, kOrderTimeout);
   if (!now) {
-    LogInfo("target_state_unknown", {{"target", load.target},
-                                     {"error", now.error().detail}});
+    LogInfo("target_state_unknown",
+            {{"target", load.target}, {"error", now.error().detail}});
     co_return;
   }
   if (now->weights_version >= load.goal || now->is_busy)
@@ -147,16 +145,14 @@
 }
 
 // True if this VM should look after the lease now.
-bool IsCandidate(const entry_state& state,
-                 instant pending_since,
-                 instant now) {
-  const bool held_last = state.lease.version != 0 &&
-                         state.lease.record.holder == state.options.vm;
+bool IsCandidate(const entry_state& state, instant pending_since, instant now) {
+  const bool held_last =
+      state.lease.version != 0 && state.lease.record.holder == state.options.vm;
   if (held_last)
     return true;
-  const bool is_first = state.lease.version == 0 &&
-                        ChooseForDuty(state.members.state->members, kDuty,
-                                      "") == state.options.vm;
+  const bool is_first =
+      state.lease.version == 0 && ChooseForDuty(state.members.state->members,
+                                                kDuty, "") == state.options.vm;
   return is_first || now >= pending_since + kOthersWait;
 }
 
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -7,11 +7,14 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "waxwing/agent.h"
+#include "waxwing/cache_map.h"
 #include "waxwing/cache_saves.h"
+#include "waxwing/engine_choice.h"
 #include "waxwing/entry.h"
 #include "waxwing/http_server.h"
 #include "waxwing/lease.h"
@@ -66,6 +69,11 @@
   std::shared_ptr<const route_table> table = std::make_shared<route_table>();
   std::map<object_kind, watch_position> watches;
   placement_state placement;
+  cache_map caches;
+  // Followers of cache events that run, by address.
+  std::set<endpoint> followed;
+  // False after a failure of the cache store, until it answers again.
+  bool is_store_usable = false;
   std::map<std::string, listed_target, std::less<>> targets;
   // By model.
   std::map<std::string, known_goal, std::less<>> goals;
@@ -106,6 +114,11 @@
 // True if the entry can serve: it knows a configuration.
 bool CanServe(const entry_state& state);
 
+// --- entry_caches.cc
+
+// Follows the cache events of the targets and stores in use.
+boost::asio::awaitable<void> FollowCaches(entry_ptr state);
+
 // --- entry_rollout.cc
 
 boost::asio::awaitable<void> KeepWeights(entry_ptr state);
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -11,8 +11,11 @@
 
 // Cost of a target in another zone: a round trip there and back.
 constexpr milliseconds kOtherZone{2};
-// Prompt tokens that an engine reads in a second, until its own answers tell.
-constexpr double kEnginePrefillRate = 90'000;
+// Prompt tokens that an engine reads in a second beside its running requests:
+// the rate of the engines' data sheet, less the time of a step for each chunk.
+constexpr double kEnginePrefillRate = 60'000;
+// Cost of a target that leaves requests unanswered.
+constexpr milliseconds kSilent{5'000};
 // Cost of a target that is about to load new weights.
 constexpr milliseconds kAboutToLoad{1'000};
 // Cost of older weights, from the time on at which their answers lose worth.
@@ -49,6 +52,7 @@
       service->second.engine_slots > 0) {
     view.slots = service->second.engine_slots;
     view.prefill_tokens_per_second = kEnginePrefillRate;
+    view.memory_tokens = service->second.engine_tokens;
   }
   return view;
 }
@@ -73,8 +77,10 @@
     if (record.is_leaving && !target.record.is_leaving)
       LogInfo("target_leaving", {{"target", record.id}});
     if (record.weights_version != target.record.weights_version)
-      LogInfo("target_weights", {{"target", record.id},
-                                 {"version", record.weights_version}});
+      LogInfo("target_weights",
+              {{"target", record.id}, {"version", record.weights_version}});
+    if (record.weights_version > target.record.weights_version)
+      ClearFailures(view);
     const std::int64_t known = target.record.weights_version;
     target.record = record;
     // The record may lag behind what the target itself has told.
@@ -133,6 +139,9 @@
       lapsed.push_back(id);
     target_view& view = state.placement.targets[target.index];
     view.distance = view.zone == state.options.zone ? duration{} : kOtherZone;
+    view.is_loading = false;
+    if (IsSilent(view, now))
+      view.distance += kSilent;
     if (target.record.model.empty() || target.record.is_leaving)
       continue;
     models[target.record.model].push_back(
@@ -149,8 +158,10 @@
         views[model][i]->distance += kOlderWeights;
     }
     for (const std::size_t i :
-         ChooseLoads(list, goal->second.version, kSteeredLoads))
+         ChooseLoads(list, goal->second.version, kSteeredLoads)) {
       views[model][i]->distance += kAboutToLoad;
+      views[model][i]->is_loading = true;
+    }
   }
   for (const std::string& id : lapsed)
     RetireTarget(state, id);
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -172,8 +172,8 @@
   if (position.lost_since)
     return;
   position.lost_since = std::chrono::steady_clock::now();
-  LogWarning("store_lost", {{"kind", NameOf(kind)},
-                            {"revision", position.revision}});
+  LogWarning("store_lost",
+             {{"kind", NameOf(kind)}, {"revision", position.revision}});
 }
 
 // One watch call. False if it failed.
--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -116,10 +116,8 @@
                sizeof kUnackedMs);
 }
 
-asio::awaitable<tl::expected<state_ptr, http_error>> Dial(
-    const http_pool& pool,
-    const endpoint& address,
-    http_abort* abort) {
+asio::awaitable<tl::expected<state_ptr, http_error>>
+Dial(const http_pool& pool, const endpoint& address, http_abort* abort) {
   auto call = std::make_shared<detail::http_call_state>(
       beast::tcp_stream(pool.state->executor));
   call->address = address;
@@ -226,6 +224,7 @@
   auto dialled = co_await Dial(pool, address, options.abort);
   if (!dialled)
     co_return tl::unexpected(dialled.error());
+  (*dialled)->reusable = options.reuse;
   if (options.abort && options.abort->aborted)
     co_return tl::unexpected(
         http_error{http_failure::kConnect, false, "aborted"});
@@ -264,10 +263,8 @@
   co_return false;
 }
 
-asio::awaitable<tl::expected<void, http_error>> SkipAnswer(
-    const http_pool& pool,
-    http_call& call,
-    milliseconds timeout) {
+asio::awaitable<tl::expected<void, http_error>>
+SkipAnswer(const http_pool& pool, http_call& call, milliseconds timeout) {
   detail::http_call_state& state = *call.state;
   state.reusable = false;
   std::string foreign;
--- a/waxwing/lease.cc
+++ b/waxwing/lease.cc
@@ -39,7 +39,8 @@
   const auto fence = ReadInteger(*parsed, "fence", 1, kLargestNumber);
   if (!fence)
     return tl::unexpected(fence.error());
-  const auto renewals = ReadIntegerOr(*parsed, "renewals", 0, kLargestNumber, 0);
+  const auto renewals =
+      ReadIntegerOr(*parsed, "renewals", 0, kLargestNumber, 0);
   if (!renewals)
     return tl::unexpected(renewals.error());
   return lease_record{*holder, std::strtoull(incarnation->c_str(), nullptr, 10),
@@ -65,12 +66,12 @@
 lease_action NextAction(const lease_view& view, instant now) {
   if (IsOwn(view) && view.renewed) {
     return now >= *view.renewed + view.terms.renewal ? lease_action::kRenew
-                                                : lease_action::kWait;
+                                                     : lease_action::kWait;
   }
   if (view.version == 0)
     return lease_action::kTake;
   return now >= view.seen + view.terms.takeover ? lease_action::kTake
-                                                       : lease_action::kWait;
+                                                : lease_action::kWait;
 }
 
 lease_record NextRecord(const lease_view& view, lease_action action) {
--- a/waxwing/prefix.cc
+++ b/waxwing/prefix.cc
@@ -77,13 +77,19 @@
   prefix_chain out;
   std::uint64_t hash = ScopeSeed(scope);
   std::uint32_t end = 0;
+  out.head = hash;
   for (const prompt_part& part : parts) {
     hash = MixHash(hash, part.id);
     end += part.tokens;
     out.checkpoints.push_back({hash, end});
+    // A last part that completes the prompt is the request's own.
+    const bool is_own = &part == &parts.back() && parts.size() > 1 &&
+                        end >= tokens;
+    if (!is_own) {
+      out.head = hash;
+      out.head_tokens = end;
+    }
   }
-  out.head = hash;
-  out.head_tokens = end;
   out.tokens = std::max(tokens, end);
   return out;
 }
--- a/waxwing/service_run.cc
+++ b/waxwing/service_run.cc
@@ -104,7 +104,7 @@
       NoteSuccess(view, std::chrono::steady_clock::now() - now);
       co_return service_result{std::move(*answer), std::nullopt};
     }
-    NoteFailure(view, std::chrono::steady_clock::now());
+    NoteFailure(view, now, std::chrono::steady_clock::now());
     const bool this_sent = answer || answer.error().sent;
     sent = sent || this_sent;
     if (once && sent)
--- a/waxwing/target_view.cc
+++ b/waxwing/target_view.cc
@@ -9,6 +9,8 @@
 constexpr duration kLongestHorizon = seconds(600);
 constexpr duration kShortestAvoidance = milliseconds(250);
 constexpr int kMostAvoidanceDoublings = 4;
+// A single failure may be the request's own.
+constexpr int kFailuresBeforeTrial = 2;
 constexpr double kHorizonShrink = 0.8;
 constexpr double kHorizonGrowth = 1.25;
 constexpr double kServiceSmoothing = 0.1;
@@ -51,7 +53,15 @@
   view.horizon = std::clamp(view.horizon, kShortestHorizon, kLongestHorizon);
 }
 
-void NoteFailure(target_view& view, instant now) {
+void ClearFailures(target_view& view) {
+  view.failures_in_a_row = 0;
+  view.avoid_until = {};
+}
+
+void NoteFailure(target_view& view, instant sent, instant now) {
+  if (sent < view.failed_at)
+    return;
+  view.failed_at = now;
   const int doublings =
       std::min(view.failures_in_a_row, kMostAvoidanceDoublings);
   view.avoid_until = now + kShortestAvoidance * (1 << doublings);
@@ -65,12 +75,33 @@
       service * kServiceSmoothing);
 }
 
+void NoteSent(target_view& view, instant now) {
+  if (view.unanswered++ == 0)
+    view.silent_since = now;
+}
+
+void NoteHeard(target_view& view, instant now) {
+  view.unanswered = std::max(0, view.unanswered - 1);
+  view.silent_since = now;
+}
+
+void NoteUnanswered(target_view& view) {
+  view.unanswered = std::max(0, view.unanswered - 1);
+}
+
+bool IsSilent(const target_view& view, instant now) {
+  return view.unanswered > 0 && now - view.silent_since > kSilenceLimit;
+}
+
 int InFlight(const target_view& view) {
   return view.own_in_flight + view.others_in_flight;
 }
 
 bool IsUsable(const target_view& view, instant now) {
-  return view.usable && now >= view.avoid_until;
+  if (!view.usable || now < view.avoid_until)
+    return false;
+  const bool is_on_trial = view.failures_in_a_row >= kFailuresBeforeTrial;
+  return !is_on_trial || view.own_in_flight == 0;
 }
 
 bool HasRoom(const target_view& view) {
--- a/waxwing/target_view.h
+++ b/waxwing/target_view.h
@@ -43,6 +43,10 @@
   // Prompt tokens that this router has sent and that are not computed yet.
   double own_prefill_backlog = 0;
   double prefill_tokens_per_second = 10'000;
+  // Cache memory of an engine, and what this router's runs take of it; 0: no
+  // engine.
+  double memory_tokens = 0;
+  double own_tokens = 0;
   // Time a request occupies a slot, a moving average.
   duration mean_service = milliseconds(1'000);
   // Age up to which an unused prefix is expected to be cached.
@@ -50,6 +54,13 @@
   // No new work before this time, after failures.
   instant avoid_until;
   int failures_in_a_row = 0;
+  instant failed_at;
+  // About to load other weights, which breaks its runs.
+  bool is_loading = false;
+  // Requests sent and not yet begun to be answered, and since when the target
+  // has been silent while there were any.
+  int unanswered = 0;
+  instant silent_since;
   // Added cost of reaching it, for targets in other zones.
   duration distance{};
 };
@@ -70,9 +81,25 @@
 // Learns the eviction horizon: a prefix last used `age` ago was (not) cached.
 void LearnHorizon(target_view& view, duration age, bool was_cached);
 
+// Notes that a request was sent, that the target has begun to answer it or has
+// shown a sign of life, and that a request has ended unanswered.
+void NoteSent(target_view& view, instant now);
+void NoteHeard(target_view& view, instant now);
+void NoteUnanswered(target_view& view);
+
+// Silence, with requests unanswered, after which a target gets no new ones
+// while there are others.
+inline constexpr milliseconds kSilenceLimit{400};
+
+// True if the target has been silent for so long.
+bool IsSilent(const target_view& view, instant now);
+
 // Notes a failure of the target; avoids it for a time that doubles with each
-// further one.
-void NoteFailure(target_view& view, instant now);
+// further one. Requests sent before the last failure say nothing new.
+void NoteFailure(target_view& view, instant sent, instant now);
+
+// Forgets failures: the target has started anew.
+void ClearFailures(target_view& view);
 
 // Notes an answered request that held a slot for `service`.
 void NoteSuccess(target_view& view, duration service);
@@ -80,7 +107,8 @@
 // Requests it runs now, of all routers.
 int InFlight(const target_view& view);
 
-// True if the target takes new work at `now` at all.
+// True if the target takes new work at `now` at all. After a failure it takes
+// one request at a time until one succeeds.
 bool IsUsable(const target_view& view, instant now);
 
 // True if a new request would not queue inside it, as far as is known: a report
