Count others' waiting prompts as backlog of an engine

Cause: an engine's load was its requests in flight, most of which have been read already. Change: requests that wait there count with their prompts, running ones little.

--- a/waxwing/engine_choice.cc
+++ b/waxwing/engine_choice.cc
@@ -7,9 +7,10 @@
 namespace waxwing {
 namespace {
 
-// Prompt tokens that a request of another VM still has to have read, on
-// average over its run.
-constexpr double kBacklogPerRequest = 300;
+// Prompt tokens that a waiting request of another VM still has to have read, on
+// average, and what a running one costs the next prompt.
+constexpr double kBacklogPerWaiting = 2'500;
+constexpr double kBacklogPerRunning = 30;
 // What a second copy of a shared token costs: it pushes another prefix out.
 constexpr std::chrono::nanoseconds kCopyPerToken{10'000};
 // Transfers between zones take this much longer.
@@ -128,7 +129,8 @@
          targets[*option.source].zone != view.zone);
     const std::uint32_t read = TokensToRead(request.prompt, option);
     const double backlog = view.own_prefill_backlog +
-                           view.others_in_flight * kBacklogPerRequest;
+                           view.others_waiting * kBacklogPerWaiting +
+                           InFlight(view) * kBacklogPerRunning;
     option.cost = view.distance + ReadingTime(view, backlog + read) +
                   request.move_per_token * option.fetched *
                       (is_far ? kOtherZoneFactor : 1);
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -72,6 +72,7 @@
   std::string target;
   std::uint32_t cached_tokens = 0;
   int in_flight = 0;
+  int waiting = 0;
   std::string cache_source;
   // Kept while another target is tried.
   std::optional<http_response> failure;
@@ -267,6 +268,7 @@
   run.target = view.name;
   run.cached_tokens = chosen->cached_tokens;
   run.in_flight = InFlight(view);
+  run.waiting = view.others_waiting;
   out.started = std::chrono::steady_clock::now();
   NoteDispatch(state.placement, out.chosen, out.missed);
   NoteSent(view, out.started);
@@ -296,6 +298,7 @@
   target_view& view = state.placement.targets[sent.chosen.target];
   view.others_in_flight =
       std::max(0, facts.now->running + facts.now->waiting - view.own_in_flight);
+  view.others_waiting = std::max(0, facts.now->waiting - view.unanswered);
 }
 
 void MarkPrefilled(entry_state& state, dispatch& sent) {
@@ -620,7 +623,8 @@
            {"shared", run.chain.head_tokens},
            {"cached", run.cached_tokens},
            {"source", run.cache_source},
-           {"in_flight", run.in_flight}});
+           {"in_flight", run.in_flight},
+           {"waiting", run.waiting}});
 }
 
 }  // namespace
--- a/waxwing/target_view.h
+++ b/waxwing/target_view.h
@@ -40,6 +40,8 @@
   int slots = 8;
   int own_in_flight = 0;
   int others_in_flight = 0;
+  // Of those, the ones whose answer has not begun.
+  int others_waiting = 0;
   // Prompt tokens that this router has sent and that are not computed yet.
   double own_prefill_backlog = 0;
   double prefill_tokens_per_second = 10'000;
