--- a/waxwing/engine_choice.cc
+++ b/waxwing/engine_choice.cc
@@ -61,9 +61,9 @@
   bool best_is_near = false;
   for (const holder_of_prefix& holder : holders) {
     const bool is_near = holder.zone == view.zone;
-    const bool is_better = holder.held > best_held ||
-                           (holder.held == best_held && choice.source &&
-                            is_near && !best_is_near);
+    const bool is_better =
+        holder.held > best_held ||
+        (holder.held == best_held && choice.source && is_near && !best_is_near);
     if (holder.target == candidate || holder.version != view.version ||
         !is_better || holder.held < choice.held + kFewestMoved)
       continue;
@@ -78,8 +78,7 @@
 
 std::uint32_t TokensToRead(const prompt_shape& prompt,
                            const engine_choice& choice) {
-  return prompt.tokens -
-         std::min(prompt.tokens, choice.held + choice.fetched);
+  return prompt.tokens - std::min(prompt.tokens, choice.held + choice.fetched);
 }
 
 std::optional<engine_choice> ChooseEngine(std::span<const target_view> targets,
@@ -88,16 +87,18 @@
                                           instant now) {
   std::vector<std::uint32_t> usable;
   for (std::uint32_t i = 0; i < targets.size(); ++i) {
-    if (targets[i].serves == request.service && IsUsable(targets[i], now))
+    const bool is_usable = request.is_last_resort ? IsLastResort(targets[i])
+                                                  : IsUsable(targets[i], now);
+    if (is_usable && targets[i].serves == request.service)
       usable.push_back(i);
   }
   std::vector<holder_of_prefix> holders;
   std::vector<std::uint32_t> held(usable.size(), 0);
   for (std::size_t n = 0; n < usable.size(); ++n) {
     const target_view& view = targets[usable[n]];
-    held[n] = std::min(request.prompt.shared_tokens,
-                       HeldTokens(caches, request.parts_at(view), usable[n],
-                                  view.epoch));
+    held[n] = std::min(
+        request.prompt.shared_tokens,
+        HeldTokens(caches, request.parts_at(view), usable[n], view.epoch));
     if (held[n] > 0)
       holders.push_back({usable[n], held[n], view.version, view.zone});
     if (!request.has_store)
@@ -110,9 +111,9 @@
         is_known ? 0
                  : HeldTokens(caches, request.parts_at(view), kCacheStore, 0);
     if (stored > 0)
-      holders.push_back(
-          {kCacheStore, std::min(stored, request.prompt.shared_tokens),
-           view.version, ""});
+      holders.push_back({kCacheStore,
+                         std::min(stored, request.prompt.shared_tokens),
+                         view.version, ""});
   }
   std::optional<engine_choice> best;
   for (std::size_t n = 0; n < usable.size(); ++n) {
@@ -124,9 +125,8 @@
     if (request.move_per_token > duration::zero())
       ChooseSource(holders, view, i, option);
     const bool is_far =
-        option.source &&
-        (*option.source == kCacheStore ||
-         targets[*option.source].zone != view.zone);
+        option.source && (*option.source == kCacheStore ||
+                          targets[*option.source].zone != view.zone);
     const std::uint32_t read = TokensToRead(request.prompt, option);
     const double backlog = view.own_prefill_backlog +
                            view.others_waiting * kBacklogPerWaiting +
@@ -135,8 +135,8 @@
                   request.move_per_token * option.fetched *
                       (is_far ? kOtherZoneFactor : 1);
     if (!IsHome(targets, usable, i, request.prompt.home_key))
-      option.cost += kCopyPerToken *
-                     (request.prompt.shared_tokens - option.held);
+      option.cost +=
+          kCopyPerToken * (request.prompt.shared_tokens - option.held);
     const double needed = request.prompt.tokens + request.prompt.output_tokens;
     if (view.memory_tokens > 0 &&
         MemoryInUse(view, needed) + needed > kMemoryShare * view.memory_tokens)
--- a/waxwing/engine_choice.h
+++ b/waxwing/engine_choice.h
@@ -46,6 +46,8 @@
   bool has_store = false;
   // A target that has just failed this request, or -1.
   int avoid = -1;
+  // Takes targets that have failed lately, since there are no others.
+  bool is_last_resort = false;
 };
 
 struct engine_choice {
--- a/waxwing/entry_caches.cc
+++ b/waxwing/entry_caches.cc
@@ -67,7 +67,8 @@
         state->pool, cache.address, cache.since, kEventWait);
     if (!IsListed(*state, cache))
       break;
-    if (cache.index == kCacheStore && state->is_store_usable != events.has_value()) {
+    if (cache.index == kCacheStore &&
+        state->is_store_usable != events.has_value()) {
       state->is_store_usable = events.has_value();
       LogInfo(events ? "cache_store_regained" : "cache_store_lost",
               {{"address", ToText(cache.address)}});
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -221,7 +221,8 @@
                      (engine.link_mbps * kBitsPerMegabit));
 }
 
-std::optional<engine_choice> ChooseEngineFor(forward_run& run) {
+std::optional<engine_choice> ChooseEngineFor(forward_run& run,
+                                             bool is_last_resort) {
   engine_request wanted;
   wanted.service = run.service;
   wanted.prompt = {run.chain.tokens, run.chain.head_tokens, run.chain.head,
@@ -234,29 +235,34 @@
     wanted.move_per_token = MovePerToken(service->second);
   wanted.has_store = run.state->is_store_usable;
   wanted.avoid = run.avoid;
+  wanted.is_last_resort = is_last_resort;
   return ChooseEngine(run.state->placement.targets, run.state->caches, wanted,
                       std::chrono::steady_clock::now());
 }
 
-std::optional<placement> ChoosePlace(forward_run& run, engine_choice& engine) {
+std::optional<placement> ChoosePlace(forward_run& run,
+                                     engine_choice& engine,
+                                     bool is_last_resort) {
   entry_state& state = *run.state;
   const instant now = std::chrono::steady_clock::now();
   if (run.path->has_prompt) {
-    const auto chosen = ChooseEngineFor(run);
+    const auto chosen = ChooseEngineFor(run, is_last_resort);
     if (!chosen)
       return std::nullopt;
     engine = *chosen;
     return placement{chosen->target, chosen->held + chosen->fetched, now, true};
   }
   const placement_request wanted{&run.chain, run.service, "", run.avoid,
-                                 state.random()};
+                                 state.random(), is_last_resort};
   return Place(state.placement, wanted, now);
 }
 
 std::optional<dispatch> ChooseTarget(forward_run& run) {
   entry_state& state = *run.state;
   dispatch out;
-  const auto chosen = ChoosePlace(run, out.engine);
+  auto chosen = ChoosePlace(run, out.engine, false);
+  if (!chosen)
+    chosen = ChoosePlace(run, out.engine, true);
   if (!chosen)
     return std::nullopt;
   target_view& view = state.placement.targets[chosen->target];
@@ -332,8 +338,13 @@
     NoteUnanswered(view);
   if (!IsCurrent(state, sent))
     return;
+  if (end == run_end::kDone || end == run_end::kFailed)
+    NoteAnswer(view, end == run_end::kFailed);
   if (end == run_end::kDone) {
     NoteSuccess(view, now - sent.started);
+  } else if (end == run_end::kFailed) {
+    // The target works; its own failures count in its error rate.
+    ClearFailures(view);
   } else if ((end != run_end::kCallerGone || was_silent) && !view.is_loading) {
     NoteFailure(view, sent.started, now);
   }
@@ -341,9 +352,7 @@
 
 // Where the target gets the shared parts that it lacks, and whether it saves
 // them to the store.
-void AddCacheTransfers(forward_run& run,
-                       const dispatch& sent,
-                       run_order& out) {
+void AddCacheTransfers(forward_run& run, const dispatch& sent, run_order& out) {
   const entry_state& state = *run.state;
   if (sent.engine.source && *sent.engine.source != kCacheStore)
     out.cache_source = state.placement.targets[*sent.engine.source].address;
@@ -357,8 +366,7 @@
       HeldTokens(state.caches, PartsAt(run, view), kCacheStore, 0);
   if (stored >= run.chain.head_tokens)
     return;
-  const std::uint64_t saved_as =
-      MixHash(run.chain.head, Hash64(view.version));
+  const std::uint64_t saved_as = MixHash(run.chain.head, Hash64(view.version));
   if (NoteSaved(run.state->saved, saved_as, std::chrono::steady_clock::now()))
     out.cache_store = store->cache_store;
 }
@@ -517,6 +525,8 @@
   }
   MarkHeard(*run.state, sent);
   LearnLoad(*run.state, sent, *facts);
+  if (facts->weights_version && IsCurrent(*run.state, sent))
+    NoteWeights(*run.state, sent.target.record.id, *facts->weights_version);
   if (facts->not_run) {
     CancelCall(*call);
     co_return run_end::kNotRun;
@@ -609,22 +619,21 @@
 
 void LogEnd(const forward_run& run, run_end end) {
   const duration took = std::chrono::steady_clock::now() - run.arrived;
-  LogInfo("request_ended",
-          {{"request", run.request.id},
-           {"end", NameOf(end)},
-           {"route", run.path->name},
-           {"config", run.table->version},
-           {"target", run.target},
-           {"sends", run.sends},
-           {"first_ms", ToMs(run.first_byte.value_or(took))},
-           {"pause_ms", ToMs(run.longest_pause)},
-           {"took_ms", ToMs(took)},
-           {"tokens", run.chain.tokens},
-           {"shared", run.chain.head_tokens},
-           {"cached", run.cached_tokens},
-           {"source", run.cache_source},
-           {"in_flight", run.in_flight},
-           {"waiting", run.waiting}});
+  LogInfo("request_ended", {{"request", run.request.id},
+                            {"end", NameOf(end)},
+                            {"route", run.path->name},
+                            {"config", run.table->version},
+                            {"target", run.target},
+                            {"sends", run.sends},
+                            {"first_ms", ToMs(run.first_byte.value_or(took))},
+                            {"pause_ms", ToMs(run.longest_pause)},
+                            {"took_ms", ToMs(took)},
+                            {"tokens", run.chain.tokens},
+                            {"shared", run.chain.head_tokens},
+                            {"cached", run.cached_tokens},
+                            {"source", run.cache_source},
+                            {"in_flight", run.in_flight},
+                            {"waiting", run.waiting}});
 }
 
 }  // namespace
--- a/waxwing/entry_rollout.cc
+++ b/waxwing/entry_rollout.cc
@@ -9,6 +9,7 @@
 
 #include "waxwing/agent_state.h"
 #include "waxwing/entry_state.h"
+#include "waxwing/hash.h"
 #include "waxwing/log.h"
 
 namespace waxwing {
@@ -18,16 +19,23 @@
 namespace {
 
 constexpr milliseconds kPeriod{100};
-constexpr milliseconds kLeaseTermHere{2'000};
-constexpr milliseconds kLeaseRenewalHere{700};
+// Short, since the duty is idle most of the time: the holder renews while it
+// gives orders, and a successor waits no longer than it must.
+constexpr milliseconds kLeaseTermHere{1'200};
+constexpr milliseconds kLeaseRenewalHere{400};
 constexpr milliseconds kLeaseMarginHere{400};
 constexpr milliseconds kOrderTimeout{400};
 constexpr milliseconds kStoreTimeout{600};
-// Pause between two looks at a lease that another VM holds.
-constexpr milliseconds kLeaseLook{1'500};
-// A VM that is not the first choice looks at the lease only when a rollout has
-// made no progress for this long.
-constexpr milliseconds kOthersWait{2'500};
+// Pause between two looks at a lease that another VM holds, while there is work
+// and while there is none.
+constexpr milliseconds kLeaseLook{700};
+constexpr milliseconds kIdleLook{4'000};
+// Candidates that know since when the lease has not changed.
+constexpr std::size_t kReadyCandidates = 2;
+// Time without progress after which the first candidate takes the duty over,
+// and how much later each further one does.
+constexpr milliseconds kFirstCandidateWait{800};
+constexpr milliseconds kNextCandidateWait{500};
 // Time in which the other VMs learn of new weights and steer work away from
 // the targets that load first.
 constexpr milliseconds kSteerAhead{500};
@@ -50,9 +58,10 @@
 std::vector<pending_load> FindPendingLoads(const entry_state& state,
                                            instant now) {
   std::vector<pending_load> out;
-  for (const auto& [model, goal] : state.goals) {
-    if (now < goal.since + kSteerAhead)
+  for (const auto& [model, history] : state.goals) {
+    if (history.goals.empty() || now < history.goals.back().since + kSteerAhead)
       continue;
+    const std::int64_t goal = GoalOf(history);
     std::vector<rollout_target> list;
     std::vector<const target_record*> records;
     for (const auto& [id, target] : state.targets) {
@@ -62,8 +71,8 @@
       list.push_back({view.name_hash, target.record.weights_version});
       records.push_back(&target.record);
     }
-    for (const std::size_t i : ChooseLoads(list, goal.version))
-      out.push_back({records[i]->id, records[i]->address, model, goal.version});
+    for (const std::size_t i : ChooseLoads(list, goal))
+      out.push_back({records[i]->id, records[i]->address, model, goal});
   }
   return out;
 }
@@ -122,7 +131,7 @@
     co_return;
   const auto goal = state->goals.find(load.model);
   const bool is_current =
-      goal != state->goals.end() && goal->second.version == load.goal;
+      goal != state->goals.end() && GoalOf(goal->second) == load.goal;
   if (!is_current || !HoldsLease(state->lease, SuspendAwareNow()))
     co_return;
   weights_order order;
@@ -144,16 +153,45 @@
                               {"outcome", static_cast<int>(outcome)}});
 }
 
-// True if this VM should look after the lease now.
-bool IsCandidate(const entry_state& state, instant pending_since, instant now) {
-  const bool held_last =
-      state.lease.version != 0 && state.lease.record.holder == state.options.vm;
-  if (held_last)
-    return true;
-  const bool is_first =
-      state.lease.version == 0 && ChooseForDuty(state.members.state->members,
-                                                kDuty, "") == state.options.vm;
-  return is_first || now >= pending_since + kOthersWait;
+// This VM's place among those that may take the duty over from its holder.
+std::size_t CandidateRank(const entry_state& state) {
+  const std::uint64_t duty = Hash64(kDuty);
+  const std::uint64_t own = RendezvousWeight(duty, Hash64(state.options.vm));
+  std::size_t rank = 0;
+  for (const auto& [vm, record] : state.members.state->members.members) {
+    const bool is_ahead = vm != state.options.vm &&
+                          vm != state.lease.record.holder &&
+                          record.data.status == member_status::kAlive &&
+                          RendezvousWeight(duty, Hash64(vm)) > own;
+    rank += is_ahead ? 1 : 0;
+  }
+  return rank;
+}
+
+bool HeldLast(const entry_state& state) {
+  return state.lease.version != 0 &&
+         state.lease.record.holder == state.options.vm;
+}
+
+// How long this VM leaves a rollout without progress to others.
+milliseconds WaitForOthers(const entry_state& state) {
+  if (HeldLast(state))
+    return milliseconds(0);
+  const std::size_t rank = CandidateRank(state);
+  if (state.lease.version == 0 && rank == 0)
+    return milliseconds(0);
+  return kFirstCandidateWait + kNextCandidateWait * static_cast<int>(rank);
+}
+
+// Looks at the lease if the last look is older than `period`.
+asio::awaitable<void> LookIfDue(entry_ptr state,
+                                instant& last_look,
+                                milliseconds period) {
+  const instant now = std::chrono::steady_clock::now();
+  if (now < last_look + period)
+    co_return;
+  last_look = now;
+  co_await LookAtLease(state);
 }
 
 }  // namespace
@@ -168,19 +206,18 @@
     const auto loads = FindPendingLoads(*state, now);
     if (loads.empty() || state->is_draining) {
       pending_since.reset();
+      if (!HeldLast(*state) && CandidateRank(*state) < kReadyCandidates)
+        co_await LookIfDue(state, last_look, kIdleLook);
       continue;
     }
     // Progress of whoever holds the lease starts the wait anew.
     if (!pending_since || loads.size() != last_count)
       pending_since = now;
     last_count = loads.size();
-    if (!IsCandidate(*state, *pending_since, now))
+    if (now < *pending_since + WaitForOthers(*state))
       continue;
-    const bool is_own = HoldsLease(state->lease, SuspendAwareNow());
-    if (!is_own && now >= last_look + kLeaseLook) {
-      last_look = now;
-      co_await LookAtLease(state);
-    }
+    if (!HoldsLease(state->lease, SuspendAwareNow()))
+      co_await LookIfDue(state, last_look, kLeaseLook);
     co_await AdvanceLease(state);
     if (!HoldsLease(state->lease, SuspendAwareNow()))
       continue;
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -35,12 +35,6 @@
   std::optional<instant> drop_at;
 };
 
-// Weights named for a model, and when this VM learned of them.
-struct known_goal {
-  std::int64_t version = 0;
-  instant since;
-};
-
 // How far one kind of object has been read.
 struct watch_position {
   std::uint64_t revision = 0;
@@ -76,7 +70,7 @@
   bool is_store_usable = false;
   std::map<std::string, listed_target, std::less<>> targets;
   // By model.
-  std::map<std::string, known_goal, std::less<>> goals;
+  std::map<std::string, weights_history, std::less<>> goals;
   // By service.
   std::map<std::string, retry_budget, std::less<>> retries;
   cache_saves saved;
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -18,12 +18,14 @@
 constexpr milliseconds kSilent{5'000};
 // Cost of a target that is about to load new weights.
 constexpr milliseconds kAboutToLoad{1'000};
-// Cost of older weights, from the time on at which their answers lose worth.
+// Cost of older weights, whose answers lose worth.
 // Loads ahead of those in progress that work is steered away from, as a
 // multiple of the loads side by side.
 constexpr std::size_t kSteeredLoads = 2;
-constexpr milliseconds kOlderWeights{150};
-constexpr milliseconds kOlderWeightsFrom{1'200};
+constexpr milliseconds kOlderWeights{60};
+// From this long before older weights are out of bounds, no request is sent to
+// them: it may have to wait at the target.
+constexpr milliseconds kWeightsMargin{1'500};
 
 // A place in the list that no request refers to any more, or a new one.
 std::uint32_t FindPlace(placement_state& placement) {
@@ -140,6 +142,8 @@
     target_view& view = state.placement.targets[target.index];
     view.distance = view.zone == state.options.zone ? duration{} : kOtherZone;
     view.is_loading = false;
+    view.has_refused_weights = false;
+    view.distance += ErrorCost(view);
     if (IsSilent(view, now))
       view.distance += kSilent;
     if (target.record.model.empty() || target.record.is_leaving)
@@ -148,21 +152,32 @@
         {view.name_hash, target.record.weights_version});
     views[target.record.model].push_back(&view);
   }
+  const bool is_store_lost =
+      state.watches[object_kind::kTargets].lost_since.has_value();
+  std::vector<std::pair<std::string, std::int64_t>> guessed;
   for (const auto& [model, list] : models) {
     const auto goal = state.goals.find(model);
     if (goal == state.goals.end())
       continue;
-    const bool is_worth_less = now >= goal->second.since + kOlderWeightsFrom;
+    const std::int64_t newest = GoalOf(goal->second);
+    const bool has_newest = std::any_of(
+        list.begin(), list.end(),
+        [&](const rollout_target& other) { return other.version >= newest; });
+    const milliseconds bound =
+        state.options.bounds.weights_in_force - kWeightsMargin;
     for (std::size_t i = 0; i < list.size(); ++i) {
-      if (is_worth_less && list[i].version < goal->second.version)
+      views[model][i]->has_refused_weights =
+          IsOutOfBounds(goal->second, list[i].version, has_newest, bound, now);
+      if (list[i].version < newest)
         views[model][i]->distance += kOlderWeights;
     }
-    for (const std::size_t i :
-         ChooseLoads(list, goal->second.version, kSteeredLoads)) {
+    for (const std::size_t i : ChooseLoads(list, newest, kSteeredLoads)) {
       views[model][i]->distance += kAboutToLoad;
       views[model][i]->is_loading = true;
     }
   }
+  for (const auto& [id, version] : guessed)
+    NoteWeights(state, id, version);
   for (const std::string& id : lapsed)
     RetireTarget(state, id);
 }
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -82,13 +82,15 @@
                {{"name", object.name}, {"error", read.error()}});
     return;
   }
-  known_goal& goal = state.goals[read->model];
-  if (read->version <= goal.version)
+  const instant now = std::chrono::steady_clock::now();
+  const bool is_inherited =
+      state.watches[object_kind::kWeights].revision == 0 && read->version > 1;
+  if (!NoteGoal(state.goals[read->model], read->version, is_inherited, now))
     return;
-  goal = {read->version, std::chrono::steady_clock::now()};
-  RefreshTargets(state, goal.since);
+  RefreshTargets(state, now);
   LogInfo("weights_named", {{"model", read->model},
                             {"version", read->version},
+                            {"inherited", is_inherited},
                             {"revision", object.revision}});
 }
 
--- a/waxwing/placement.cc
+++ b/waxwing/placement.cc
@@ -27,7 +27,9 @@
 bool Serves(const target_view& view,
             const placement_request& request,
             instant now) {
-  return IsUsable(view, now) && view.serves == request.serves &&
+  const bool is_usable =
+      request.is_last_resort ? IsLastResort(view) : IsUsable(view, now);
+  return is_usable && view.serves == request.serves &&
          (request.version.empty() || view.version == request.version);
 }
 
--- a/waxwing/placement.h
+++ b/waxwing/placement.h
@@ -62,6 +62,8 @@
   // A target that has just failed this request, or -1.
   int avoid = -1;
   std::uint64_t random = 0;
+  // Takes targets that have failed lately, since there are no others.
+  bool is_last_resort = false;
 };
 
 struct placement {
--- a/waxwing/prefix.cc
+++ b/waxwing/prefix.cc
@@ -83,8 +83,8 @@
     end += part.tokens;
     out.checkpoints.push_back({hash, end});
     // A last part that completes the prompt is the request's own.
-    const bool is_own = &part == &parts.back() && parts.size() > 1 &&
-                        end >= tokens;
+    const bool is_own =
+        &part == &parts.back() && parts.size() > 1 && end >= tokens;
     if (!is_own) {
       out.head = hash;
       out.head_tokens = end;
--- a/waxwing/rollout.h
+++ b/waxwing/rollout.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -17,6 +18,39 @@
 
 namespace waxwing {
 
+// Weights named for a model, newest last, and when this VM learned of each.
+struct weights_history {
+  struct goal {
+    std::int64_t version = 0;
+    instant since;
+    // Named before this process started, nobody knows when.
+    bool is_inherited = false;
+  };
+  std::vector<goal> goals;
+};
+
+// Notes newly named weights. False if they are not newer.
+bool NoteGoal(weights_history& history,
+              std::int64_t version,
+              bool is_inherited,
+              instant now);
+
+// The newest version; 0 if there is none.
+std::int64_t GoalOf(const weights_history& history);
+
+// When the first version newer than `version` was learned of.
+std::optional<instant> OutdatedSince(const weights_history& history,
+                                     std::int64_t version);
+
+// True if no request may start on `version` any more: `bound` after a newer one
+// was named, or at once if that was before this process started and targets
+// with it are there.
+bool IsOutOfBounds(const weights_history& history,
+                   std::int64_t version,
+                   bool has_newest,
+                   milliseconds bound,
+                   instant now);
+
 // Targets that load side by side: one in kTargetsPerLoad. More would share the
 // rate of the weight store and take longer each.
 inline constexpr std::size_t kTargetsPerLoad = 5;
--- a/waxwing/target_view.cc
+++ b/waxwing/target_view.cc
@@ -14,6 +14,11 @@
 constexpr double kHorizonShrink = 0.8;
 constexpr double kHorizonGrowth = 1.25;
 constexpr double kServiceSmoothing = 0.1;
+constexpr double kErrorSmoothing = 0.1;
+// A share of failures that lies in the requests, not in the target.
+constexpr double kUsualErrors = 0.1;
+// Cost of a target that fails all of its requests.
+constexpr milliseconds kAllErrors{1'000};
 
 }  // namespace
 
@@ -53,6 +58,20 @@
   view.horizon = std::clamp(view.horizon, kShortestHorizon, kLongestHorizon);
 }
 
+void NoteAnswer(target_view& view, bool is_error) {
+  view.error_rate = view.error_rate * (1 - kErrorSmoothing) +
+                    (is_error ? kErrorSmoothing : 0);
+}
+
+duration ErrorCost(const target_view& view) {
+  const double excess = std::max(0.0, view.error_rate - kUsualErrors);
+  return std::chrono::duration_cast<duration>(kAllErrors * excess);
+}
+
+bool IsLastResort(const target_view& view) {
+  return view.usable && !view.has_refused_weights;
+}
+
 void ClearFailures(target_view& view) {
   view.failures_in_a_row = 0;
   view.avoid_until = {};
@@ -98,7 +117,7 @@
 }
 
 bool IsUsable(const target_view& view, instant now) {
-  if (!view.usable || now < view.avoid_until)
+  if (!view.usable || view.has_refused_weights || now < view.avoid_until)
     return false;
   const bool is_on_trial = view.failures_in_a_row >= kFailuresBeforeTrial;
   return !is_on_trial || view.own_in_flight == 0;
--- a/waxwing/target_view.h
+++ b/waxwing/target_view.h
@@ -57,6 +57,10 @@
   instant avoid_until;
   int failures_in_a_row = 0;
   instant failed_at;
+  // Share of its answers that are failures of its own, a moving average.
+  double error_rate = 0;
+  // Its weights are too old for any new request.
+  bool has_refused_weights = false;
   // About to load other weights, which breaks its runs.
   bool is_loading = false;
   // Requests sent and not yet begun to be answered, and since when the target
@@ -100,6 +104,16 @@
 // further one. Requests sent before the last failure say nothing new.
 void NoteFailure(target_view& view, instant sent, instant now);
 
+// Notes whether an answer was a failure of the target's own.
+void NoteAnswer(target_view& view, bool is_error);
+
+// Cost of a target that fails more of its requests than is usual.
+duration ErrorCost(const target_view& view);
+
+// True if the target may be given work when no target is usable: it is listed,
+// whatever its latest failures.
+bool IsLastResort(const target_view& view);
+
 // Forgets failures: the target has started anew.
 void ClearFailures(target_view& view);
 
