Test the entry: its decisions without a network, its path against scripted targets

Change: tests of routes, engine choice, caches, rollouts, evidence on targets; of the dialect on hostile and broken input (any text, by RapidCheck); of the whole path against an object store and targets that refuse, break off, answer twice, leave. A body whose end is in doubt is refused (Beast ignores a transfer coding that it does not know). Without the store, targets whose weights would be out of bounds are taken to have the newest ones; they refuse a request themselves if not.

--- /dev/null
+++ b/testing/entry_policy_test.cc
@@ -0,0 +1,315 @@
+// The entry's decisions without a network: routes, engines, caches, rollouts,
+// evidence on targets.
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+#include "waxwing/cache_map.h"
+#include "waxwing/cache_saves.h"
+#include "waxwing/engine_choice.h"
+#include "waxwing/hash.h"
+#include "waxwing/lease.h"
+#include "waxwing/rollout.h"
+#include "waxwing/route_table.h"
+#include "waxwing/target_view.h"
+
+namespace waxwing {
+namespace {
+
+route MakeRoute(std::string prefix) {
+  route out;
+  out.name = prefix;
+  out.host = "h";
+  out.path_prefix = std::move(prefix);
+  out.services = {{"s", 1}};
+  return out;
+}
+
+TEST(RouteTable, TheLongestPrefixWins) {
+  route_table table;
+  for (const char* prefix : {"/a/", "/", "/a/b/c/", "/a/b/"})
+    AddRoute(table, MakeRoute(prefix));
+  EXPECT_EQ(FindRoute(table, "h", "/a/b/x")->name, "/a/b/");
+  EXPECT_EQ(FindRoute(table, "h:80", "/a/b/c/")->name, "/a/b/c/");
+  EXPECT_EQ(FindRoute(table, "h", "/a/bc")->name, "/a/");
+  EXPECT_EQ(FindRoute(table, "other", "/a/"), nullptr);
+}
+
+TEST(RouteTable, ServicesAreChosenByWeight) {
+  route split = MakeRoute("/");
+  split.services = {{"none", 0}, {"most", 90}, {"few", 10}};
+  std::map<std::string, int> counts;
+  for (std::uint64_t i = 0; i < 1'000; ++i)
+    ++counts[ChooseService(split, i * (~std::uint64_t{0} / 1'000))];
+  EXPECT_EQ(counts["none"], 0);
+  EXPECT_NEAR(counts["most"], 900, 10);
+  EXPECT_NEAR(counts["few"], 100, 10);
+}
+
+TEST(TargetView, ASilentTargetIsNoticedAndForgivenWhenItSpeaks) {
+  target_view view;
+  const instant start{};
+  NoteSent(view, start);
+  NoteSent(view, start + milliseconds(300));
+  EXPECT_FALSE(IsSilent(view, start + kSilenceLimit));
+  EXPECT_TRUE(IsSilent(view, start + kSilenceLimit + milliseconds(1)));
+  NoteHeard(view, start + milliseconds(500));
+  EXPECT_FALSE(IsSilent(view, start + milliseconds(600)));
+  EXPECT_TRUE(IsSilent(view, start + milliseconds(1'000)));
+  NoteUnanswered(view);
+  EXPECT_FALSE(IsSilent(view, start + milliseconds(1'000)));
+}
+
+TEST(TargetView, AfterFailuresOneRequestAtATimeIsATrial) {
+  target_view view;
+  instant now = instant{} + seconds(100);
+  NoteFailure(view, now, now);
+  now += seconds(10);
+  NoteFailure(view, now, now);
+  now += seconds(10);
+  EXPECT_TRUE(IsUsable(view, now));
+  view.own_in_flight = 1;
+  EXPECT_FALSE(IsUsable(view, now));
+  NoteSuccess(view, milliseconds(1));
+  EXPECT_TRUE(IsUsable(view, now));
+}
+
+TEST(TargetView, RequestsThatFailTogetherCountOnce) {
+  target_view view;
+  const instant sent = instant{} + seconds(100);
+  for (int i = 0; i < 20; ++i)
+    NoteFailure(view, sent, sent + milliseconds(100));
+  EXPECT_EQ(view.failures_in_a_row, 1);
+}
+
+TEST(TargetView, ErrorsBeyondTheUsualShareCost) {
+  target_view usual;
+  target_view grey;
+  for (int i = 0; i < 200; ++i) {
+    NoteAnswer(usual, i % 20 == 0);
+    NoteAnswer(grey, i % 2 == 0);
+  }
+  EXPECT_EQ(ErrorCost(usual), duration::zero());
+  EXPECT_GT(ErrorCost(grey), milliseconds(200));
+}
+
+TEST(Rollout, LoadsAFewAtATimeTheOldestFirst) {
+  std::vector<rollout_target> targets;
+  for (std::uint64_t i = 0; i < 18; ++i)
+    targets.push_back({Hash64(std::to_string(i)), i < 12 ? 2 : 1});
+  const auto first = ChooseLoads(targets, 3);
+  ASSERT_EQ(first.size(), 3u);
+  for (const std::size_t i : first)
+    EXPECT_EQ(targets[i].version, 1);
+  EXPECT_EQ(ChooseLoads(targets, 3, 2).size(), 6u);
+  EXPECT_TRUE(ChooseLoads(targets, 1).empty());
+}
+
+TEST(Rollout, AllReachTheGoalThoughItMovesOn) {
+  std::vector<rollout_target> targets;
+  for (std::uint64_t i = 0; i < 18; ++i)
+    targets.push_back({Hash64(std::to_string(i)), 1});
+  // Five rounds fit between two versions; six would be needed for all.
+  for (std::int64_t goal = 2; goal < 12; ++goal) {
+    for (int round = 0; round < 5; ++round) {
+      for (const std::size_t i : ChooseLoads(targets, goal))
+        targets[i].version = goal;
+    }
+    for (const rollout_target& target : targets)
+      EXPECT_GE(target.version, goal - 1);
+  }
+}
+
+TEST(Rollout, WeightsAreOutOfBoundsByTheFirstNewerVersion) {
+  weights_history history;
+  const instant start{};
+  NoteGoal(history, 2, false, start);
+  NoteGoal(history, 3, false, start + seconds(3));
+  EXPECT_FALSE(NoteGoal(history, 2, false, start + seconds(4)));
+  EXPECT_EQ(GoalOf(history), 3);
+  const milliseconds bound = seconds(6);
+  const instant at = start + seconds(7);
+  EXPECT_TRUE(IsOutOfBounds(history, 1, true, bound, at));
+  EXPECT_FALSE(IsOutOfBounds(history, 2, true, bound, at));
+  EXPECT_FALSE(IsOutOfBounds(history, 3, true, bound, at + seconds(90)));
+}
+
+TEST(Rollout, AfterARestartOlderWeightsAreOutOfBoundsOnceThereAreNewer) {
+  weights_history history;
+  NoteGoal(history, 4, true, instant{});
+  EXPECT_TRUE(IsOutOfBounds(history, 3, true, seconds(6), instant{}));
+  EXPECT_FALSE(IsOutOfBounds(history, 3, false, seconds(6), instant{}));
+}
+
+TEST(Lease, ARenewalAlwaysChangesTheRecord) {
+  lease_view view;
+  view.self = "a";
+  view.incarnation = 1;
+  lease_record record = NextRecord(view, lease_action::kTake);
+  std::set<std::string> texts;
+  for (std::uint64_t i = 1; i < 10; ++i) {
+    ObserveLease(view, record, i, instant{}, instant{});
+    EXPECT_TRUE(texts.insert(WriteLease(record)).second);
+    EXPECT_EQ(ReadLease(WriteLease(record)), record);
+    record = NextRecord(view, lease_action::kRenew);
+  }
+}
+
+TEST(NamedPrefix, TheLastPartIsTheRequestsOwn) {
+  const std::vector<prompt_part> one{{1, 100}, {2, 200}, {3, 50}};
+  const std::vector<prompt_part> other{{1, 100}, {2, 200}, {4, 70}};
+  const cache_scope scope{"a", "m", "", ""};
+  const prefix_chain a = ComputeNamedPrefix(scope, one, 350);
+  const prefix_chain b = ComputeNamedPrefix(scope, other, 370);
+  EXPECT_EQ(a.head, b.head);
+  EXPECT_EQ(a.head_tokens, 300u);
+  EXPECT_EQ(a.tokens, 350u);
+}
+
+TEST(CacheMap, OnlyAnUnbrokenStartCounts) {
+  cache_map map;
+  const std::vector<prompt_part> parts{{1, 100}, {2, 200}, {3, 300}};
+  const auto prompt = CachedParts("s", parts);
+  NoteHeld(map, prompt[0].key, 0, 1, 100);
+  NoteHeld(map, prompt[2].key, 0, 1, 300);
+  EXPECT_EQ(HeldTokens(map, prompt, 0, 1), 100u);
+  NoteHeld(map, prompt[1].key, 0, 1, 120);
+  EXPECT_EQ(HeldTokens(map, prompt, 0, 1), 220u);
+  NoteHeld(map, prompt[1].key, 0, 1, 200);
+  EXPECT_EQ(HeldTokens(map, prompt, 0, 1), 600u);
+  // Another life of the target, another salt, a target that forgot.
+  EXPECT_EQ(HeldTokens(map, prompt, 0, 2), 0u);
+  EXPECT_EQ(HeldTokens(map, CachedParts("t", parts), 0, 1), 0u);
+  ForgetHolder(map, 0);
+  EXPECT_EQ(HeldTokens(map, prompt, 0, 1), 0u);
+  EXPECT_TRUE(map.parts.empty());
+}
+
+TEST(CacheSaves, APrefixIsSavedOnceAndAgainAfterItsTime) {
+  cache_saves saves;
+  const instant now = instant{} + seconds(100);
+  EXPECT_TRUE(NoteSaved(saves, 1, now));
+  EXPECT_FALSE(NoteSaved(saves, 1, now + saves.saved_for / 2));
+  EXPECT_TRUE(NoteSaved(saves, 1, now + saves.saved_for));
+  EXPECT_TRUE(NoteSaved(saves, 2, now));
+  ForgetAllSaved(saves);
+  EXPECT_TRUE(NoteSaved(saves, 2, now));
+}
+
+// A small service of engines for ChooseEngine().
+struct engines {
+  std::vector<target_view> targets;
+  cache_map caches;
+  std::vector<prompt_part> parts{{7, 2'500}, {8, 3'800}, {9, 2'900}};
+  std::vector<cached_part> cached = CachedParts("s-1", parts);
+  engine_request request;
+
+  explicit engines(int count) {
+    for (int i = 0; i < count; ++i) {
+      target_view view;
+      view.name = "e" + std::to_string(i);
+      view.name_hash = Hash64(view.name);
+      view.serves = "llm";
+      view.version = "1";
+      view.zone = i % 2 == 0 ? "a" : "b";
+      view.prefill_tokens_per_second = 60'000;
+      targets.push_back(view);
+    }
+    request.service = "llm";
+    request.prompt = {9'200, 6'300, 77, 10};
+    request.parts_at = [this](const target_view&) {
+      return std::span<const cached_part>(cached);
+    };
+    request.move_per_token = std::chrono::microseconds(3);
+  }
+  engine_choice Choose() {
+    return *ChooseEngine(targets, caches, request, instant{});
+  }
+  void Hold(std::uint32_t target) {
+    NoteHeld(caches, cached[0].key, target, 1, cached[0].tokens);
+    NoteHeld(caches, cached[1].key, target, 1, cached[1].tokens);
+  }
+};
+
+TEST(EngineChoice, AnUnknownPrefixGoesToItsHome) {
+  engines e(9);
+  const std::uint32_t home = e.Choose().target;
+  for (int i = 0; i < 5; ++i)
+    EXPECT_EQ(e.Choose().target, home);
+}
+
+TEST(EngineChoice, TheHolderIsPreferredWhileItIsNotBusy) {
+  engines e(9);
+  const std::uint32_t holder = (e.Choose().target + 4) % 9;
+  e.Hold(holder);
+  const engine_choice quiet = e.Choose();
+  EXPECT_EQ(quiet.target, holder);
+  EXPECT_EQ(quiet.held, 6'300u);
+  EXPECT_FALSE(quiet.source);
+  // Ten prompts wait there: another engine fetches the parts from it.
+  e.targets[holder].others_waiting = 10;
+  const engine_choice busy = e.Choose();
+  EXPECT_NE(busy.target, holder);
+  EXPECT_EQ(busy.source, holder);
+  EXPECT_EQ(TokensToRead(e.request.prompt, busy), 2'900u);
+}
+
+TEST(EngineChoice, PartsUnderOtherWeightsAreNotFetched) {
+  engines e(2);
+  e.Hold(0);
+  e.targets[0].version = "2";
+  e.targets[0].others_waiting = 20;
+  const engine_choice choice = e.Choose();
+  EXPECT_EQ(choice.target, 1u);
+  EXPECT_FALSE(choice.source);
+}
+
+TEST(EngineChoice, TheStoreIsAskedWhenNoEngineHolds) {
+  engines e(3);
+  e.request.has_store = true;
+  NoteHeld(e.caches, e.cached[0].key, kCacheStore, 0, 2'500);
+  NoteHeld(e.caches, e.cached[1].key, kCacheStore, 0, 3'800);
+  EXPECT_EQ(e.Choose().source, kCacheStore);
+  e.request.has_store = false;
+  EXPECT_FALSE(e.Choose().source);
+}
+
+TEST(EngineChoice, AnEngineWithFullMemoryIsAvoided) {
+  engines e(2);
+  e.Hold(0);
+  e.targets[0].memory_tokens = 20'000;
+  e.targets[0].own_tokens = 15'000;
+  EXPECT_EQ(e.Choose().target, 1u);
+}
+
+// Plays sessions of which one is hot, at twice the rate that one engine can
+// read, and checks that no engine falls far behind the others.
+TEST(EngineChoice, AHotSessionSpreadsWithoutBeingReadEverywhere) {
+  engines e(9);
+  double read = 0;
+  constexpr int kRequests = 200;
+  for (int i = 0; i < kRequests; ++i) {
+    const engine_choice choice = e.Choose();
+    target_view& view = e.targets[choice.target];
+    const std::uint32_t tokens = TokensToRead(e.request.prompt, choice);
+    read += tokens;
+    view.own_prefill_backlog += tokens;
+    e.Hold(choice.target);
+    // Each engine reads 200 tokens until the next request comes.
+    for (target_view& other : e.targets)
+      other.own_prefill_backlog =
+          std::max(0.0, other.own_prefill_backlog - 600);
+  }
+  double worst = 0;
+  for (const target_view& view : e.targets)
+    worst = std::max(worst, view.own_prefill_backlog);
+  // The shared parts are read once; everything else is each request's own.
+  EXPECT_LT(read, kRequests * 2'900 + 2 * 6'300);
+  // No caller waits longer than the 300 ms of an objective.
+  EXPECT_LT(worst / 60'000, 0.3);
+}
+
+}  // namespace
+}  // namespace waxwing
--- /dev/null
+++ b/testing/entry_test.cc
@@ -0,0 +1,458 @@
+// The entry from a caller's side, over the platform's dialect, against targets
+// that refuse, break off, answer twice or disappear.
+
+#include "waxwing/entry.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include "platform/dialect.h"
+#include "testing/event_loop.h"
+#include "testing/platform_standin.h"
+#include "waxwing/entry_state.h"
+#include "waxwing/http_client.h"
+
+namespace waxwing {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+using namespace testing_support;  // NOLINT(google-build-using-namespace)
+
+constexpr std::string_view kStreamPath = "/chat/x";
+constexpr std::string_view kResumablePath = "/note/x";
+constexpr std::string_view kOncePath = "/start/x";
+constexpr std::string_view kRepeatablePath = "/status/x";
+
+json::object Route(std::string_view name,
+                   std::string_view prefix,
+                   std::string_view kind,
+                   std::string_view service,
+                   int attempts,
+                   bool can_resume) {
+  return {{"name", name},
+          {"host", "calls.example"},
+          {"path_prefix", prefix},
+          {"route_type", kind},
+          {"service", service},
+          {"max_attempts", attempts},
+          {"timeout_ms", 1'500},
+          {"slo_ms", 300},
+          {"gap_target_ms", 250},
+          {"priority", 1},
+          {"anonymous", false},
+          {"sticky", service == "llm"},
+          {"can_resume", can_resume}};
+}
+
+std::string Config(int version, const json::array& extra_routes = {}) {
+  json::array routes{
+      Route("chat", "/chat/", "streaming", "llm", 1, false),
+      Route("note", "/note/", "streaming", "llm", 2, true),
+      Route("start", "/start/", "non_idempotent", "panel", 1, false),
+      Route("status", "/status/", "idempotent", "panel", 2, false)};
+  for (const json::value& extra : extra_routes)
+    routes.push_back(extra);
+  const json::object engine{
+      {"slots", 8},
+      {"kv_capacity", 100'000},
+      {"kv_bytes", 96'256},
+      {"link_mbps", 260'000.0},
+      {"models", json::array{json::object{{"name", "m"}}}}};
+  return json::serialize(json::object{
+      {"version", version},
+      {"routes", std::move(routes)},
+      {"services",
+       json::array{json::object{{"name", "llm"}, {"engine", engine}},
+                   json::object{{"name", "panel"}}}},
+      {"tenants", json::array{json::object{
+                      {"name", "shop"}, {"api_keys", json::array{"key-1"}}}}}});
+}
+
+std::string TargetRecord(const endpoint& address,
+                         std::string_view service,
+                         int weights,
+                         std::string_view state = "ready") {
+  json::object out{{"service", service}, {"address", ToText(address)},
+                   {"zone", "a"},        {"version", "v1"},
+                   {"slots", 8},         {"state", state},
+                   {"cold_left_ms", 0},  {"sequence", 0}};
+  if (weights > 0)
+    out["models"] =
+        json::array{json::object{{"name", "m"}, {"version", weights}}};
+  return json::serialize(out);
+}
+
+std::string IdOf(const http_request& request) {
+  return std::string(FindHeader(request.headers, "Request-Id"));
+}
+
+struct entry_fixture {
+  asio::io_context context;
+  std::unique_ptr<object_store_standin> store = StartObjectStore(context);
+  std::vector<std::shared_ptr<scripted_target>> targets;
+  entry running;
+  http_pool pool = MakeHttpPool(context.get_executor(), {});
+  int next_id = 1;
+
+  entry_fixture() { PutObject(*store, "config", "main", Config(1)); }
+  ~entry_fixture() {
+    if (running.state)
+      StopEntry(running);
+    for (const auto& target : targets)
+      target->acceptor.close();
+    CloseServer(store->server);
+  }
+
+  std::shared_ptr<scripted_target> AddTarget(
+      const std::string& id,
+      std::string_view service,
+      std::function<scripted_answer(const http_request&)> script) {
+    targets.push_back(StartTarget(context, std::move(script)));
+    PutObject(*store, "servers", id,
+              TargetRecord(targets.back()->Address(), service,
+                           service == "llm" ? 1 : 0));
+    return targets.back();
+  }
+
+  // Starts the entry and waits until it knows `count` targets.
+  void Start(std::size_t count) {
+    entry_options options;
+    options.vm = "vm-0";
+    options.store = store->server.address;
+    options.key = "test";
+    running =
+        *StartEntry(context.get_executor(), options, platform::MakeDialect());
+    RunUntil([&] {
+      return running.state->table->version > 0 &&
+             running.state->targets.size() == count;
+    });
+  }
+
+  // Runs the loop until the condition holds; at most 3 s.
+  bool RunUntil(const std::function<bool()>& condition) {
+    const instant limit = std::chrono::steady_clock::now() + seconds(3);
+    while (!condition() && std::chrono::steady_clock::now() < limit) {
+      context.restart();
+      context.run_one_for(milliseconds(20));
+    }
+    return condition();
+  }
+
+  tl::expected<http_response, http_error> Send(std::string_view path,
+                                               http_headers extra = {},
+                                               std::string key = "key-1") {
+    http_request request;
+    request.method = "POST";
+    request.target = std::string(path);
+    request.headers = {{"Host", "calls.example"},
+                       {"Request-Id", "r" + std::to_string(next_id++)},
+                       {"Deadline-Ms", "1000"},
+                       {"Authorization", "Token " + key}};
+    for (http_header& header : extra)
+      request.headers.push_back(std::move(header));
+    const http_call_options options{milliseconds(2'000), false};
+    return RunToEnd(
+        context, Fetch(pool, running.state->callers.address, request, options));
+  }
+};
+
+scripted_answer Answer(const http_request& request) {
+  return {{PlainAnswer(200, IdOf(request), "body")}};
+}
+
+scripted_answer Refusal(const http_request& request) {
+  return {{PlainAnswer(503, IdOf(request), "", "Not-Executed: 1\r\n")}};
+}
+
+scripted_answer WholeStream(const http_request& request) {
+  if (request.target.starts_with("/api/"))
+    return {{PlainAnswer(404, "", "{}")}};
+  return {{StreamHead(IdOf(request)), StreamEvent(1, "one"),
+           StreamEvent(2, "two"), StreamEnd()}};
+}
+
+TEST(Entry, ServesARequestAndHidesTheKey) {
+  entry_fixture f;
+  const auto target = f.AddTarget("t1", "panel", Answer);
+  f.Start(1);
+  const auto answer = f.Send(
+      kOncePath,
+      {{"Tenant", "forged"}, {"Kv-Fetch", "9.9.9.9:1"}, {"Length-Hint", "7"}});
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 200u);
+  EXPECT_EQ(answer->body, "body");
+  EXPECT_EQ(FindHeader(answer->headers, "Server-Stamp"), "stamp");
+  ASSERT_EQ(target->seen.size(), 1u);
+  const http_headers& seen = target->seen[0].headers;
+  EXPECT_EQ(FindHeader(seen, "Tenant"), "shop");
+  EXPECT_EQ(FindHeader(seen, "Authorization"), "");
+  EXPECT_EQ(FindHeader(seen, "Kv-Fetch"), "");
+  EXPECT_EQ(FindHeader(seen, "Expect-Instance"), "t1");
+  EXPECT_EQ(FindHeader(seen, "Length-Hint"), "7");
+}
+
+TEST(Entry, AnswersForItselfWhatNoTargetMaySee) {
+  entry_fixture f;
+  const auto target = f.AddTarget("t1", "panel", Answer);
+  f.Start(1);
+  EXPECT_EQ(f.Send("/nowhere/x")->status, 404u);
+  EXPECT_EQ(f.Send(kOncePath, {}, "key-2")->status, 401u);
+  EXPECT_TRUE(target->seen.empty());
+}
+
+TEST(Entry, WithoutAConfigurationItAsksToComeBack) {
+  entry_fixture f;
+  f.store->is_down = true;
+  f.AddTarget("t1", "panel", Answer);
+  entry_options options;
+  options.store = f.store->server.address;
+  options.key = "test";
+  f.running =
+      *StartEntry(f.context.get_executor(), options, platform::MakeDialect());
+  const auto answer = f.Send(kOncePath);
+  EXPECT_EQ(answer->status, 503u);
+  EXPECT_NE(FindHeader(answer->headers, "Retry-After"), "");
+}
+
+TEST(Entry, ARefusalByTheTargetIsTriedElsewhere) {
+  entry_fixture f;
+  const auto full = f.AddTarget("t1", "panel", Refusal);
+  const auto free = f.AddTarget("t2", "panel", Answer);
+  f.Start(2);
+  for (int i = 0; i < 6; ++i)
+    EXPECT_EQ(f.Send(kOncePath)->status, 200u);
+  EXPECT_EQ(free->seen.size(), 6u);
+}
+
+TEST(Entry, WhatNoTargetRanIsRefusedAtOnce) {
+  entry_fixture f;
+  f.AddTarget("t1", "panel", Refusal);
+  f.Start(1);
+  const instant start = std::chrono::steady_clock::now();
+  const auto answer = f.Send(kOncePath);
+  EXPECT_EQ(answer->status, 503u);
+  EXPECT_NE(FindHeader(answer->headers, "Retry-After"), "");
+  EXPECT_LT(std::chrono::steady_clock::now() - start, milliseconds(900));
+}
+
+TEST(Entry, ARequestThatMayHaveRunIsNeitherRepeatedNorCalledNotRun) {
+  entry_fixture f;
+  const auto breaking =
+      f.AddTarget("t1", "panel", [](const http_request&) -> scripted_answer {
+        return {{}, true};
+      });
+  const auto other =
+      f.AddTarget("t2", "panel", [](const http_request&) -> scripted_answer {
+        return {{}, true};
+      });
+  f.Start(2);
+  EXPECT_EQ(f.Send(kOncePath)->status, 502u);
+  EXPECT_EQ(breaking->seen.size() + other->seen.size(), 1u);
+}
+
+TEST(Entry, ARepeatableRequestIsTriedElsewhereOnce) {
+  entry_fixture f;
+  const auto script = [](const http_request& request) -> scripted_answer {
+    return {{PlainAnswer(500, IdOf(request), "sorry")}};
+  };
+  const auto one = f.AddTarget("t1", "panel", script);
+  const auto two = f.AddTarget("t2", "panel", script);
+  f.Start(2);
+  const auto answer = f.Send(kRepeatablePath);
+  EXPECT_EQ(answer->status, 500u);
+  EXPECT_EQ(answer->body, "sorry");
+  EXPECT_EQ(one->seen.size(), 1u);
+  EXPECT_EQ(two->seen.size(), 1u);
+}
+
+TEST(Entry, AnAnswerOfAnotherRequestIsSkipped) {
+  entry_fixture f;
+  f.AddTarget("t1", "panel",
+              [](const http_request& request) -> scripted_answer {
+                return {{PlainAnswer(200, "somebody-else", "theirs"),
+                         PlainAnswer(200, IdOf(request), "mine")}};
+              });
+  f.Start(1);
+  const auto answer = f.Send(kOncePath);
+  EXPECT_EQ(answer->status, 200u);
+  EXPECT_EQ(answer->body, "mine");
+}
+
+TEST(Entry, BytesThatAreNoAnswerGiveAFailure) {
+  entry_fixture f;
+  f.AddTarget("t1", "panel", [](const http_request&) -> scripted_answer {
+    return {{"garbage\r\n\r\n"}, true};
+  });
+  f.Start(1);
+  EXPECT_EQ(f.Send(kOncePath)->status, 502u);
+}
+
+TEST(Entry, AnAnswerCutShortIsNotWhole) {
+  entry_fixture f;
+  f.AddTarget("t1", "panel",
+              [](const http_request& request) -> scripted_answer {
+                std::string whole = PlainAnswer(200, IdOf(request), "complete");
+                whole.resize(whole.size() - 3);
+                return {{whole}, true};
+              });
+  f.Start(1);
+  EXPECT_EQ(f.Send(kOncePath)->status, 502u);
+}
+
+TEST(Entry, AStreamArrivesAsTheTargetMadeIt) {
+  entry_fixture f;
+  f.AddTarget("e1", "llm", WholeStream);
+  f.Start(1);
+  const auto answer = f.Send(kStreamPath);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->body, "id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
+}
+
+TEST(Entry, ABrokenStreamThatCanNotBeResumedNeverLooksWhole) {
+  entry_fixture f;
+  f.AddTarget("e1", "llm", [](const http_request& request) -> scripted_answer {
+    if (request.target.starts_with("/api/"))
+      return {{PlainAnswer(404, "", "{}")}};
+    return {{StreamHead(IdOf(request)), StreamEvent(1, "one")}, true};
+  });
+  f.Start(1);
+  EXPECT_FALSE(f.Send(kStreamPath));
+}
+
+TEST(Entry, AResumableStreamGoesOnAtAnotherTarget) {
+  entry_fixture f;
+  const auto script = [](const http_request& request) -> scripted_answer {
+    if (request.target.starts_with("/api/"))
+      return {{PlainAnswer(404, "", "{}")}};
+    if (FindHeader(request.headers, "Last-Event-Id") == "1")
+      return {{StreamHead(IdOf(request)), StreamEvent(2, "two"), StreamEnd()}};
+    // The second event breaks off in its middle.
+    return {{StreamHead(IdOf(request)), StreamEvent(1, "one"),
+             "1f\r\nid: 2\ndata: t"},
+            true};
+  };
+  f.AddTarget("e1", "llm", script);
+  f.AddTarget("e2", "llm", script);
+  f.Start(2);
+  const auto answer = f.Send(kResumablePath);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->body, "id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
+}
+
+TEST(Entry, ACallerThatLeavesFreesTheTarget) {
+  entry_fixture f;
+  const auto target = f.AddTarget(
+      "t1", "panel", [](const http_request&) { return scripted_answer{}; });
+  f.Start(1);
+  asio::ip::tcp::socket caller(f.context);
+  caller.connect({asio::ip::make_address("127.0.0.1"),
+                  f.running.state->callers.address.port});
+  const std::string request =
+      "POST /start/x HTTP/1.1\r\nHost: calls.example\r\nRequest-Id: r\r\n"
+      "Authorization: Token key-1\r\nContent-Length: 0\r\n\r\n";
+  asio::write(caller, asio::buffer(request));
+  ASSERT_TRUE(f.RunUntil([&] { return target->seen.size() == 1; }));
+  caller.close();
+  EXPECT_TRUE(
+      f.RunUntil([&] { return OpenExchanges(f.running.state->callers) == 0; }));
+}
+
+TEST(Entry, AChangedConfigurationIsInForceAndNeverReverts) {
+  entry_fixture f;
+  f.AddTarget("t1", "panel", Answer);
+  f.Start(1);
+  const json::array added{
+      Route("new", "/new/", "idempotent", "panel", 2, false)};
+  PutObject(*f.store, "config", "main", Config(5, added));
+  ASSERT_TRUE(f.RunUntil([&] { return f.running.state->table->version == 5; }));
+  EXPECT_EQ(f.Send("/new/x")->status, 200u);
+  PutObject(*f.store, "config", "main", Config(4));
+  PutObject(*f.store, "versions", "m", R"({"model":"m","version":2})");
+  ASSERT_TRUE(f.RunUntil([&] { return f.running.state->goals.contains("m"); }));
+  EXPECT_EQ(f.running.state->table->version, 5);
+}
+
+TEST(Entry, AnUnreadableConfigurationLeavesTheOneInForce) {
+  entry_fixture f;
+  f.AddTarget("t1", "panel", Answer);
+  f.Start(1);
+  PutObject(*f.store, "config", "main", R"({"version":9,"routes":[7]})");
+  PutObject(*f.store, "versions", "m", R"({"model":"m","version":2})");
+  ASSERT_TRUE(f.RunUntil([&] { return f.running.state->goals.contains("m"); }));
+  EXPECT_EQ(f.running.state->table->version, 1);
+  EXPECT_EQ(f.Send(kOncePath)->status, 200u);
+}
+
+TEST(Entry, AnUnreadableTargetDisturbsNoOther) {
+  entry_fixture f;
+  PutObject(*f.store, "servers", "bad-1", R"({"service":7})");
+  PutObject(*f.store, "servers", "bad-2", R"("text")");
+  f.AddTarget("t1", "panel", Answer);
+  f.Start(1);
+  EXPECT_EQ(f.Send(kOncePath)->status, 200u);
+}
+
+TEST(Entry, ALeavingTargetGetsNoNewWork) {
+  entry_fixture f;
+  const auto leaving = f.AddTarget("t1", "panel", Answer);
+  f.AddTarget("t2", "panel", Answer);
+  f.Start(2);
+  PutObject(*f.store, "servers", "t1",
+            TargetRecord(leaving->Address(), "panel", 0, "draining"));
+  const auto& state = *f.running.state;
+  ASSERT_TRUE(
+      f.RunUntil([&] { return state.targets.at("t1").record.is_leaving; }));
+  for (int i = 0; i < 8; ++i)
+    EXPECT_EQ(f.Send(kOncePath)->status, 200u);
+  EXPECT_TRUE(leaving->seen.empty());
+}
+
+TEST(Entry, LostHistoryIsListedAgain) {
+  entry_fixture f;
+  f.AddTarget("t1", "panel", Answer);
+  f.AddTarget("t2", "panel", Answer);
+  f.Start(2);
+  f.store->kinds["servers"].erase("t1");
+  f.store->oldest_history = f.store->revision + 1;
+  ++f.store->revision;
+  EXPECT_TRUE(
+      f.RunUntil([&] { return !f.running.state->targets.contains("t1"); }));
+  EXPECT_TRUE(f.running.state->targets.contains("t2"));
+}
+
+TEST(Entry, OrdersEachTargetItsNewWeightsOnce) {
+  entry_fixture f;
+  int orders = 0;
+  const auto script = [&](const http_request& request) -> scripted_answer {
+    if (request.target == "/api/report")
+      return {{PlainAnswer(
+          200, "",
+          R"({"models":[{"name":"m","version":1}],"busy":false,"sequence":3})")}};
+    if (request.target != "/api/order")
+      return WholeStream(request);
+    ++orders;
+    const json::object body = json::parse(request.body).as_object();
+    EXPECT_EQ(body.at("version").as_int64(), 2);
+    EXPECT_EQ(body.at("precondition").as_int64(), 3);
+    EXPECT_EQ(body.at("fencing_token").to_number<int>(), 1);
+    EXPECT_EQ(FindHeader(request.headers, "Expect-Instance"), "e1");
+    return {{PlainAnswer(202, "", "")}};
+  };
+  const auto target = f.AddTarget("e1", "llm", script);
+  f.Start(1);
+  PutObject(*f.store, "versions", "m", R"({"model":"m","version":2})");
+  ASSERT_TRUE(f.RunUntil([&] { return orders == 1; }));
+  PutObject(*f.store, "servers", "e1",
+            TargetRecord(target->Address(), "llm", 2));
+  f.RunUntil([&] {
+    return f.running.state->targets.at("e1").record.weights_version == 2;
+  });
+  EXPECT_FALSE(f.RunUntil([&] { return orders > 1; }));
+}
+
+}  // namespace
+}  // namespace waxwing
--- a/testing/http_test.cc
+++ b/testing/http_test.cc
@@ -49,6 +49,47 @@
   EXPECT_EQ(answer->body, "hello");
 }
 
+// Sends raw bytes and gives all that comes back until the server closes.
+std::string SendRaw(fixture& f, const std::string& bytes) {
+  asio::ip::tcp::socket caller(f.context);
+  caller.connect({asio::ip::make_address("127.0.0.1"), f.server.address.port});
+  asio::write(caller, asio::buffer(bytes));
+  std::string answer;
+  boost::system::error_code error;
+  bool done = false;
+  asio::async_read(caller, asio::dynamic_buffer(answer),
+                   [&](const boost::system::error_code&, std::size_t) {
+                     done = true;
+                   });
+  const instant limit = std::chrono::steady_clock::now() + seconds(3);
+  while (!done && std::chrono::steady_clock::now() < limit) {
+    f.context.restart();
+    f.context.run_one_for(milliseconds(20));
+  }
+  caller.close(error);
+  f.context.restart();
+  f.context.poll();
+  return answer;
+}
+
+TEST(Http, ABodyWhoseEndIsInDoubtIsRefused) {
+  const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n";
+  for (const char* framing :
+       {"Transfer-Encoding: xchunked", "Transfer-Encoding: chunked, gzip",
+        "Transfer-Encoding: gzip, chunked",
+        "Content-Length: 0\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 3",
+        "Content-Length: 0\r\nContent-Length: 0", "Content-Length: +0",
+        "Transfer-Encoding : chunked"}) {
+    fixture f;
+    const std::string answer =
+        SendRaw(f, std::string("POST / HTTP/1.1\r\nHost: x\r\n") + framing +
+                       "\r\n\r\n" + smuggled);
+    EXPECT_EQ(f.handled, 0) << framing;
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << framing << answer;
+  }
+}
+
 TEST(Http, IdleCallersDoNotShutOthersOut) {
   http_limits limits;
   limits.connections = 4;
--- /dev/null
+++ b/testing/platform_standin.cc
@@ -0,0 +1,253 @@
+#include "testing/platform_standin.h"
+
+#include <boost/beast.hpp>
+#include <boost/json.hpp>
+#include <cstdio>
+
+namespace testing_support {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+
+using waxwing::http_exchange;
+using waxwing::http_request;
+using waxwing::JsonResponse;
+using waxwing::PathOf;
+using waxwing::QueryValue;
+
+namespace {
+
+constexpr std::string_view kObjectsPath = "/api/objects/";
+constexpr auto kPoll = std::chrono::milliseconds(5);
+constexpr int kMostPolls = 400;
+
+json::object ToJson(const std::string& name,
+                    const object_store_standin::object& from) {
+  return {
+      {"metadata", json::object{{"name", name}, {"revision", from.revision}}},
+      {"spec", json::parse(from.spec)},
+      {"status", nullptr}};
+}
+
+std::string ListPage(const object_store_standin& store,
+                     const std::string& kind) {
+  json::array items;
+  const auto found = store.kinds.find(kind);
+  if (found != store.kinds.end()) {
+    for (const auto& [name, object] : found->second)
+      items.push_back(ToJson(name, object));
+  }
+  return json::serialize(json::object{{"items", std::move(items)},
+                                      {"more_pages", false},
+                                      {"current_rev", store.revision}});
+}
+
+json::array EventsSince(const object_store_standin& store,
+                        const std::string& kind,
+                        std::uint64_t revision) {
+  json::array out;
+  for (const auto& change : store.changes) {
+    if (change.revision <= revision || change.kind != kind)
+      continue;
+    object_store_standin::object current{change.revision, "null"};
+    const auto found = store.kinds.find(kind);
+    if (found != store.kinds.end() && found->second.contains(change.name))
+      current = found->second.at(change.name);
+    out.push_back(json::object{{"object", ToJson(change.name, current)},
+                               {"removed", change.is_removed}});
+  }
+  return out;
+}
+
+asio::awaitable<void> Watch(object_store_standin& store,
+                            http_exchange& exchange,
+                            const std::string& kind) {
+  const std::string from(QueryValue(exchange.request.target, "watch"));
+  const std::uint64_t revision = std::stoull(from);
+  asio::steady_timer timer(*store.context);
+  for (int i = 0; i < kMostPolls; ++i) {
+    if (store.is_down || revision < store.oldest_history)
+      break;
+    json::array events = EventsSince(store, kind, revision);
+    if (!events.empty() || i + 1 == kMostPolls) {
+      auto answer = JsonResponse(
+          200, json::serialize(json::object{{"events", std::move(events)},
+                                            {"current_rev", store.revision}}));
+      co_await waxwing::Respond(exchange, answer);
+      co_return;
+    }
+    timer.expires_after(kPoll);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  auto answer = JsonResponse(store.is_down ? 503 : 410, "{}");
+  co_await waxwing::Respond(exchange, answer);
+}
+
+waxwing::http_response Write(object_store_standin& store,
+                             const http_request& request,
+                             const std::string& kind) {
+  const json::object body = json::parse(request.body).as_object();
+  const json::object& metadata = body.at("metadata").as_object();
+  const std::string name(metadata.at("name").as_string());
+  const auto found = store.kinds[kind].find(name);
+  const bool exists = found != store.kinds[kind].end();
+  if (request.method == "POST" && exists)
+    return JsonResponse(409, json::serialize(ToJson(name, found->second)));
+  if (request.method == "PUT" && !exists)
+    return JsonResponse(404, "{}");
+  if (metadata.contains("revision") &&
+      metadata.at("revision").to_number<std::uint64_t>() !=
+          found->second.revision)
+    return JsonResponse(409, json::serialize(ToJson(name, found->second)));
+  const std::string spec = json::serialize(body.at("spec"));
+  // A write that changes nothing leaves the revision as it is.
+  if (!exists || found->second.spec != spec)
+    PutObject(store, kind, name, spec);
+  return JsonResponse(200,
+                      json::serialize(ToJson(name, store.kinds[kind][name])));
+}
+
+asio::awaitable<void> Serve(object_store_standin& store,
+                            http_exchange& exchange) {
+  std::string path(PathOf(exchange.request.target).substr(kObjectsPath.size()));
+  const std::size_t slash = path.find('/');
+  const std::string kind = path.substr(0, slash);
+  const bool is_get = exchange.request.method == "GET";
+  waxwing::http_response answer = JsonResponse(503, "{}");
+  if (is_get && !QueryValue(exchange.request.target, "watch").empty()) {
+    co_await Watch(store, exchange, kind);
+    co_return;
+  }
+  if (!store.is_down && is_get && slash == std::string::npos) {
+    answer = JsonResponse(200, ListPage(store, kind));
+  } else if (!store.is_down && is_get) {
+    const std::string name = path.substr(slash + 1);
+    const bool exists = store.kinds[kind].contains(name);
+    answer = exists ? JsonResponse(200, json::serialize(ToJson(
+                                            name, store.kinds[kind][name])))
+                    : JsonResponse(404, "{}");
+  } else if (!store.is_down) {
+    answer = Write(store, exchange.request, kind);
+  }
+  co_await waxwing::Respond(exchange, answer);
+}
+
+asio::awaitable<void> ServeScript(std::shared_ptr<scripted_target> target,
+                                  asio::ip::tcp::socket socket) {
+  boost::beast::flat_buffer buffer;
+  while (true) {
+    http::request<http::string_body> message;
+    auto [error, bytes] = co_await http::async_read(
+        socket, buffer, message, asio::as_tuple(asio::use_awaitable));
+    if (error)
+      co_return;
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.body = message.body();
+    for (const auto& field : message)
+      request.headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    if (!request.target.starts_with("/api/"))
+      target->seen.push_back(request);
+    const scripted_answer answer = target->script(request);
+    for (const std::string& piece : answer.pieces) {
+      auto [write_error, written] = co_await asio::async_write(
+          socket, asio::buffer(piece), asio::as_tuple(asio::use_awaitable));
+      if (write_error)
+        co_return;
+    }
+    if (answer.closes)
+      co_return;
+  }
+}
+
+asio::awaitable<void> AcceptScripted(std::shared_ptr<scripted_target> target) {
+  while (target->acceptor.is_open()) {
+    auto [error, socket] = co_await target->acceptor.async_accept(
+        asio::as_tuple(asio::use_awaitable));
+    if (error)
+      co_return;
+    asio::co_spawn(target->acceptor.get_executor(),
+                   ServeScript(target, std::move(socket)), asio::detached);
+  }
+}
+
+std::string Chunk(std::string_view data) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", data.size());
+  return size + std::string(data) + "\r\n";
+}
+
+}  // namespace
+
+std::unique_ptr<object_store_standin> StartObjectStore(
+    asio::io_context& context) {
+  auto store = std::make_unique<object_store_standin>();
+  store->context = &context;
+  object_store_standin* raw = store.get();
+  store->server = *waxwing::StartHttpServer(
+      context.get_executor(), {"127.0.0.1", 0}, {},
+      [raw](http_exchange& exchange) { return Serve(*raw, exchange); });
+  return store;
+}
+
+void PutObject(object_store_standin& store,
+               const std::string& kind,
+               const std::string& name,
+               const std::string& spec) {
+  store.kinds[kind][name] = {++store.revision, spec};
+  store.changes.push_back({store.revision, kind, name, false});
+}
+
+void RemoveObject(object_store_standin& store,
+                  const std::string& kind,
+                  const std::string& name) {
+  store.kinds[kind].erase(name);
+  store.changes.push_back({++store.revision, kind, name, true});
+}
+
+scripted_target::scripted_target(asio::io_context& context)
+    : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}) {}
+
+waxwing::endpoint scripted_target::Address() const {
+  return {"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+std::shared_ptr<scripted_target> StartTarget(
+    asio::io_context& context,
+    std::function<scripted_answer(const http_request&)> script) {
+  auto target = std::make_shared<scripted_target>(context);
+  target->script = std::move(script);
+  asio::co_spawn(context, AcceptScripted(target), asio::detached);
+  return target;
+}
+
+std::string PlainAnswer(unsigned status,
+                        std::string_view id,
+                        std::string_view body,
+                        std::string_view more_headers) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nRequest-Id: " + std::string(id) +
+         "\r\nServer-Stamp: stamp\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n" + std::string(more_headers) +
+         "\r\n" + std::string(body);
+}
+
+std::string StreamHead(std::string_view id) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + std::string(id) +
+         "\r\nServer-Stamp: stamp\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string StreamEvent(int id, std::string_view data) {
+  return Chunk("id: " + std::to_string(id) + "\ndata: " + std::string(data) +
+               "\n\n");
+}
+
+std::string StreamEnd() {
+  return "0\r\n\r\n";
+}
+
+}  // namespace testing_support
--- /dev/null
+++ b/testing/platform_test.cc
@@ -0,0 +1,163 @@
+// The platform's dialect: what it reads from hostile or broken input, and what
+// it lets through.
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <boost/json.hpp>
+
+#include "platform/ingress.h"
+#include "platform/records.h"
+#include "platform/settings.h"
+#include "platform/workers.h"
+
+namespace waxwing::platform {
+namespace {
+
+constexpr std::string_view kSettings = R"({
+  "node_name": "front-a-1", "zone": "a", "region": "r", "new_field": [1],
+  "listen": {"front": "10.0.0.1:1", "ready": "10.0.0.1:2",
+             "control": "10.0.0.1:3", "directory": "10.0.0.1:4"},
+  "seeds": ["10.0.0.2:3"], "heartbeat_ms": 1200,
+  "limits": {"cpu_share": 0.25, "cores": 1, "max_fds": 4100},
+  "bounds": {"lease_ms": 3000, "version_ms": 8000, "grace_s": 8,
+             "retry_ratio": 0.2, "retry_slack": 54},
+  "platform": {"address": "10.200.1.7:8784"}})";
+
+TEST(PlatformSettings, ReadsAFile) {
+  const auto read = ReadSettings(kSettings);
+  ASSERT_TRUE(read) << read.error();
+  EXPECT_EQ(read->vm, "front-a-1");
+  EXPECT_EQ(ToText(read->callers), "10.0.0.1:1");
+  EXPECT_EQ(read->bounds.stop, seconds(8));
+  EXPECT_EQ(read->bounds.retry_allowance, 54);
+  ASSERT_EQ(read->seeds.size(), 1u);
+}
+
+TEST(PlatformSettings, NamesTheFieldThatIsWrong) {
+  const auto without = [](std::string_view cut, std::string_view by) {
+    std::string text(kSettings);
+    text.replace(text.find(cut), cut.size(), by);
+    return ReadSettings(text);
+  };
+  EXPECT_NE(without("\"node_name\"", "\"x\"").error().find("node_name"),
+            std::string::npos);
+  EXPECT_NE(without("10.0.0.1:2", "nowhere").error().find("listen.ready"),
+            std::string::npos);
+  EXPECT_NE(without("3000", "\"3\"").error().find("bounds.lease_ms"),
+            std::string::npos);
+  EXPECT_FALSE(ReadSettings(kSettings.substr(0, 200)));
+}
+
+RC_GTEST_PROP(PlatformInput, AnyTextIsReadOrRefused, (std::string text)) {
+  (void)ReadSettings(text);
+  (void)ReadConfig(text);
+  (void)ReadTargetRecord("name", text);
+  (void)ReadWeightsGoal(text);
+  http_request request{"POST", "/x", {{"Request-Id", "r"}}, ""};
+  for (const char* name : {"Deadline-Ms", "Prefix-Hash", "Token-Count",
+                           "Last-Event-Id", "Authorization", "Connection"}) {
+    request.headers.resize(1);
+    request.headers.push_back({name, text});
+    (void)ReadCallerRequest(request);
+  }
+}
+
+http_request Request(http_headers headers) {
+  headers.push_back({"Request-Id", "r"});
+  return {"POST", "/x", std::move(headers), "body"};
+}
+
+TEST(PlatformIngress, ReadsAPromptOfNamedParts) {
+  const auto read =
+      ReadCallerRequest(Request({{"Prefix-Hash", "5c1e07a2:800,91bd3f06:410"},
+                                 {"Token-Count", "1460,80"},
+                                 {"Authorization", "Token abc"}}));
+  ASSERT_TRUE(read);
+  ASSERT_EQ(read->parts.size(), 2u);
+  EXPECT_EQ(read->parts[0].id, 0x5c1e07a2u);
+  EXPECT_EQ(read->parts[1].tokens, 410u);
+  EXPECT_EQ(read->prompt_tokens, 1'460u);
+  EXPECT_EQ(read->output_tokens, 80u);
+  EXPECT_EQ(read->account_key, "abc");
+}
+
+TEST(PlatformIngress, RefusesWhatItCanNotRead) {
+  for (const http_header& bad : http_headers{{"Deadline-Ms", "-1"},
+                                             {"Deadline-Ms", "soon"},
+                                             {"Token-Count", "1"},
+                                             {"Prefix-Hash", "xyz:1"},
+                                             {"Prefix-Hash", "1:"},
+                                             {"Last-Event-Id", "one"}})
+    EXPECT_FALSE(ReadCallerRequest(Request({bad}))) << bad.value;
+  EXPECT_FALSE(ReadCallerRequest({"GET", "/", {}, ""}));
+}
+
+TEST(PlatformIngress, TargetsSeeNothingThatIsTheEntrysToSet) {
+  const auto read = ReadCallerRequest(Request({{"Hold", "1"},
+                                               {"pin-ms", "9"},
+                                               {"KV-FROM", "x"},
+                                               {"Kv-Backup", "x"},
+                                               {"Request-Priority", "0"},
+                                               {"Cache-Salt", "x"},
+                                               {"Tenant", "x"},
+                                               {"Expect-Version", "1"},
+                                               {"Keep-Alive", "5"},
+                                               {"Connection", "X-Mine"},
+                                               {"X-Mine", "1"},
+                                               {"X-Other", "2"},
+                                               {"Model", "m"}}));
+  ASSERT_TRUE(read);
+  std::string names;
+  for (const http_header& header : read->forwarded)
+    names += header.name + " ";
+  EXPECT_EQ(names, "X-Other Model Request-Id ");
+}
+
+TEST(PlatformWorkers, AStatedRefusalIsNotRun) {
+  const auto facts = [](unsigned status, http_headers headers) {
+    return ReadAnswer({status, std::move(headers), ""});
+  };
+  EXPECT_TRUE(facts(503, {{"Not-Executed", "1"}}).not_run);
+  EXPECT_TRUE(facts(421, {}).not_run);
+  EXPECT_FALSE(facts(503, {}).not_run);
+  EXPECT_FALSE(facts(500, {}).not_run);
+  const auto load = facts(200, {{"Instance-Load", "3,1,8"}}).now;
+  ASSERT_TRUE(load);
+  EXPECT_EQ(load->waiting, 1);
+  EXPECT_FALSE(facts(200, {{"Instance-Load", "3,1"}}).now);
+  EXPECT_FALSE(facts(200, {{"Instance-Load", "a,b,c"}}).now);
+}
+
+TEST(PlatformRecords, ReadsATargetAndItsWeights) {
+  const auto read = ReadTargetRecord(
+      "i-1",
+      R"({"service":"s","address":"10.0.0.9:80","zone":"a","slots":8,
+          "state":"draining","born":17,
+          "models":[{"name":"m","version":4,"adapters":[]}]})");
+  ASSERT_TRUE(read) << read.error();
+  EXPECT_TRUE(read->is_leaving);
+  EXPECT_EQ(read->born, 17);
+  EXPECT_EQ(read->model, "m");
+  EXPECT_EQ(read->weights_version, 4);
+}
+
+TEST(PlatformRecords, RefusesTargetsOfOtherWriters) {
+  for (
+      const char* text :
+      {R"({"service":"s"})",
+       R"({"service":"s","address":"x","zone":"a","slots":8,"state":"ready"})",
+       R"({"service":"s","address":"1.2.3.4:5","zone":"a","slots":8,"state":"new"})",
+       R"({"service":"s","address":"1.2.3.4:5","zone":"a","slots":"8","state":"ready"})"})
+    EXPECT_FALSE(ReadTargetRecord("i-1", text)) << text;
+}
+
+TEST(PlatformRecords, AnIsolatedFlagThatCanNotBeReadIsolates) {
+  const auto read = ReadConfig(
+      R"({"version":1,"tenants":[{"name":"a","api_keys":["k"],"isolated":"no"}]})");
+  ASSERT_TRUE(read);
+  EXPECT_TRUE(read->account_of_key.at("k").is_isolated);
+}
+
+}  // namespace
+}  // namespace waxwing::platform
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -166,8 +166,13 @@
     const milliseconds bound =
         state.options.bounds.weights_in_force - kWeightsMargin;
     for (std::size_t i = 0; i < list.size(); ++i) {
-      views[model][i]->has_refused_weights =
+      const bool is_out =
           IsOutOfBounds(goal->second, list[i].version, has_newest, bound, now);
+      views[model][i]->has_refused_weights = is_out;
+      // Without the store nobody tells of loads; the target itself refuses a
+      // request if the guess is wrong.
+      if (is_out && is_store_lost)
+        guessed.emplace_back(views[model][i]->name, newest);
       if (list[i].version < newest)
         views[model][i]->distance += kOlderWeights;
     }
