Close a stopping VM after three lifetimes; hold a started one to the bounds of weights

Change: three lifetimes after the signal a VM closes and refuses; when all are leaving, the one that began last is named; a stopping VM goes on with a rollout that it holds; weights replaced before a start are out of bounds before the VM counts as in touch.

--- a/testing/http_test.cc
+++ b/testing/http_test.cc
@@ -49,6 +49,14 @@
   EXPECT_EQ(answer->body, "hello");
 }
 
+TEST(Log, ASecondTakesSoManyLinesAndNoMore) {
+  detail::log_bound bound;
+  for (int i = 0; i < kLogLinesPerSecond; ++i)
+    EXPECT_TRUE(detail::TakeLogLine(bound, 7));
+  EXPECT_FALSE(detail::TakeLogLine(bound, 7));
+  EXPECT_TRUE(detail::TakeLogLine(bound, 8));
+}
+
 // Sends raw bytes and gives all that comes back until the server closes.
 std::string SendRaw(fixture& f, const std::string& bytes) {
   asio::ip::tcp::socket caller(f.context);
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -28,21 +28,42 @@
 constexpr std::size_t kReservedDescriptors = 1'000;
 constexpr milliseconds kHealthyStart{5'000};
 
+struct known_entry {
+  const member* data = nullptr;
+  instant since;
+};
+
+// VMs to name: those that serve. If all are leaving, the one that will be there
+// longest, and that is the one that began to leave last.
+std::vector<const member*> ChooseServing(const entry_state& state) {
+  std::vector<const member*> serving;
+  known_entry last;
+  for (const auto& [vm, record] : state.members.state->members.members) {
+    const bool is_self = vm == state.options.vm;
+    if (record.data.status == member_status::kAlive &&
+        (!is_self || CanServe(state)))
+      serving.push_back(&record.data);
+    if (record.data.status == member_status::kLeaving &&
+        (!last.data || record.since > last.since))
+      last = {&record.data, record.since};
+  }
+  if (serving.empty() && last.data)
+    serving.push_back(last.data);
+  return serving;
+}
+
 // Addresses for callers of a zone: VMs of that zone, or all if it has none.
 std::vector<endpoint> ChooseAddresses(const entry_state& state,
                                       std::string_view zone) {
+  const auto serving = ChooseServing(state);
   std::vector<endpoint> near;
   std::vector<endpoint> all;
-  for (const auto& [vm, record] : state.members.state->members.members) {
-    const bool is_self = vm == state.options.vm;
-    if (record.data.status != member_status::kAlive ||
-        (is_self && (state.is_draining || !CanServe(state))))
-      continue;
-    all.push_back(record.data.router);
-    if (record.data.zone == zone)
-      near.push_back(record.data.router);
+  for (const member* vm : serving) {
+    all.push_back(vm->router);
+    if (vm->zone == zone)
+      near.push_back(vm->router);
   }
-  // Nobody else is known: better this VM than none.
+  // Nobody is known to serve: better this VM than none.
   if (all.empty())
     all.push_back(state.options.callers);
   auto& chosen = near.empty() ? all : near;
@@ -215,6 +236,8 @@
   // Callers that hold an older answer still come, with new connections.
   CloseAfterAnswers(state->callers);
   co_await Pause(state->root, kDirectoryLifetime * kLifetimesKept);
+  state->is_closed = true;
+  StopAccepting(state->callers);
   while (OpenExchanges(state->callers) > 0 &&
          std::chrono::steady_clock::now() < limit)
     co_await Pause(state->root, kDrainPoll);
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -142,6 +142,8 @@
 
 // Finds route, account and deadline.
 std::optional<refusal> Identify(forward_run& run) {
+  if (run.state->is_closed)
+    return refusal{503, "leaving", kShortestRetryAfter};
   if (!CanServe(*run.state))
     return refusal{503, "no_config", kNoConfigRetryAfter};
   run.path = FindRoute(*run.table, run.request.host,
@@ -252,8 +254,8 @@
     engine = *chosen;
     return placement{chosen->target, chosen->held + chosen->fetched, now, true};
   }
-  const placement_request wanted{&run.chain, run.service, "", run.avoid,
-                                 state.random(), is_last_resort};
+  const placement_request wanted{&run.chain, run.service,    "",
+                                 run.avoid,  state.random(), is_last_resort};
   return Place(state.placement, wanted, now);
 }
 
--- a/waxwing/entry_rollout.cc
+++ b/waxwing/entry_rollout.cc
@@ -204,7 +204,7 @@
     co_await Pause(state->root, kPeriod);
     const instant now = std::chrono::steady_clock::now();
     const auto loads = FindPendingLoads(*state, now);
-    if (loads.empty() || state->is_draining) {
+    if (loads.empty()) {
       pending_since.reset();
       if (!HeldLast(*state) && CandidateRank(*state) < kReadyCandidates)
         co_await LookIfDue(state, last_look, kIdleLook);
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -59,6 +59,8 @@
   std::mt19937_64 random;
   instant started;
   bool is_draining = false;
+  // No answer names this VM any more; what still comes is refused.
+  bool is_closed = false;
   // Invariant: the version never falls.
   std::shared_ptr<const route_table> table = std::make_shared<route_table>();
   std::map<object_kind, watch_position> watches;
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -26,6 +26,9 @@
 // From this long before older weights are out of bounds, no request is sent to
 // them: it may have to wait at the target.
 constexpr milliseconds kWeightsMargin{1'500};
+// A process that has just started is held to the bounds once it has been in
+// touch with the platform for a while; this is kept from that time.
+constexpr milliseconds kContactMargin{500};
 
 // A place in the list that no request refers to any more, or a new one.
 std::uint32_t FindPlace(placement_state& placement) {
@@ -160,14 +163,12 @@
     if (goal == state.goals.end())
       continue;
     const std::int64_t newest = GoalOf(goal->second);
-    const bool has_newest = std::any_of(
-        list.begin(), list.end(),
-        [&](const rollout_target& other) { return other.version >= newest; });
-    const milliseconds bound =
-        state.options.bounds.weights_in_force - kWeightsMargin;
+    const weights_bounds bounds{
+        state.options.bounds.weights_in_force - kWeightsMargin,
+        state.options.bounds.contact - kContactMargin};
     for (std::size_t i = 0; i < list.size(); ++i) {
       const bool is_out =
-          IsOutOfBounds(goal->second, list[i].version, has_newest, bound, now);
+          IsOutOfBounds(goal->second, list[i].version, bounds, now);
       views[model][i]->has_refused_weights = is_out;
       // Without the store nobody tells of loads; the target itself refuses a
       // request if the guess is wrong.
--- a/waxwing/log.cc
+++ b/waxwing/log.cc
@@ -1,14 +1,17 @@
 #include "waxwing/log.h"
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/utility/setup/console.hpp>
 #include <chrono>
 #include <cstdio>
 #include <ctime>
-#include <iostream>
 
 namespace waxwing {
 namespace {
@@ -41,6 +44,46 @@
   return text;
 }
 
+// A pipe that is ready takes a write of this size whole.
+constexpr std::size_t kLongestLine = 4096;
+
+// Writes lines to standard output, or drops them.
+class output_backend : public boost::log::sinks::basic_formatted_sink_backend<
+                           char,
+                           boost::log::sinks::concurrent_feeding> {
+ public:
+  void consume(const boost::log::record_view&, const std::string& line) {
+    const std::int64_t second = std::time(nullptr);
+    if (!detail::TakeLogLine(bound_, second) || !IsReady()) {
+      ++dropped_;
+      return;
+    }
+    if (dropped_ > 0) {
+      Put("level=warning event=log_lines_dropped count=" +
+          std::to_string(dropped_));
+      dropped_ = 0;
+    }
+    Put(line);
+  }
+
+ private:
+  static bool IsReady() {
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+  }
+  static void Put(std::string line) {
+    if (line.size() >= kLongestLine)
+      line.resize(kLongestLine - 1);
+    line += '\n';
+    // A line that is lost here has nowhere to be told.
+    [[maybe_unused]] const auto written =
+        ::write(STDOUT_FILENO, line.data(), line.size());
+  }
+
+  detail::log_bound bound_;
+  std::uint64_t dropped_ = 0;
+};
+
 void Write(log_level level,
            std::string_view level_name,
            std::string_view event,
@@ -66,11 +109,11 @@
 void StartLog(std::string_view program, log_level lowest) {
   State().program = program;
   State().lowest = lowest;
-  boost::log::add_console_log(
-      std::cerr,
-      boost::log::keywords::format = boost::log::expressions::stream
-                                     << boost::log::expressions::smessage,
-      boost::log::keywords::auto_flush = true);
+  using frontend = boost::log::sinks::unlocked_sink<output_backend>;
+  auto sink = boost::make_shared<frontend>();
+  sink->set_formatter(boost::log::expressions::stream
+                      << boost::log::expressions::smessage);
+  boost::log::core::get()->add_sink(sink);
 }
 
 log_level ParseLogLevel(std::string_view text) {
@@ -102,6 +145,12 @@
 
 namespace detail {
 
+bool TakeLogLine(log_bound& bound, std::int64_t second) {
+  if (second != bound.second)
+    bound = {second, 0};
+  return bound.lines++ < kLogLinesPerSecond;
+}
+
 std::string EscapeLogValue(std::string_view value) {
   bool plain = !value.empty();
   for (const char c : value)
--- a/waxwing/log.h
+++ b/waxwing/log.h
@@ -1,5 +1,9 @@
 // Structured logs: one line of key=value pairs for each event, on standard
-// error, written through Boost.Log.
+// output, written through Boost.Log.
+//
+// Logging never waits: a line that standard output can't take at once, or that
+// exceeds kLogLinesPerSecond, is dropped and counted; the next line that is
+// written is preceded by one that tells how many were.
 //
 //   LogInfo("request_done", {{"request", id}, {"status", 200}});
 //
@@ -15,6 +19,7 @@
 #define WAXWING_LOG_H_
 
 #include <concepts>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -36,6 +41,9 @@
       : key(k), value(std::to_string(v)) {}
 };
 
+// More lines than a router under full load writes.
+inline constexpr int kLogLinesPerSecond = 5'000;
+
 enum class log_level { kDebug, kInfo, kWarning, kError };
 
 // Sets the program's name and the lowest level that is written. Call once,
@@ -56,6 +64,15 @@
 
 namespace detail {
 
+// Counts lines against a bound for each second.
+struct log_bound {
+  std::int64_t second = 0;
+  int lines = 0;
+};
+
+// True if one more line may be written in `second`.
+bool TakeLogLine(log_bound& bound, std::int64_t second);
+
 // Quotes `value` if it holds anything but plain printable characters.
 std::string EscapeLogValue(std::string_view value);
 
--- a/waxwing/rollout.cc
+++ b/waxwing/rollout.cc
@@ -48,13 +48,13 @@
 
 bool IsOutOfBounds(const weights_history& history,
                    std::int64_t version,
-                   bool has_newest,
-                   milliseconds bound,
+                   const weights_bounds& bounds,
                    instant now) {
   const auto* goal = FirstNewer(history, version);
   if (!goal)
     return false;
-  return (goal->is_inherited && has_newest) || now >= goal->since + bound;
+  return now >= goal->since + (goal->is_inherited ? bounds.since_start
+                                                  : bounds.since_named);
 }
 
 std::vector<std::size_t> ChooseLoads(std::span<const rollout_target> targets,
--- a/waxwing/rollout.h
+++ b/waxwing/rollout.h
@@ -42,13 +42,17 @@
 std::optional<instant> OutdatedSince(const weights_history& history,
                                      std::int64_t version);
 
-// True if no request may start on `version` any more: `bound` after a newer one
-// was named, or at once if that was before this process started and targets
-// with it are there.
+// How long requests may still start on older weights.
+struct weights_bounds {
+  milliseconds since_named{6'500};
+  // After the start of a process that finds newer weights named already.
+  milliseconds since_start{2'500};
+};
+
+// True if no request may start on `version` any more.
 bool IsOutOfBounds(const weights_history& history,
                    std::int64_t version,
-                   bool has_newest,
-                   milliseconds bound,
+                   const weights_bounds& bounds,
                    instant now);
 
 // Targets that load side by side: one in kTargetsPerLoad. More would share the
