Pace prompt work at the engines by the time to the first byte

Change: each VM keeps a window of unread prompt tokens by service, which follows the first byte; what waits is put in order by whether it can still be in time, refused once its caller would be gone. A test plays the load: in time 500 more of 3,000 than without.

--- a/testing/entry_policy_test.cc
+++ b/testing/entry_policy_test.cc
@@ -11,6 +11,7 @@
 #include "waxwing/engine_choice.h"
 #include "waxwing/hash.h"
 #include "waxwing/lease.h"
+#include "waxwing/pacing.h"
 #include "waxwing/rollout.h"
 #include "waxwing/route_table.h"
 #include "waxwing/target_view.h"
@@ -316,5 +317,107 @@
   EXPECT_LT(worst / 60'000, 0.3);
 }
 
+// What callers got of a load that engines can't read in time.
+struct paced_result {
+  int in_time = 0;
+  int late = 0;
+  int refused = 0;
+  duration longest_refusal{};
+};
+
+// Plays prompts that arrive every 10 ms at one queue of engines, first 1.5
+// times as many tokens as the engines read, then half as many. With `paced`
+// false everything is sent at once, first come first served.
+paced_result PlayOverload(bool paced) {
+  constexpr milliseconds kObjective{500};
+  constexpr milliseconds kPatience{1'600};
+  constexpr double kReadPerTick = 600;  // in 10 ms
+  struct sent_prompt {
+    double unread = 0;
+    double tokens = 0;
+    instant arrived;
+    instant sent;
+  };
+  paced_result out;
+  pace at_engines;
+  std::vector<waiting_turn> waiting;
+  std::vector<sent_prompt> engine;
+  instant now = instant{} + seconds(100);
+  for (int tick = 0; tick < 3'000; ++tick, now += milliseconds(10)) {
+    const double tokens = tick < 1'500 ? 900 : 300;
+    waiting.push_back({tokens, 1, now, now + kObjective, now + kPatience});
+    std::erase_if(waiting, [&](const waiting_turn& turn) {
+      if (!IsHopeless(turn, now))
+        return false;
+      ++out.refused;
+      out.longest_refusal = std::max(out.longest_refusal, now - turn.arrived);
+      return true;
+    });
+    while (const auto next = PickTurn(at_engines, waiting, now)) {
+      const waiting_turn turn = waiting[*next];
+      if (paced && !HasRoom(at_engines, turn.tokens))
+        break;
+      NoteWorkSent(at_engines, turn.tokens);
+      engine.push_back({turn.tokens, turn.tokens, turn.arrived, now});
+      waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(*next));
+    }
+    double left = kReadPerTick;
+    while (!engine.empty() && left > 0) {
+      sent_prompt& first = engine.front();
+      const double read = std::min(left, first.unread);
+      first.unread -= read;
+      left -= read;
+      if (first.unread > 0)
+        break;
+      NoteWorkBegun(at_engines, first.tokens, now - first.sent, kObjective,
+                    now);
+      if (now - first.arrived <= kObjective)
+        ++out.in_time;
+      else if (now - first.arrived <= kPatience)
+        ++out.late;
+      engine.erase(engine.begin());
+    }
+  }
+  return out;
+}
+
+TEST(Pacing, InAnOverloadMoreCallersAreAnsweredInTime) {
+  const paced_result plain = PlayOverload(false);
+  const paced_result paced = PlayOverload(true);
+  // The engines can read two thirds of the first 1,500 and all of the rest.
+  EXPECT_GT(paced.in_time, 2'300);
+  EXPECT_GT(paced.in_time, plain.in_time + 500);
+  EXPECT_LE(paced.longest_refusal, milliseconds(1'600));
+}
+
+TEST(Pacing, ACalmLoadIsNeverHeldUp) {
+  pace at_engines;
+  for (int i = 0; i < 1'000; ++i) {
+    ASSERT_TRUE(HasRoom(at_engines, 9'000));
+    NoteWorkSent(at_engines, 9'000);
+    NoteWorkBegun(at_engines, 9'000, milliseconds(150), milliseconds(500),
+                  instant{} + milliseconds(30 * i));
+  }
+}
+
+TEST(Pacing, TheWindowKeepsItsFloorAndOneRequestAlwaysGoes) {
+  pace at_engines;
+  at_engines.smallest = 5'000;
+  for (int i = 0; i < 200; ++i)
+    NoteWorkBegun(at_engines, 100, seconds(2), milliseconds(500),
+                  instant{} + seconds(i + 10));
+  EXPECT_EQ(at_engines.window, 5'000);
+  EXPECT_TRUE(HasRoom(at_engines, 50'000));
+}
+
+TEST(Pacing, WhatCanBeInTimeGoesBeforeWhatCanNot) {
+  const instant now = instant{} + seconds(100);
+  const std::vector<waiting_turn> waiting{
+      {1, 0, now - seconds(1), now - milliseconds(1), now + seconds(1)},
+      {1, 1, now, now + milliseconds(300), now + seconds(2)},
+      {1, 1, now, now + milliseconds(200), now + seconds(2)}};
+  EXPECT_EQ(PickTurn({}, waiting, now), 2u);
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -160,6 +160,10 @@
   while (!IsStopping(state->root)) {
     co_await Pause(state->root, kRefreshPeriod);
     RefreshTargets(*state, std::chrono::steady_clock::now());
+    for (auto& [service, queue] : state->queues) {
+      SetSmallestWindow(*state, service, queue);
+      GrantTurns(*state, service);
+    }
   }
 }
 
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -74,6 +74,11 @@
   int in_flight = 0;
   int waiting = 0;
   std::string cache_source;
+  // Set while the request waits for its turn.
+  turn_waiter* waiter = nullptr;
+  // Work counted at the engines until the answer begins.
+  double paced_tokens = 0;
+  duration queued{};
   // Kept while another target is tried.
   std::optional<http_response> failure;
 };
@@ -290,10 +295,26 @@
          sent.target.record.id;
 }
 
-void MarkHeard(entry_state& state, dispatch& sent) {
+// Counts the request's work at the engines no longer.
+void EndPacedWork(forward_run& run, std::optional<duration> first_byte) {
+  if (run.paced_tokens <= 0)
+    return;
+  pace& at_engines = run.state->queues[run.service].at_engines;
+  if (first_byte)
+    NoteWorkBegun(at_engines, run.paced_tokens, *first_byte,
+                  run.path->objective, std::chrono::steady_clock::now());
+  else
+    NoteWorkGone(at_engines, run.paced_tokens);
+  run.paced_tokens = 0;
+  GrantTurns(*run.state, run.service);
+}
+
+void MarkHeard(forward_run& run, dispatch& sent) {
+  entry_state& state = *run.state;
   if (sent.heard)
     return;
   sent.heard = true;
+  EndPacedWork(run, std::chrono::steady_clock::now() - sent.started);
   NoteHeard(state.placement.targets[sent.chosen.target],
             std::chrono::steady_clock::now());
 }
@@ -331,6 +352,7 @@
   entry_state& state = *run.state;
   const instant now = std::chrono::steady_clock::now();
   MarkPrefilled(state, sent);
+  EndPacedWork(run, std::nullopt);
   NoteFinished(state.placement, sent.chosen);
   target_view& view = state.placement.targets[sent.chosen.target];
   view.own_tokens = std::max(
@@ -525,7 +547,7 @@
     CancelCall(*call);
     co_return EndOfFailure(run, facts.error());
   }
-  MarkHeard(*run.state, sent);
+  MarkHeard(run, sent);
   LearnLoad(*run.state, sent, *facts);
   if (facts->weights_version && IsCurrent(*run.state, sent))
     NoteWeights(*run.state, sent.target.record.id, *facts->weights_version);
@@ -585,14 +607,57 @@
   co_await Refuse(run, end == run_end::kTimedOut ? 504 : 502, NameOf(end), {});
 }
 
+// Callers leave a stream that has not begun after a pause of this kind.
+constexpr milliseconds kShortestPatience{2'000};
+constexpr int kPatienceInObjectives = 4;
+// Kept from the caller's patience for the answer to begin.
+constexpr milliseconds kPatienceMargin{400};
+
+waiting_turn MakeTurn(const forward_run& run, const engine_choice& expected) {
+  waiting_turn out;
+  out.tokens =
+      TokensToRead({run.chain.tokens, run.chain.head_tokens, 0, 0}, expected);
+  out.rank = run.account.priority.value_or(run.path->priority);
+  out.arrived = run.arrived;
+  out.in_time_by = run.arrived + run.path->objective;
+  const duration patience = std::max<duration>(
+      kShortestPatience, run.path->objective * kPatienceInObjectives);
+  out.useful_until =
+      std::min(run.arrived + patience, run.deadline) - kPatienceMargin;
+  return out;
+}
+
+// Waits until the prompt's work may be sent. False: it must be refused.
+asio::awaitable<bool> TakeTurn(forward_run& run) {
+  if (!run.path->has_prompt || run.began)
+    co_return true;
+  const auto expected = ChooseEngineFor(run, false);
+  if (!expected)
+    co_return true;
+  const waiting_turn turn = MakeTurn(run, *expected);
+  const instant start = std::chrono::steady_clock::now();
+  turn_waiter waiter(run.state->executor);
+  run.waiter = &waiter;
+  const bool granted =
+      co_await WaitForTurn(run.state, run.service, turn, waiter);
+  run.waiter = nullptr;
+  run.queued += std::chrono::steady_clock::now() - start;
+  if (granted)
+    run.paced_tokens = turn.tokens;
+  co_return granted;
+}
+
 // Tries targets until one gives a whole answer or none may be tried.
 asio::awaitable<run_end> RunToEnd(forward_run& run) {
   run_end end = run_end::kNotRun;
   while (true) {
+    if (!co_await TakeTurn(run))
+      co_return run.caller_gone ? run_end::kCallerGone : end;
     auto sent = ChooseTarget(run);
     if (!sent) {
       LogInfo("no_target",
               {{"request", run.request.id}, {"service", run.service}});
+      EndPacedWork(run, std::nullopt);
       co_return end;
     }
     end = co_await RunAtTarget(run, *sent);
@@ -621,21 +686,24 @@
 
 void LogEnd(const forward_run& run, run_end end) {
   const duration took = std::chrono::steady_clock::now() - run.arrived;
-  LogInfo("request_ended", {{"request", run.request.id},
-                            {"end", NameOf(end)},
-                            {"route", run.path->name},
-                            {"config", run.table->version},
-                            {"target", run.target},
-                            {"sends", run.sends},
-                            {"first_ms", ToMs(run.first_byte.value_or(took))},
-                            {"pause_ms", ToMs(run.longest_pause)},
-                            {"took_ms", ToMs(took)},
-                            {"tokens", run.chain.tokens},
-                            {"shared", run.chain.head_tokens},
-                            {"cached", run.cached_tokens},
-                            {"source", run.cache_source},
-                            {"in_flight", run.in_flight},
-                            {"waiting", run.waiting}});
+  LogInfo("request_ended",
+          {{"request", run.request.id},
+           {"end", NameOf(end)},
+           {"route", run.path->name},
+           {"config", run.table->version},
+           {"target", run.target},
+           {"sends", run.sends},
+           {"first_ms", ToMs(run.first_byte.value_or(took))},
+           {"pause_ms", ToMs(run.longest_pause)},
+           {"took_ms", ToMs(took)},
+           {"tokens", run.chain.tokens},
+           {"shared", run.chain.head_tokens},
+           {"cached", run.cached_tokens},
+           {"source", run.cache_source},
+           {"in_flight", run.in_flight},
+           {"waiting", run.waiting},
+           {"queued_ms", ToMs(run.queued)},
+           {"window", run.state->queues[run.service].at_engines.window}});
 }
 
 }  // namespace
@@ -661,6 +729,8 @@
   WatchCaller(exchange, [&run] {
     run.caller_gone = true;
     Abort(run.abort);
+    if (run.waiter)
+      run.waiter->signal.cancel();
   });
   const run_end end = co_await RunToEnd(run);
   LogEnd(run, end);
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -3,6 +3,7 @@
 #ifndef WAXWING_ENTRY_STATE_H_
 #define WAXWING_ENTRY_STATE_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <optional>
@@ -19,6 +20,7 @@
 #include "waxwing/http_server.h"
 #include "waxwing/lease.h"
 #include "waxwing/metrics.h"
+#include "waxwing/pacing.h"
 #include "waxwing/placement.h"
 #include "waxwing/retry.h"
 #include "waxwing/rollout.h"
@@ -35,6 +37,16 @@
   std::optional<instant> drop_at;
 };
 
+// A coroutine that waits for its turn; lives in its frame.
+struct turn_waiter {
+  boost::asio::steady_timer signal;
+  bool is_granted = false;
+  bool is_refused = false;
+
+  explicit turn_waiter(boost::asio::any_io_executor executor)
+      : signal(executor) {}
+};
+
 // How far one kind of object has been read.
 struct watch_position {
   std::uint64_t revision = 0;
@@ -44,6 +56,13 @@
   std::optional<instant> lost_since;
 };
 
+// Requests of one service that wait for their turn. Both lists run in step.
+struct turn_queue {
+  pace at_engines;
+  std::vector<waiting_turn> turns;
+  std::vector<turn_waiter*> waiters;
+};
+
 struct entry_state {
   boost::asio::any_io_executor executor;
   entry_options options;
@@ -76,6 +95,8 @@
   // By service.
   std::map<std::string, retry_budget, std::less<>> retries;
   cache_saves saved;
+  // By service.
+  std::map<std::string, turn_queue, std::less<>> queues;
   lease_view lease;
   std::map<std::string, rollout_progress, std::less<>> rollouts;
 };
@@ -103,6 +124,23 @@
 // Brings zones, weights and rollouts into the targets' costs.
 void RefreshTargets(entry_state& state, instant now);
 
+// --- entry_turns.cc
+
+// Waits until the turn's work may be sent to the service's engines, and counts
+// it as sent. False: it must be refused, or its caller has left.
+boost::asio::awaitable<bool> WaitForTurn(entry_ptr state,
+                                         std::string service,
+                                         waiting_turn turn,
+                                         turn_waiter& waiter);
+
+// Brings the smallest window in line with the engines and VMs there are.
+void SetSmallestWindow(entry_state& state,
+                       std::string_view service,
+                       turn_queue& queue);
+
+// Gives turns as far as there is room, and refuses what has become hopeless.
+void GrantTurns(entry_state& state, std::string_view service);
+
 // --- entry_watch.cc
 
 boost::asio::awaitable<void> WatchKind(entry_ptr state, object_kind kind);
--- /dev/null
+++ b/waxwing/pacing.cc
@@ -0,0 +1,70 @@
+#include "waxwing/pacing.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace waxwing {
+namespace {
+
+constexpr double kLargestWindow = 400'000;
+// Shares of the objective above which the window shrinks, and below which it
+// grows.
+constexpr double kShrinkAbove = 0.8;
+constexpr double kGrowBelow = 0.5;
+constexpr double kShrink = 0.85;
+// Share of the work answered in time that the window grows by.
+constexpr double kGrowth = 0.1;
+constexpr double kFirstByteSmoothing = 0.1;
+// The effect of one change shows only after the requests under way.
+constexpr milliseconds kShrinkPause{150};
+
+}  // namespace
+
+bool HasRoom(const pace& of, double tokens) {
+  return of.outstanding <= 0 || of.outstanding + tokens <= of.window;
+}
+
+void NoteWorkSent(pace& of, double tokens) {
+  of.outstanding += tokens;
+}
+
+void NoteWorkBegun(pace& of,
+                   double tokens,
+                   duration took,
+                   duration objective,
+                   instant now) {
+  NoteWorkGone(of, tokens);
+  of.first_byte = std::chrono::duration_cast<duration>(
+      of.first_byte * (1 - kFirstByteSmoothing) + took * kFirstByteSmoothing);
+  if (took > objective * kShrinkAbove && now >= of.shrunk_at + kShrinkPause) {
+    of.window = std::max(of.smallest, of.window * kShrink);
+    of.shrunk_at = now;
+  } else if (took < objective * kGrowBelow) {
+    of.window = std::min(kLargestWindow, of.window + tokens * kGrowth);
+  }
+}
+
+void NoteWorkGone(pace& of, double tokens) {
+  of.outstanding = std::max(0.0, of.outstanding - tokens);
+}
+
+std::optional<std::size_t> PickTurn(const pace& of,
+                                    std::span<const waiting_turn> waiting,
+                                    instant now) {
+  const auto order = [&](const waiting_turn& turn) {
+    const bool is_late = now + of.first_byte > turn.in_time_by;
+    return std::tuple(is_late, turn.in_time_by, turn.rank, turn.arrived);
+  };
+  std::optional<std::size_t> best;
+  for (std::size_t i = 0; i < waiting.size(); ++i) {
+    if (!best || order(waiting[i]) < order(waiting[*best]))
+      best = i;
+  }
+  return best;
+}
+
+bool IsHopeless(const waiting_turn& turn, instant now) {
+  return now >= turn.useful_until;
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/pacing.h
@@ -0,0 +1,76 @@
+// How much prompt work a VM keeps at the engines of a service, and which
+// waiting request goes next.
+//
+// Engines read prompts one after the other. What is sent beyond what they can
+// read within the objective makes every answer late; what waits here can still
+// be put in order. The window follows the time to the first byte: it shrinks
+// while that exceeds its share of the objective and grows while it is short, so
+// it needs to know neither the engines' speed nor what other VMs send.
+//
+// Load that this answers: more prompts than the engines can read in time, for
+// seconds, after a loss of engines or of their caches. Those that can still be
+// in time go first; those that can't are served as far as there is room, and
+// refused when their callers would be gone before an answer.
+
+#ifndef WAXWING_PACING_H_
+#define WAXWING_PACING_H_
+
+#include <cstddef>
+#include <optional>
+#include <span>
+
+#include "waxwing/types.h"
+
+namespace waxwing {
+
+struct pace {
+  // Prompt tokens that may be unread at the engines.
+  double window = 60'000;
+  // The window never shrinks below this: the VM's share of what the engines
+  // read in a short time.
+  double smallest = 6'000;
+  double outstanding = 0;
+  // Time from sending to the first byte, a moving average.
+  duration first_byte = milliseconds(100);
+  instant shrunk_at;
+};
+
+// A request that waits for its turn.
+struct waiting_turn {
+  double tokens = 0;
+  // 0 is the most urgent.
+  int rank = 0;
+  instant arrived;
+  // Answered by then it is within its objective.
+  instant in_time_by;
+  // Sent after this time its caller is gone before the answer.
+  instant useful_until;
+};
+
+// True if work of `tokens` may be sent. One request may always be under way.
+bool HasRoom(const pace& of, double tokens);
+
+void NoteWorkSent(pace& of, double tokens);
+
+// Notes the first byte of an answer, `took` after the request was sent.
+void NoteWorkBegun(pace& of,
+                   double tokens,
+                   duration took,
+                   duration objective,
+                   instant now);
+
+// Notes the end of a request that was never answered.
+void NoteWorkGone(pace& of, double tokens);
+
+// The one that goes next: in time before late, then the one whose time runs out
+// first, then by rank.
+std::optional<std::size_t> PickTurn(const pace& of,
+                                    std::span<const waiting_turn> waiting,
+                                    instant now);
+
+// True if the request must be refused now.
+bool IsHopeless(const waiting_turn& turn, instant now);
+
+}  // namespace waxwing
+
+#endif  // WAXWING_PACING_H_
