Bound the followers of a target's cache events; watch weights less often

Change: as many VMs as a source takes follow it, by rendezvous; the watch of weights waits twice as long.

--- a/testing/http_test.cc
+++ b/testing/http_test.cc
@@ -65,10 +65,9 @@
   std::string answer;
   boost::system::error_code error;
   bool done = false;
-  asio::async_read(caller, asio::dynamic_buffer(answer),
-                   [&](const boost::system::error_code&, std::size_t) {
-                     done = true;
-                   });
+  asio::async_read(
+      caller, asio::dynamic_buffer(answer),
+      [&](const boost::system::error_code&, std::size_t) { done = true; });
   const instant limit = std::chrono::steady_clock::now() + seconds(3);
   while (!done && std::chrono::steady_clock::now() < limit) {
     f.context.restart();
--- a/waxwing/entry_caches.cc
+++ b/waxwing/entry_caches.cc
@@ -19,8 +19,27 @@
 constexpr milliseconds kEventPause{500};
 constexpr milliseconds kFollowPeriod{500};
 
+// Calls kept free of the followers that a source takes, for VMs that see other
+// members than this one does.
+constexpr int kSpareFollowers = 3;
+
+// True if this VM is one of those that follow the source: all VMs, or as many
+// as it takes, by rendezvous.
+bool IsFollower(const entry_state& state, const endpoint& source, int most) {
+  const std::uint64_t key = Hash64(ToText(source));
+  const std::uint64_t own = RendezvousWeight(key, Hash64(state.options.vm));
+  int ahead = 0;
+  for (const auto& [vm, record] : state.members.state->members.members) {
+    ahead += record.data.status == member_status::kAlive &&
+             RendezvousWeight(key, Hash64(vm)) > own;
+  }
+  return most == 0 || ahead < std::max(1, most - kSpareFollowers);
+}
+
 // Takes events in until the call fails or the source is no longer followed.
 struct followed_cache {
+  // VMs that may follow it at a time.
+  int followers = 0;
   std::uint32_t index = 0;
   std::string target;
   endpoint address;
@@ -62,7 +81,8 @@
 }
 
 asio::awaitable<void> FollowOne(entry_ptr state, followed_cache cache) {
-  while (!IsStopping(state->root) && IsListed(*state, cache)) {
+  while (!IsStopping(state->root) && IsListed(*state, cache) &&
+         IsFollower(*state, cache.address, cache.followers)) {
     const auto events = co_await state->spoken.read_cache_events(
         state->pool, cache.address, cache.since, kEventWait);
     if (!IsListed(*state, cache))
@@ -82,23 +102,33 @@
 }
 
 void Follow(const entry_ptr& state, followed_cache cache) {
+  if (!IsFollower(*state, cache.address, cache.followers))
+    return;
   if (!state->followed.insert(cache.address).second)
     return;
   asio::co_spawn(state->executor, FollowOne(state, std::move(cache)),
                  asio::detached);
 }
 
+int FollowersOf(const entry_state& state, const std::string& service) {
+  const auto found = state.table->services.find(service);
+  return found == state.table->services.end() ? 0
+                                              : found->second.event_followers;
+}
+
 }  // namespace
 
 asio::awaitable<void> FollowCaches(entry_ptr state) {
   while (!IsStopping(state->root)) {
     for (const auto& [id, target] : state->targets) {
       if (!target.record.model.empty() && !target.record.is_leaving)
-        Follow(state, {target.index, id, target.record.address, 0, 0});
+        Follow(state, {FollowersOf(*state, target.record.service), target.index,
+                       id, target.record.address, 0, 0});
     }
     for (const auto& [name, service] : state->table->services) {
       if (service.cache_store)
-        Follow(state, {kCacheStore, name, *service.cache_store, 0, 0});
+        Follow(state, {service.event_followers, kCacheStore, name,
+                       *service.cache_store, 0, 0});
     }
     co_await Pause(state->root, kFollowPeriod);
   }
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -18,9 +18,12 @@
 
 namespace {
 
-// Longest wait of one watch call: a connection that has gone silent is noticed
-// within it, well inside the bound on changes of the configuration.
+// Longest wait of one watch call. A watch may hear nothing of a change while
+// the store drops history, and its connection may go silent: the next call
+// notices both, within the bound on changes of the configuration.
 constexpr milliseconds kWatchWait{1'500};
+// Weights are loaded over seconds; their watch may be noticed later.
+constexpr int kWeightsWaitFactor = 2;
 constexpr milliseconds kFirstPause{50};
 constexpr milliseconds kLongestPause{1'000};
 constexpr std::string_view kConfigName = "main";
@@ -181,8 +184,11 @@
 // One watch call. False if it failed.
 asio::awaitable<bool> WatchOnce(entry_ptr state, object_kind kind) {
   watch_position& position = state->watches[kind];
-  const auto changes = co_await state->spoken.watch(
-      state->store, kind, position.revision, kWatchWait);
+  milliseconds wait = kWatchWait;
+  if (kind == object_kind::kWeights)
+    wait *= kWeightsWaitFactor;
+  const auto changes =
+      co_await state->spoken.watch(state->store, kind, position.revision, wait);
   if (!changes) {
     if (changes.error().failure == store_failure::kHistoryGone)
       LogInfo("history_gone", {{"kind", NameOf(kind)}});
--- a/waxwing/route_table.h
+++ b/waxwing/route_table.h
@@ -64,6 +64,8 @@
   int engine_slots = 0;
   std::uint32_t engine_tokens = 0;
   std::string model;
+  // VMs that may follow one target's cache events at a time; 0: not stated.
+  int event_followers = 0;
   // Bytes of cache memory for one token.
   double bytes_per_token = 0;
   // For a store of KV cache: its address and zone.
