Let a VM that starts with the store away learn from its peers

Change: entries keep the store's objects as read and give them to a peer that asks; peers stand in only until the store has answered. A test starts an entry with the store away, and one stops an entry and checks that it closes after its answers' lifetimes.

--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -92,6 +92,14 @@
 struct demandsBuilder;
 struct demandsT;
 
+struct shared_request;
+struct shared_requestBuilder;
+struct shared_requestT;
+
+struct shared_object;
+struct shared_objectBuilder;
+struct shared_objectT;
+
 struct frame;
 struct frameBuilder;
 struct frameT;
@@ -113,11 +121,13 @@
   in_force_query = 13,
   in_force = 14,
   demands = 15,
+  shared_request = 16,
+  shared_object = 17,
   MIN = NONE,
-  MAX = demands
+  MAX = shared_object
 };
 
-inline const message (&EnumValuesmessage())[16] {
+inline const message (&EnumValuesmessage())[18] {
   static const message values[] = {
     message::NONE,
     message::challenge,
@@ -134,13 +144,15 @@
     message::applied,
     message::in_force_query,
     message::in_force,
-    message::demands
+    message::demands,
+    message::shared_request,
+    message::shared_object
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[17] = {
+  static const char * const names[19] = {
     "NONE",
     "challenge",
     "hello",
@@ -157,13 +169,15 @@
     "in_force_query",
     "in_force",
     "demands",
+    "shared_request",
+    "shared_object",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::demands)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::shared_object)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -232,6 +246,14 @@
   static const message enum_value = message::demands;
 };
 
+template<> struct messageTraits<waxwing::wire::shared_request> {
+  static const message enum_value = message::shared_request;
+};
+
+template<> struct messageTraits<waxwing::wire::shared_object> {
+  static const message enum_value = message::shared_object;
+};
+
 template<typename T> struct messageUnionTraits {
   static const message enum_value = message::NONE;
 };
@@ -296,6 +318,14 @@
   static const message enum_value = message::demands;
 };
 
+template<> struct messageUnionTraits<waxwing::wire::shared_requestT> {
+  static const message enum_value = message::shared_request;
+};
+
+template<> struct messageUnionTraits<waxwing::wire::shared_objectT> {
+  static const message enum_value = message::shared_object;
+};
+
 struct messageUnion {
   message type;
   void *value;
@@ -446,6 +476,22 @@
     return type == message::demands ?
       reinterpret_cast<const waxwing::wire::demandsT *>(value) : nullptr;
   }
+  waxwing::wire::shared_requestT *Asshared_request() {
+    return type == message::shared_request ?
+      reinterpret_cast<waxwing::wire::shared_requestT *>(value) : nullptr;
+  }
+  const waxwing::wire::shared_requestT *Asshared_request() const {
+    return type == message::shared_request ?
+      reinterpret_cast<const waxwing::wire::shared_requestT *>(value) : nullptr;
+  }
+  waxwing::wire::shared_objectT *Asshared_object() {
+    return type == message::shared_object ?
+      reinterpret_cast<waxwing::wire::shared_objectT *>(value) : nullptr;
+  }
+  const waxwing::wire::shared_objectT *Asshared_object() const {
+    return type == message::shared_object ?
+      reinterpret_cast<const waxwing::wire::shared_objectT *>(value) : nullptr;
+  }
 };
 
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
@@ -2268,6 +2314,160 @@
 
 flatbuffers::Offset<demands> Createdemands(flatbuffers::FlatBufferBuilder &_fbb, const demandsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct shared_requestT : public flatbuffers::NativeTable {
+  typedef shared_request TableType;
+};
+
+struct shared_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef shared_requestT NativeTableType;
+  typedef shared_requestBuilder Builder;
+  struct Traits;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           verifier.EndTable();
+  }
+  shared_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(shared_requestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<shared_request> Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct shared_requestBuilder {
+  typedef shared_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  explicit shared_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<shared_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<shared_request>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<shared_request> Createshared_request(
+    flatbuffers::FlatBufferBuilder &_fbb) {
+  shared_requestBuilder builder_(_fbb);
+  return builder_.Finish();
+}
+
+struct shared_request::Traits {
+  using type = shared_request;
+  static auto constexpr Create = Createshared_request;
+};
+
+flatbuffers::Offset<shared_request> Createshared_request(flatbuffers::FlatBufferBuilder &_fbb, const shared_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct shared_objectT : public flatbuffers::NativeTable {
+  typedef shared_object TableType;
+  uint8_t kind = 0;
+  std::string name{};
+  uint64_t revision = 0;
+  std::string spec{};
+};
+
+struct shared_object FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef shared_objectT NativeTableType;
+  typedef shared_objectBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_NAME = 6,
+    VT_REVISION = 8,
+    VT_SPEC = 10
+  };
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  const flatbuffers::String *spec() const {
+    return GetPointer<const flatbuffers::String *>(VT_SPEC);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyOffset(verifier, VT_SPEC) &&
+           verifier.VerifyString(spec()) &&
+           verifier.EndTable();
+  }
+  shared_objectT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(shared_objectT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<shared_object> Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_objectT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct shared_objectBuilder {
+  typedef shared_object Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(shared_object::VT_KIND, kind, 0);
+  }
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(shared_object::VT_NAME, name);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(shared_object::VT_REVISION, revision, 0);
+  }
+  void add_spec(flatbuffers::Offset<flatbuffers::String> spec) {
+    fbb_.AddOffset(shared_object::VT_SPEC, spec);
+  }
+  explicit shared_objectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<shared_object> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<shared_object>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<shared_object> Createshared_object(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    uint64_t revision = 0,
+    flatbuffers::Offset<flatbuffers::String> spec = 0) {
+  shared_objectBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_spec(spec);
+  builder_.add_name(name);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+struct shared_object::Traits {
+  using type = shared_object;
+  static auto constexpr Create = Createshared_object;
+};
+
+inline flatbuffers::Offset<shared_object> Createshared_objectDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    const char *name = nullptr,
+    uint64_t revision = 0,
+    const char *spec = nullptr) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto spec__ = spec ? _fbb.CreateString(spec) : 0;
+  return waxwing::wire::Createshared_object(
+      _fbb,
+      kind,
+      name__,
+      revision,
+      spec__);
+}
+
+flatbuffers::Offset<shared_object> Createshared_object(flatbuffers::FlatBufferBuilder &_fbb, const shared_objectT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct frameT : public flatbuffers::NativeTable {
   typedef frame TableType;
   waxwing::wire::messageUnion message{};
@@ -2333,6 +2533,12 @@
   const waxwing::wire::demands *message_as_demands() const {
     return message_type() == waxwing::wire::message::demands ? static_cast<const waxwing::wire::demands *>(message()) : nullptr;
   }
+  const waxwing::wire::shared_request *message_as_shared_request() const {
+    return message_type() == waxwing::wire::message::shared_request ? static_cast<const waxwing::wire::shared_request *>(message()) : nullptr;
+  }
+  const waxwing::wire::shared_object *message_as_shared_object() const {
+    return message_type() == waxwing::wire::message::shared_object ? static_cast<const waxwing::wire::shared_object *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -2405,6 +2611,14 @@
   return message_as_demands();
 }
 
+template<> inline const waxwing::wire::shared_request *frame::message_as<waxwing::wire::shared_request>() const {
+  return message_as_shared_request();
+}
+
+template<> inline const waxwing::wire::shared_object *frame::message_as<waxwing::wire::shared_object>() const {
+  return message_as_shared_object();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3137,6 +3351,64 @@
       _accounts);
 }
 
+inline shared_requestT *shared_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<shared_requestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void shared_request::UnPackTo(shared_requestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+}
+
+inline flatbuffers::Offset<shared_request> shared_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createshared_request(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<shared_request> Createshared_request(flatbuffers::FlatBufferBuilder &_fbb, const shared_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const shared_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  return waxwing::wire::Createshared_request(
+      _fbb);
+}
+
+inline shared_objectT *shared_object::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<shared_objectT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void shared_object::UnPackTo(shared_objectT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = spec(); if (_e) _o->spec = _e->str(); }
+}
+
+inline flatbuffers::Offset<shared_object> shared_object::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_objectT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createshared_object(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<shared_object> Createshared_object(flatbuffers::FlatBufferBuilder &_fbb, const shared_objectT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const shared_objectT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _kind = _o->kind;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _revision = _o->revision;
+  auto _spec = _o->spec.empty() ? 0 : _fbb.CreateString(_o->spec);
+  return waxwing::wire::Createshared_object(
+      _fbb,
+      _kind,
+      _name,
+      _revision,
+      _spec);
+}
+
 inline frameT *frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<frameT>();
   UnPackTo(_o.get(), _resolver);
@@ -3231,6 +3503,14 @@
       auto ptr = reinterpret_cast<const waxwing::wire::demands *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::shared_request: {
+      auto ptr = reinterpret_cast<const waxwing::wire::shared_request *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::shared_object: {
+      auto ptr = reinterpret_cast<const waxwing::wire::shared_object *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3310,6 +3590,14 @@
       auto ptr = reinterpret_cast<const waxwing::wire::demands *>(obj);
       return ptr->UnPack(resolver);
     }
+    case message::shared_request: {
+      auto ptr = reinterpret_cast<const waxwing::wire::shared_request *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::shared_object: {
+      auto ptr = reinterpret_cast<const waxwing::wire::shared_object *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3377,6 +3665,14 @@
       auto ptr = reinterpret_cast<const waxwing::wire::demandsT *>(value);
       return Createdemands(_fbb, ptr, _rehasher).Union();
     }
+    case message::shared_request: {
+      auto ptr = reinterpret_cast<const waxwing::wire::shared_requestT *>(value);
+      return Createshared_request(_fbb, ptr, _rehasher).Union();
+    }
+    case message::shared_object: {
+      auto ptr = reinterpret_cast<const waxwing::wire::shared_objectT *>(value);
+      return Createshared_object(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3443,6 +3739,14 @@
       value = new waxwing::wire::demandsT(*reinterpret_cast<waxwing::wire::demandsT *>(u.value));
       break;
     }
+    case message::shared_request: {
+      value = new waxwing::wire::shared_requestT(*reinterpret_cast<waxwing::wire::shared_requestT *>(u.value));
+      break;
+    }
+    case message::shared_object: {
+      value = new waxwing::wire::shared_objectT(*reinterpret_cast<waxwing::wire::shared_objectT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3525,6 +3829,16 @@
       delete ptr;
       break;
     }
+    case message::shared_request: {
+      auto ptr = reinterpret_cast<waxwing::wire::shared_requestT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::shared_object: {
+      auto ptr = reinterpret_cast<waxwing::wire::shared_objectT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -454,5 +454,46 @@
   EXPECT_FALSE(f.RunUntil([&] { return orders > 1; }));
 }
 
+TEST(Entry, OneThatStartsWithTheStoreAwayServesByWhatItsPeersKnow) {
+  entry_fixture f;
+  f.AddTarget("t1", "panel", Answer);
+  f.Start(1);
+  f.store->is_down = true;
+  entry_options options;
+  options.vm = "vm-1";
+  options.store = f.store->server.address;
+  options.key = "test";
+  options.seeds = {f.running.state->members.address};
+  entry second =
+      *StartEntry(f.context.get_executor(), options, platform::MakeDialect());
+  EXPECT_TRUE(f.RunUntil([&] {
+    return second.state->table->version == 1 &&
+           second.state->targets.contains("t1");
+  }));
+  std::swap(f.running, second);
+  EXPECT_EQ(f.Send(kOncePath)->status, 200u);
+  StopEntry(second);
+}
+
+TEST(Entry, AStoppingVmClosesOnceNoAnswerNamesItAnyMore) {
+  entry_fixture f;
+  f.AddTarget("t1", "panel", Answer);
+  f.Start(1);
+  bool is_done = false;
+  asio::co_spawn(f.context, DrainEntry(f.running),
+                 [&](const std::exception_ptr&, bool clean) {
+                   is_done = true;
+                   EXPECT_TRUE(clean);
+                 });
+  f.RunUntil([&] { return f.running.state->is_draining; });
+  // Callers that hold an older answer are served.
+  EXPECT_EQ(f.Send(kOncePath)->status, 200u);
+  f.RunUntil([&] { return f.running.state->is_closed; });
+  f.RunUntil([&] { return is_done; });
+  EXPECT_TRUE(is_done);
+  EXPECT_FALSE(f.Send(kOncePath));
+  f.running.state.reset();
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/agent_links.cc
+++ b/waxwing/agent_links.cc
@@ -138,6 +138,12 @@
     answer.number = query->number;
     answer.generation = OwnGeneration(state);
     SendMessage(link.link, answer);
+  } else if (message.Asshared_request()) {
+    if (state.on_shared_request)
+      state.on_shared_request(link.link);
+  } else if (auto* object = message.Asshared_object()) {
+    if (state.on_shared_object)
+      state.on_shared_object(*object);
   } else if (auto* answer = message.Asin_force()) {
     const auto round = state.queries.find(answer->number);
     if (round != state.queries.end())
--- a/waxwing/agent_state.h
+++ b/waxwing/agent_state.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -94,6 +95,9 @@
   instant lease_read;
   instant last_load;
   std::uint64_t orders_sent = 0;
+  // Set by a process that shares what it knows from the store with its peers.
+  std::function<void(const peer_link&)> on_shared_request;
+  std::function<void(const wire::shared_objectT&)> on_shared_object;
   std::uint64_t next_query = 1;
   std::map<std::uint64_t, in_force_round*> queries;
 };
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -153,6 +153,7 @@
   if (!members)
     return tl::unexpected(members.error());
   state->members = *members;
+  ShareWithPeers(state);
   return {};
 }
 
@@ -176,6 +177,7 @@
             [state] { return WatchKind(state, object_kind::kWeights); });
   Supervise(state->root, "weights", [state] { return KeepWeights(state); });
   Supervise(state->root, "caches", [state] { return FollowCaches(state); });
+  Supervise(state->root, "peers", [state] { return AskPeers(state); });
   Supervise(state->root, "refresh", [state] { return RefreshLoop(state); });
 }
 
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -83,6 +83,8 @@
   // Invariant: the version never falls.
   std::shared_ptr<const route_table> table = std::make_shared<route_table>();
   std::map<object_kind, watch_position> watches;
+  // Objects as last read, for peers that start while the store is away.
+  std::map<object_kind, std::map<std::string, stored_object>> objects;
   placement_state placement;
   cache_map caches;
   // Followers of cache events that run, by address.
@@ -145,6 +147,12 @@
 
 boost::asio::awaitable<void> WatchKind(entry_ptr state, object_kind kind);
 
+// Takes in one object of the store, or its removal.
+void TakeInObject(entry_state& state,
+                  object_kind kind,
+                  const stored_object& object,
+                  bool is_removed);
+
 // True if the entry can serve: it knows a configuration.
 bool CanServe(const entry_state& state);
 
@@ -153,6 +161,14 @@
 // Follows the cache events of the targets and stores in use.
 boost::asio::awaitable<void> FollowCaches(entry_ptr state);
 
+// --- entry_peers.cc
+
+// Serves peers that ask for the store's objects, and takes in their answers.
+void ShareWithPeers(const entry_ptr& state);
+
+// Asks peers for the store's objects until the store itself has answered.
+boost::asio::awaitable<void> AskPeers(entry_ptr state);
+
 // --- entry_rollout.cc
 
 boost::asio::awaitable<void> KeepWeights(entry_ptr state);
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -97,20 +97,6 @@
                             {"revision", object.revision}});
 }
 
-void TakeIn(entry_state& state,
-            object_kind kind,
-            const stored_object& object,
-            bool is_removed) {
-  if (kind == object_kind::kConfig && !is_removed)
-    TakeInConfig(state, object);
-  else if (kind == object_kind::kTargets && is_removed)
-    RetireTarget(state, object.name);
-  else if (kind == object_kind::kTargets)
-    TakeInTarget(state, object);
-  else if (kind == object_kind::kWeights && !is_removed)
-    TakeInWeights(state, object);
-}
-
 // Targets that a list lacks are dropped: at once if the store was there all
 // along, else once lapsed records have had time to return.
 void DropMissing(entry_state& state,
@@ -126,8 +112,10 @@
     else if (!after_outage)
       gone.push_back(id);
   }
-  for (const std::string& id : gone)
+  for (const std::string& id : gone) {
+    state.objects[object_kind::kTargets].erase(id);
     RetireTarget(state, id);
+  }
 }
 
 // Reads all pages of a kind. False if a call failed.
@@ -148,7 +136,7 @@
     if (revision == 0)
       revision = page->revision;
     for (const stored_object& object : page->objects) {
-      TakeIn(*state, kind, object, false);
+      TakeInObject(*state, kind, object, false);
       listed.insert(object.name);
       after = object.name;
     }
@@ -197,13 +185,32 @@
     co_return changes.error().failure == store_failure::kHistoryGone;
   }
   for (const object_change& change : changes->changes)
-    TakeIn(*state, kind, change.object, change.is_removed);
+    TakeInObject(*state, kind, change.object, change.is_removed);
   position.revision = std::max(position.revision, changes->revision);
   co_return true;
 }
 
 }  // namespace
 
+void TakeInObject(entry_state& state,
+                  object_kind kind,
+                  const stored_object& object,
+                  bool is_removed) {
+  auto& known = state.objects[kind];
+  if (is_removed)
+    known.erase(object.name);
+  else
+    known[object.name] = object;
+  if (kind == object_kind::kConfig && !is_removed)
+    TakeInConfig(state, object);
+  else if (kind == object_kind::kTargets && is_removed)
+    RetireTarget(state, object.name);
+  else if (kind == object_kind::kTargets)
+    TakeInTarget(state, object);
+  else if (kind == object_kind::kWeights && !is_removed)
+    TakeInWeights(state, object);
+}
+
 bool CanServe(const entry_state& state) {
   return state.table->version > 0;
 }
