Send the host first, as the golden session has it

Cause: make check, SystemTestGolden.CallerSession: the Host header had moved behind the others when forwarded headers came to carry their own. Change: it goes first again. The golden file is unchanged.

--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -145,10 +145,10 @@
   out.method_string(request.method);
   out.target(request.target);
   out.version(11);
+  if (FindHeader(request.headers, "Host").empty())
+    out.set(http::field::host, ToText(address));
   for (const http_header& header : request.headers)
     out.insert(header.name, header.value);
-  if (out.count(http::field::host) == 0)
-    out.set(http::field::host, ToText(address));
   out.body() = request.body;
   out.prepare_payload();
   return out;
