Drop a target whose address has passed to another

Change: a refusal that names another target retires the one that was meant. The test fails without the change.

--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -228,6 +228,20 @@
   EXPECT_EQ(free->seen.size(), 6u);
 }
 
+TEST(Entry, ATargetWhoseAddressHasPassedToAnotherGetsNothingMore) {
+  entry_fixture f;
+  const auto gone =
+      f.AddTarget("t1", "panel", [](const http_request&) -> scripted_answer {
+        return {{PlainAnswer(421, "", "", "Instance-Id: t9\r\n")}};
+      });
+  f.AddTarget("t2", "panel", Answer);
+  f.Start(2);
+  for (int i = 0; i < 8; ++i)
+    EXPECT_EQ(f.Send(kOncePath)->status, 200u);
+  EXPECT_LE(gone->seen.size(), 1u);
+  EXPECT_FALSE(f.running.state->targets.contains("t1"));
+}
+
 TEST(Entry, WhatNoTargetRanIsRefusedAtOnce) {
   entry_fixture f;
   f.AddTarget("t1", "panel", Refusal);
--- a/waxwing/dialect.h
+++ b/waxwing/dialect.h
@@ -75,6 +75,8 @@
 // What the header of a target's answer tells.
 struct answer_facts {
   std::string request_id;
+  // The target that answered, if it says so.
+  std::string target;
   // The target states that it has not run the request.
   bool not_run = false;
   // The answer comes from a target that runs requests, not from a faulty peer.
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -553,6 +553,10 @@
     NoteWeights(*run.state, sent.target.record.id, *facts->weights_version);
   if (facts->not_run) {
     CancelCall(*call);
+    // Another target has the address now: the one that was meant is gone.
+    if (!facts->target.empty() && facts->target != sent.target.record.id &&
+        IsCurrent(*run.state, sent))
+      RetireTarget(*run.state, sent.target.record.id);
     co_return run_end::kNotRun;
   }
   ++run.runs;
