--- a/waxwing/log.cc
+++ b/waxwing/log.cc
@@ -54,14 +54,14 @@
  public:
   void consume(const boost::log::record_view&, const std::string& line) {
     const std::int64_t second = std::time(nullptr);
-    if (!detail::TakeLogLine(bound_, second) || !IsReady()) {
-      ++dropped_;
+    if (!detail::TakeLogLine(bound, second) || !IsReady()) {
+      ++dropped;
       return;
     }
-    if (dropped_ > 0) {
+    if (dropped > 0) {
       Put("level=warning event=log_lines_dropped count=" +
-          std::to_string(dropped_));
-      dropped_ = 0;
+          std::to_string(dropped));
+      dropped = 0;
     }
     Put(line);
   }
@@ -80,8 +80,8 @@
         ::write(STDOUT_FILENO, line.data(), line.size());
   }
 
-  detail::log_bound bound_;
-  std::uint64_t dropped_ = 0;
+  detail::log_bound bound;
+  std::uint64_t dropped = 0;
 };
 
 void Write(log_level level,
