Give a resumed answer its own target's status; report a call on an idle connection as sent

Cause: the head of a stream took the status of an earlier target's failure; a call that failed on an idle connection and could not dial anew was reported as never sent, so that a refusal could say 'not run' of a request that may have run (repeatable requests only; others always dial). Change: both say what happened.

--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -357,6 +357,26 @@
   EXPECT_EQ(answer->body, "id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
 }
 
+TEST(Entry, AStreamAfterAFailedTargetHasTheStatusOfItsOwnTarget) {
+  entry_fixture f;
+  // Whichever target is asked first fails.
+  int asked = 0;
+  const auto script = [&](const http_request& request) -> scripted_answer {
+    if (request.target.starts_with("/api/"))
+      return {{PlainAnswer(404, "", "{}")}};
+    if (++asked == 1)
+      return {{PlainAnswer(500, IdOf(request), "sorry")}};
+    return WholeStream(request);
+  };
+  f.AddTarget("e1", "llm", script);
+  f.AddTarget("e2", "llm", script);
+  f.Start(2);
+  const auto answer = f.Send(kResumablePath);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(asked, 2);
+  EXPECT_EQ(answer->status, 200u);
+}
+
 TEST(Entry, ACallerThatLeavesFreesTheTarget) {
   entry_fixture f;
   const auto target = f.AddTarget(
--- a/testing/http_test.cc
+++ b/testing/http_test.cc
@@ -49,6 +49,39 @@
   EXPECT_EQ(answer->body, "hello");
 }
 
+// The first call leaves an idle connection. The second is sent on it, and the
+// peer closes it and listens no more, so that dialling anew fails.
+TEST(Http, ACallSentOnAnIdleConnectionIsNotReportedAsUnsent) {
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  const endpoint address{"127.0.0.1", acceptor.local_endpoint().port()};
+  asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> {
+        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+        std::string bytes(1024, '\0');
+        co_await socket.async_read_some(asio::buffer(bytes),
+                                        asio::use_awaitable);
+        const std::string answer =
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(answer),
+                                   asio::use_awaitable);
+        co_await socket.async_read_some(asio::buffer(bytes),
+                                        asio::use_awaitable);
+        acceptor.close();
+        socket.close();
+      },
+      asio::detached);
+  const http_pool pool = MakeHttpPool(context.get_executor(), {});
+  const http_call_options options{milliseconds(1'000), true};
+  const http_request request;
+  ASSERT_TRUE(RunToEnd(context, Fetch(pool, address, request, options)));
+  const auto second = RunToEnd(context, Fetch(pool, address, request, options));
+  ASSERT_FALSE(second);
+  EXPECT_TRUE(second.error().sent);
+}
+
 TEST(Log, ASecondTakesSoManyLinesAndNoMore) {
   detail::log_bound bound;
   for (int i = 0; i < kLogLinesPerSecond; ++i)
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -68,7 +68,7 @@
     run.began = true;
     run.first_byte = now - run.arrived;
     Observe(run.state->stats, "waxwing_ttft_seconds", *run.first_byte);
-    http_response head{run.failure ? run.failure->status : call.head.status,
+    http_response head{call.head.status,
                        run.state->spoken.answer_headers(call.head.headers), ""};
     if (!co_await BeginStream(run.exchange, std::move(head)))
       co_return false;
--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -202,6 +202,7 @@
     const endpoint& address,
     const http_request& request,
     const http_call_options& options) {
+  bool was_sent = false;
   if (options.reuse) {
     auto idle = TakeIdle(*pool.state, address);
     if (idle) {
@@ -214,6 +215,7 @@
                             options.header_timeout);
       if (answer)
         co_return answer;
+      was_sent = true;
       // The idle connection was dead. If it was silent, so may the others be.
       if (answer.error().failure == http_failure::kTimeout)
         pool.state->idle.erase(address);
@@ -222,12 +224,15 @@
     }
   }
   auto dialled = co_await Dial(pool, address, options.abort);
-  if (!dialled)
-    co_return tl::unexpected(dialled.error());
+  if (!dialled) {
+    http_error error = dialled.error();
+    error.sent = error.sent || was_sent;
+    co_return tl::unexpected(error);
+  }
   (*dialled)->reusable = options.reuse;
   if (options.abort && options.abort->aborted)
     co_return tl::unexpected(
-        http_error{http_failure::kConnect, false, "aborted"});
+        http_error{http_failure::kConnect, was_sent, "aborted"});
   auto answer =
       co_await Exchange(*dialled, request, pool.state->limits.response_bytes,
                         options.header_timeout);
