--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 	@clang-format --dry-run -Werror $(SOURCES)
 
 lint: build
+	@scripts/decisions
 	@scripts/lint $(BUILD)
 
 check: format-check test lint
--- a/standin/service.cc
+++ b/standin/service.cc
@@ -88,10 +88,12 @@
       waxwing::AbortExchange(exchange);
       co_return;
     }
-    answer = JsonResponse(
-        200, json::serialize(json::object{{"path", path},
-                                          {"echo", exchange.request.body},
-                                          {"count", count}}));
+    json::object echo{
+        {"path", path}, {"echo", exchange.request.body}, {"count", count}};
+    const std::size_t query = exchange.request.target.find('?');
+    if (query != std::string::npos)
+      echo["query"] = exchange.request.target.substr(query + 1);
+    answer = JsonResponse(200, json::serialize(echo));
   }
   co_await waxwing::Respond(exchange, answer);
 }
--- /dev/null
+++ b/testing/own_dialect_test.cc
@@ -0,0 +1,91 @@
+#include "waxwing/own_dialect.h"
+
+#include <gtest/gtest.h>
+
+namespace waxwing {
+namespace {
+
+TEST(OwnDialect, CutsAServicesPathInOnePlace) {
+  struct expectation {
+    std::string target;
+    std::string name;
+    std::string path;
+    std::string forwarded;
+  };
+  const expectation cases[] = {
+      {"/v1/services/panel/stop", "panel", "/stop", "/stop"},
+      {"/v1/services/panel", "panel", "/", "/"},
+      {"/v1/services/panel?x=1", "panel", "/", "/?x=1"},
+      {"/v1/services/panel/?x=/a", "panel", "/", "/?x=/a"},
+      {"/v1/services/panel/a/b?x=1", "panel", "/a/b", "/a/b?x=1"},
+      {"/v1/services/", "", "/", "/"},
+  };
+  for (const expectation& wanted : cases) {
+    const service_call read = ReadServiceCall(wanted.target);
+    EXPECT_EQ(read.name, wanted.name) << wanted.target;
+    EXPECT_EQ(read.path, wanted.path) << wanted.target;
+    EXPECT_EQ(read.target, wanted.forwarded) << wanted.target;
+  }
+}
+
+TEST(OwnDialect, ReadsWhatACallerSays) {
+  const dialect spoken = MakeOwnDialect();
+  const http_request request{"POST",
+                             "/v1/chat/completions",
+                             {{"authorization", "Bearer k1"},
+                              {"X-Priority", "3"},
+                              {"X-Deadline-Ms", "1500"},
+                              {"X-Non-Idempotent", "true"},
+                              {"X-Ticket", "t"}},
+                             ""};
+  const auto read = spoken.read_request(request);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->account_key, "k1");
+  EXPECT_EQ(read->priority, 3);
+  EXPECT_EQ(read->time_left, milliseconds(1500));
+  EXPECT_TRUE(read->is_non_idempotent);
+  EXPECT_EQ(read->ticket, "t");
+}
+
+TEST(OwnDialect, RefusesHeadersThatCannotBeRead) {
+  const dialect spoken = MakeOwnDialect();
+  const http_header bad[] = {{"X-Priority", "10"},
+                             {"X-Priority", "1x"},
+                             {"X-Deadline-Ms", "0"},
+                             {"X-Deadline-Ms", "-4"},
+                             {"X-Deadline-Ms", "99999999999999999999"},
+                             {"X-Non-Idempotent", "yes"}};
+  for (const http_header& header : bad) {
+    const auto read = spoken.read_request({"POST", "/", {header}, ""});
+    ASSERT_FALSE(read) << header.name << ": " << header.value;
+    EXPECT_TRUE(read.error().starts_with(header.name)) << read.error();
+  }
+}
+
+TEST(OwnDialect, ResumesARunFromAToken) {
+  const dialect spoken = MakeOwnDialect();
+  run_order order;
+  order.request_id = "r1";
+  order.attempt = 2;
+  order.weights_name = "v1";
+  order.resume_from = 3;
+  order.delivered = "a\\\"b";
+  order.is_resume_only = true;
+  const http_request run =
+      spoken.write_run(MakeChatRequest(R"({"model":"m"})"), {}, order);
+  EXPECT_EQ(run.body, R"({"model":"m","delivered":"a\"b"})");
+  EXPECT_EQ(FindHeader(run.headers, "X-Resume-From"), "3");
+  EXPECT_EQ(FindHeader(run.headers, "X-Attempt"), "2");
+  EXPECT_EQ(FindHeader(run.headers, "X-Expect-Version"), "v1");
+}
+
+TEST(OwnDialect, ReadsAnAnswerThatTellsNothing) {
+  const answer_facts facts =
+      MakeOwnDialect().read_answer({200, {{"X-Attempt", "two"}}, ""});
+  EXPECT_EQ(facts.attempt, 0);
+  EXPECT_EQ(facts.boot, 0u);
+  EXPECT_TRUE(facts.request_id.empty());
+}
+
+}  // namespace
+}  // namespace waxwing
--- a/testing/system_test.cc
+++ b/testing/system_test.cc
@@ -132,6 +132,20 @@
   EXPECT_EQ(standin::RunsOf(c->services[0], "{\"n\":1}"), 1u);
 }
 
+TEST(SystemTest, AServiceCallKeepsItsQueryAlsoWithoutAPath) {
+  const auto c = StartCluster({});
+  for (const std::string rest : {"?x=1", "/run?x=1"}) {
+    http_request request = ServiceRequest(*c, "{\"n\":9}", TicketOf(*c, 0));
+    const std::string_view service = "/v1/services/";
+    const std::size_t end = request.target.find('/', service.size());
+    request.target = request.target.substr(0, end) + rest;
+    const auto answer = Send(*c, 0, request);
+    EXPECT_EQ(answer.status, 200u) << request.target << ": " << answer.body;
+    EXPECT_NE(answer.body.find("\"query\":\"x=1\""), std::string::npos)
+        << answer.body;
+  }
+}
+
 TEST(SystemTest, ARunCutOffByARouterRestartIsUnknownAndNeverRerun) {
   const auto c = StartCluster({});
   const std::string ticket = TicketOf(*c, 0);
--- a/waxwing/api.cc
+++ b/waxwing/api.cc
@@ -1,10 +1,8 @@
 #include "waxwing/api.h"
 
 #include <boost/json.hpp>
-#include <charconv>
 #include <cmath>
 
-#include "waxwing/config.h"
 #include "waxwing/json.h"
 
 namespace waxwing {
@@ -13,8 +11,6 @@
 
 namespace {
 
-constexpr std::string_view kBearer = "Bearer ";
-
 tl::unexpected<api_error> BadRequest(std::string_view type,
                                      std::string message) {
   return tl::unexpected(
@@ -33,21 +29,6 @@
   return chat_message{*role, *content};
 }
 
-// A header field that holds a whole number in a range. False if it does not.
-bool ReadNumberHeader(const http_headers& headers,
-                      std::string_view name,
-                      std::int64_t minimum,
-                      std::int64_t maximum,
-                      std::int64_t& value) {
-  const std::string_view text = FindHeader(headers, name);
-  if (text.empty())
-    return true;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), value);
-  return error == std::errc() && end == text.data() + text.size() &&
-         value >= minimum && value <= maximum;
-}
-
 }  // namespace
 
 tl::expected<chat_request, api_error> ParseChatRequest(std::string_view body) {
@@ -90,30 +71,6 @@
   return out;
 }
 
-tl::expected<request_options, api_error> ParseRequestOptions(
-    const http_headers& headers) {
-  request_options out;
-  const std::string_view authorization = FindHeader(headers, "Authorization");
-  if (authorization.starts_with(kBearer))
-    out.account_key = std::string(authorization.substr(kBearer.size()));
-  std::int64_t priority = -1;
-  if (!ReadNumberHeader(headers, kHeaderPriority, kLowestPriority,
-                        kHighestPriority, priority))
-    return BadRequest("bad_header", "X-Priority: must be 0 to 9");
-  out.priority = static_cast<int>(priority);
-  std::int64_t deadline = kDefaultDeadline.count();
-  if (!ReadNumberHeader(headers, kHeaderDeadline, 1, kLongestDeadline.count(),
-                        deadline))
-    return BadRequest("bad_header", "X-Deadline-Ms: must be 1 to 600000");
-  out.deadline = milliseconds(deadline);
-  const std::string_view mark = FindHeader(headers, kHeaderNonIdempotent);
-  if (!mark.empty() && mark != "true" && mark != "false")
-    return BadRequest("bad_header", "X-Non-Idempotent: must be true or false");
-  out.non_idempotent = mark == "true";
-  out.ticket = std::string(FindHeader(headers, kHeaderTicket));
-  return out;
-}
-
 std::string ErrorJson(const api_error& error) {
   return json::serialize(json::object{
       {"error", json::object{{"type", error.type}, {"message", error.message}}},
--- a/waxwing/api.h
+++ b/waxwing/api.h
@@ -1,4 +1,5 @@
-// The callers' API: what a request may say, and the one shape of every error.
+// The bodies of the callers' API: a completion, and the one shape of every
+// error.
 //
 // An error's JSON is {"error":{"type","message"},"ran":"no|yes|unknown"}. `ran`
 // is "no" only if no byte of the request can have reached a target. A refusal
@@ -21,14 +22,6 @@
 
 namespace waxwing {
 
-// Header fields of the callers' API.
-inline constexpr std::string_view kHeaderPriority = "X-Priority";
-inline constexpr std::string_view kHeaderDeadline = "X-Deadline-Ms";
-inline constexpr std::string_view kHeaderTicket = "X-Ticket";
-inline constexpr std::string_view kHeaderNonIdempotent = "X-Non-Idempotent";
-inline constexpr std::string_view kHeaderForwarded = "X-Waxwing-Forwarded";
-inline constexpr std::string_view kHeaderRequestId = "X-Request-Id";
-
 inline constexpr std::int64_t kMaxAnswerTokens = 32'768;
 inline constexpr std::size_t kMaxMessages = 1'024;
 inline constexpr milliseconds kDefaultDeadline{60'000};
@@ -45,16 +38,6 @@
   std::string target_body;
 };
 
-// What the header fields of any request say.
-struct request_options {
-  std::string account_key;
-  // -1 if not given.
-  int priority = -1;
-  milliseconds deadline = kDefaultDeadline;
-  bool non_idempotent = false;
-  std::string ticket;
-};
-
 // A refusal or failure, ready to be sent to the caller.
 struct api_error {
   unsigned status = 400;
@@ -67,9 +50,6 @@
 
 tl::expected<chat_request, api_error> ParseChatRequest(std::string_view body);
 
-tl::expected<request_options, api_error> ParseRequestOptions(
-    const http_headers& headers);
-
 // The error as a response.
 http_response ErrorResponse(const api_error& error);
 
--- a/waxwing/chat_run.cc
+++ b/waxwing/chat_run.cc
@@ -1,8 +1,6 @@
 // One chat completion, from the queue to the last byte.
 //
-// The stream of a target is checked event by event: token N must follow token
-// N-1. A stream that breaks, falls silent or skips is resumed at the same
-// target by token offset on a new connection; if that target is gone, an
+// A target that breaks is resumed there (chat_relay.cc); if it is gone, an
 // idempotent request is replayed on another one of the same weights version,
 // which gets the tokens already delivered. The caller sees one gapless stream,
 // or an explicit error event at its end.
@@ -10,9 +8,8 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 
+#include "waxwing/chat_run.h"
 #include "waxwing/log.h"
-#include "waxwing/router_state.h"
-#include "waxwing/sse.h"
 
 namespace waxwing {
 
@@ -20,287 +17,11 @@
 
 namespace {
 
-constexpr milliseconds kHeaderTimeout{1'500};
-constexpr milliseconds kFirstTokenSlack{2'000};
-constexpr int kFirstTokenFactor = 5;
-constexpr milliseconds kShortestGapTimeout{500};
-constexpr milliseconds kLongestGapTimeout{5'000};
-constexpr int kGapFactor = 10;
-constexpr double kGapSmoothing = 0.2;
-// Resumes in a row that brought no new token before the target counts as dead.
-constexpr int kFruitlessResumes = 2;
 constexpr int kMostAttempts = 6;
 
-enum class attempt_end {
-  kDone,
-  kCallerGone,
-  kNotSent,  // no byte of the request has left
-  kRefused,  // the target answered with an error status
-  kBroken,   // the stream ended early, fell silent or was out of order
-};
-
-// State of the run over all its attempts.
-struct chat_run {
-  router_ptr state;
-  http_exchange& exchange;
-  const admitted_request& request;
-  const chat_request& chat;
-  std::optional<ticket_id> claimed;
-  std::string version;
-  prefix_chain chain;
-  // Next token to deliver; all before it have been.
-  std::uint64_t next_token = 0;
-  // Token texts so far, escaped as in JSON.
-  std::string delivered;
-  // The whole stream as sent, for the ledger; only if a ticket was claimed.
-  std::string recorded;
-  stream_usage usage;
-  bool finished = false;
-  bool began = false;
-  bool caller_gone = false;
-  bool sent = false;
-  bool is_dominant = false;
-  int attempts = 0;
-  duration token_gap{};
-  instant last_token;
-};
-
-// One dispatch to one target, over its resumes.
-struct dispatch {
-  placement chosen;
-  std::uint32_t epoch = 0;
-  std::uint32_t missed = 0;
-  endpoint address;
-  instant started;
-  bool prefilled = false;
-  bool learned = false;
-};
-
-// Within a priority, engines prefer accounts that are not dominant.
-int TargetPriority(const chat_run& run) {
-  return 2 * run.request.priority + (run.is_dominant ? 0 : 1);
-}
-
-http_request MakeTargetRequest(const chat_run& run, bool resume_only) {
-  http_request out{"POST", "/v1/chat/completions", {}, run.chat.target_body};
-  out.headers = {{"Content-Type", "application/json"},
-                 {"X-Request-Id", run.request.id},
-                 {"X-Attempt", std::to_string(run.attempts)},
-                 {"X-Priority", std::to_string(TargetPriority(run))},
-                 {"X-Cache-Salt", run.request.account},
-                 {"X-Expect-Version", run.version}};
-  if (!run.chat.adapter.empty())
-    out.headers.push_back({"X-Adapter", run.chat.adapter});
-  if (resume_only)
-    out.headers.push_back({"X-Resume-Only", "true"});
-  if (run.next_token > 0) {
-    out.headers.push_back({"X-Resume-From", std::to_string(run.next_token)});
-    out.body.pop_back();
-    out.body += ",\"delivered\":\"" + run.delivered + "\"}";
-  }
-  return out;
-}
-
-milliseconds ToMilliseconds(duration d) {
-  return std::chrono::duration_cast<milliseconds>(d);
-}
-
-// Longest silence to accept before the next piece of the stream.
-milliseconds SilenceLimit(const chat_run& run, const dispatch& sent) {
-  if (run.token_gap > duration::zero())
-    return std::clamp(ToMilliseconds(run.token_gap * kGapFactor),
-                      kShortestGapTimeout, kLongestGapTimeout);
-  const target_view& view = run.state->placement.targets[sent.chosen.target];
-  const duration expected =
-      ExpectedWait(view, 0) +
-      FromSeconds(sent.missed / view.prefill_tokens_per_second);
-  return kFirstTokenSlack + ToMilliseconds(expected * kFirstTokenFactor);
-}
-
-void NoteTokenArrived(chat_run& run, dispatch& sent) {
-  const instant now = std::chrono::steady_clock::now();
-  if (!sent.prefilled) {
-    sent.prefilled = true;
-    NotePrefilled(run.state->placement, sent.chosen, sent.missed);
-  } else {
-    const duration gap = now - run.last_token;
-    run.token_gap =
-        run.token_gap == duration::zero()
-            ? gap
-            : std::chrono::duration_cast<duration>(
-                  run.token_gap * (1 - kGapSmoothing) + gap * kGapSmoothing);
-  }
-  if (run.next_token == 0)
-    Observe(run.state->stats, "waxwing_ttft_seconds",
-            now - run.request.arrived);
-  run.last_token = now;
-}
-
-void LearnFromUsage(chat_run& run, dispatch& sent, const stream_usage& usage) {
-  if (sent.learned)
-    return;
-  sent.learned = true;
-  LearnFromAnswer(run.state->placement, sent.chosen, sent.epoch, run.chain,
-                  usage.cached_tokens, std::chrono::steady_clock::now());
-  Count(run.state->stats, "waxwing_prompt_tokens_total", usage.prompt_tokens);
-  Count(run.state->stats, "waxwing_cached_tokens_total", usage.cached_tokens);
-}
-
-// Takes in one event; appends what the caller should get to `out`. False if
-// the event does not fit the stream so far.
-bool TakeInEvent(chat_run& run,
-                 dispatch& sent,
-                 std::string_view event,
-                 std::string& out) {
-  if (IsDoneEvent(event)) {
-    out += event;
-    return run.finished;
-  }
-  const auto id = EventId(event);
-  if (!id || *id > run.next_token)
-    return false;
-  if (*id < run.next_token)
-    return true;
-  if (const auto usage = EventUsage(event)) {
-    LearnFromUsage(run, sent, *usage);
-    run.usage = *usage;
-    run.finished = true;
-    out += event;
-    return true;
-  }
-  NoteTokenArrived(run, sent);
-  run.delivered += EscapedContent(event);
-  ++run.next_token;
-  out += event;
-  return true;
-}
-
-// Passes bytes on to the caller. A caller that is gone ends the run, unless
-// its ticket was claimed: then the answer is kept for a late copy.
-asio::awaitable<bool> Deliver(chat_run& run, std::string_view bytes) {
-  if (run.claimed)
-    run.recorded += bytes;
-  if (!run.chat.stream || run.caller_gone)
-    co_return true;
-  if (!run.began) {
-    run.began = true;
-    http_response head{200,
-                       {{"Content-Type", "text/event-stream"},
-                        {std::string(kHeaderRequestId), run.request.id}},
-                       ""};
-    run.caller_gone = !co_await BeginStream(run.exchange, head);
-  }
-  if (!run.caller_gone)
-    run.caller_gone = !co_await WriteStream(run.exchange, bytes);
-  co_return !run.caller_gone || run.claimed;
-}
-
-// Reads the stream of one attempt to its end.
-asio::awaitable<attempt_end> ReadStream(chat_run& run,
-                                        dispatch& sent,
-                                        http_call& call) {
-  std::string buffer;
-  while (true) {
-    const auto more = co_await ReadPiece(run.state->pool, call,
-                                         SilenceLimit(run, sent), buffer);
-    if (!more || !*more)
-      co_return attempt_end::kBroken;
-    std::string_view rest = buffer;
-    std::string out;
-    bool in_order = true;
-    bool done = false;
-    for (auto event = TakeEvent(rest); !event.empty() && in_order && !done;
-         event = TakeEvent(rest)) {
-      in_order = TakeInEvent(run, sent, event, out);
-      done = in_order && IsDoneEvent(event);
-    }
-    buffer.erase(0, buffer.size() - rest.size());
-    if (!out.empty() && !co_await Deliver(run, out))
-      co_return attempt_end::kCallerGone;
-    if (!in_order || buffer.size() > kMaxEventBytes)
-      co_return attempt_end::kBroken;
-    if (done) {
-      // Reads the end of the body, so that the connection can be used again.
-      std::string nothing;
-      const auto end = co_await ReadPiece(run.state->pool, call,
-                                          kShortestGapTimeout, nothing);
-      co_return attempt_end::kDone;
-    }
-  }
-}
-
-// Takes in the identity that an answer's header carries. False if the answer
-// is not of this attempt.
-bool TakeInIdentity(chat_run& run, dispatch& sent, const http_call& call) {
-  const auto& headers = call.head.headers;
-  if (FindHeader(headers, "X-Request-Id") != run.request.id ||
-      FindHeader(headers, "X-Attempt") != std::to_string(run.attempts)) {
-    Count(run.state->stats, "waxwing_crossed_answers_total");
-    return false;
-  }
-  target_view& view = run.state->placement.targets[sent.chosen.target];
-  const std::string boot(FindHeader(headers, "X-Boot-Id"));
-  const std::string version(FindHeader(headers, "X-Weights-Version"));
-  ApplyIdentity(view, std::strtoull(boot.c_str(), nullptr, 10), version);
-  sent.epoch = view.epoch;
-  return version == run.version;
-}
-
-// One connection to the target: the first one, or a resume.
-asio::awaitable<attempt_end> Attempt(chat_run& run,
-                                     dispatch& sent,
-                                     bool resume_only) {
-  ++run.attempts;
-  Count(run.state->stats, "waxwing_attempts_total");
-  const http_request message = MakeTargetRequest(run, resume_only);
-  // Only a request that may be repeated uses a connection that may be dead.
-  const http_call_options options{kHeaderTimeout,
-                                  !run.claimed && run.attempts == 1};
-  auto call =
-      co_await StartCall(run.state->pool, sent.address, message, options);
-  if (!call) {
-    run.sent = run.sent || call.error().sent;
-    co_return call.error().sent ? attempt_end::kBroken : attempt_end::kNotSent;
-  }
-  run.sent = true;
-  if (call->head.status != 200) {
-    CancelCall(*call);
-    co_return attempt_end::kRefused;
-  }
-  attempt_end end = attempt_end::kBroken;
-  if (TakeInIdentity(run, sent, *call))
-    end = co_await ReadStream(run, sent, *call);
-  if (end != attempt_end::kDone)
-    CancelCall(*call);
-  co_return end;
-}
-
-// Tells a target to stop a run that is no longer wanted.
-asio::awaitable<void> CancelAtTarget(router_ptr state,
-                                     endpoint address,
-                                     std::string id) {
-  const http_request message{"POST", "/v1/cancel?id=" + id, {}, ""};
-  const http_call_options options{kHeaderTimeout, true};
-  const auto ignored = co_await Fetch(state->pool, address, message, options);
-}
-
-// Runs the request at one target: the first attempt, then resumes for as long
-// as they bring new tokens.
-asio::awaitable<attempt_end> RunAtTarget(chat_run& run, dispatch& sent) {
-  attempt_end end = co_await Attempt(run, sent, false);
-  int fruitless = 0;
-  while (end == attempt_end::kBroken && fruitless < kFruitlessResumes) {
-    const std::uint64_t before = run.next_token;
-    Count(run.state->stats, "waxwing_resumes_total");
-    end = co_await Attempt(run, sent, run.claimed.has_value());
-    fruitless = run.next_token > before ? 0 : fruitless + 1;
-  }
-  co_return end;
-}
-
-dispatch MakeDispatch(const chat_run& run, const placement& chosen) {
+chat_dispatch MakeDispatch(const chat_run& run, const placement& chosen) {
   const target_view& view = run.state->placement.targets[chosen.target];
-  dispatch out;
+  chat_dispatch out;
   out.chosen = chosen;
   out.epoch = view.epoch;
   out.missed =
@@ -311,7 +32,7 @@
 }
 
 // Accounting after the target has been left, for whatever reason.
-void FinishDispatch(chat_run& run, const dispatch& sent, attempt_end end) {
+void FinishDispatch(chat_run& run, const chat_dispatch& sent, attempt_end end) {
   router_state& state = *run.state;
   const instant now = std::chrono::steady_clock::now();
   if (!sent.prefilled)
@@ -362,7 +83,7 @@
       co_return tl::unexpected(error);
     }
     run.is_dominant = chosen->is_dominant;
-    dispatch sent = MakeDispatch(run, chosen->chosen);
+    chat_dispatch sent = MakeDispatch(run, chosen->chosen);
     const attempt_end end = co_await RunAtTarget(run, sent);
     FinishDispatch(run, sent, end);
     if (end == attempt_end::kDone || end == attempt_end::kCallerGone)
@@ -379,16 +100,8 @@
 }
 
 std::string WholeAnswer(const chat_run& run) {
-  const std::string prompt = std::to_string(run.usage.prompt_tokens);
-  return "{\"id\":\"chatcmpl-" + run.request.id +
-         "\",\"object\":\"chat.completion\",\"model\":\"" + run.chat.model +
-         "\",\"choices\":[{\"index\":0,\"message\":{\"role\":\"assistant\","
-         "\"content\":\"" +
-         run.delivered +
-         "\"},\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":" +
-         prompt + ",\"completion_tokens\":" + std::to_string(run.next_token) +
-         ",\"prompt_tokens_details\":{\"cached_tokens\":" +
-         std::to_string(run.usage.cached_tokens) + "}}}";
+  return WriteCompletion({run.request.id, run.chat.model, run.delivered,
+                          run.next_token, run.usage});
 }
 
 asio::awaitable<void> SendSuccess(chat_run& run) {
@@ -399,7 +112,7 @@
     co_return;
   }
   http_response answer = JsonResponse(200, WholeAnswer(run));
-  answer.headers.push_back({std::string(kHeaderRequestId), run.request.id});
+  AddRequestId(answer, run.request.id);
   co_await Respond(run.exchange, answer);
 }
 
--- a/waxwing/dialect.h
+++ b/waxwing/dialect.h
@@ -1,4 +1,7 @@
-// The seam between the entry's decisions and the protocols of those around it.
+// The seam between the decisions and the protocols of those around them.
+//
+// There are two dialects: the product's own (own_dialect.h), which the router
+// speaks, and the platform's, which the entry speaks.
 //
 // A dialect translates: it reads what callers, targets and the object store
 // send into the types below, and writes what the entry decides. It decides
@@ -27,7 +30,8 @@
 
 // --- Callers.
 
-// A caller's request for a target.
+// A caller's request for a target. A dialect leaves what its protocol does not
+// tell as it is.
 struct inbound_request {
   // Names this attempt of the caller; answers carry it.
   std::string id;
@@ -42,10 +46,22 @@
   std::optional<milliseconds> time_left;
   // The last event of an earlier stream that the caller has.
   std::optional<std::uint64_t> resume_after;
+  // From 0, least urgent, to 9, as the caller asks for it.
+  std::optional<int> priority;
+  // The caller says that the request may run only once, and under what ticket.
+  bool is_non_idempotent = false;
+  std::string ticket;
   // Headers that targets may see.
   http_headers forwarded;
 };
 
+// Where to connect, for how long that holds, and tickets to use there.
+struct directory_answer {
+  std::vector<endpoint> addresses;
+  milliseconds lifetime{0};
+  std::vector<std::string> tickets;
+};
+
 enum class caller_call_kind { kForward, kDirectory, kReadiness };
 
 // Where a caller that asks for addresses stands.
@@ -57,17 +73,28 @@
 
 // --- Targets.
 
-// What the entry adds to a request for one target.
+// What is added to a request for one target. A dialect writes what its protocol
+// has a place for.
 struct run_order {
   std::string target;
   std::string account;
+  // Names the request and this attempt of it, counted from 1.
+  std::string request_id;
+  int attempt = 0;
   milliseconds time_left{0};
   // From 0, most urgent, to 9.
   std::optional<int> priority;
   std::string cache_salt;
   std::optional<std::int64_t> weights_version;
+  std::string weights_name;
+  std::string adapter;
   // Resumes a stream after this event.
   std::optional<std::uint64_t> resume_after;
+  // Continues from this token; `delivered` is the text before it, escaped as in
+  // JSON. If `is_resume_only`, the target must not start the run anew.
+  std::uint64_t resume_from = 0;
+  std::string delivered;
+  bool is_resume_only = false;
   std::optional<endpoint> cache_source;
   std::optional<endpoint> cache_store;
 };
@@ -75,6 +102,7 @@
 // What the header of a target's answer tells.
 struct answer_facts {
   std::string request_id;
+  int attempt = 0;
   // The target that answered, if it says so.
   std::string target;
   // The target states that it has not run the request.
@@ -90,6 +118,9 @@
   };
   std::optional<load> now;
   std::optional<std::int64_t> weights_version;
+  std::string weights_name;
+  // Differs between two starts of the target.
+  std::uint64_t boot = 0;
 };
 
 // A target as the platform lists it.
@@ -220,8 +251,7 @@
   tl::expected<inbound_request, std::string> (*read_request)(
       const http_request&) = nullptr;
   directory_query (*read_directory_query)(const http_request&) = nullptr;
-  http_response (*write_directory)(const std::vector<endpoint>&,
-                                   milliseconds lifetime) = nullptr;
+  http_response (*write_directory)(const directory_answer&) = nullptr;
   // An answer of the entry's own.
   http_response (*write_refusal)(const inbound_request&,
                                  unsigned status,
@@ -235,6 +265,8 @@
                             const inbound_request&,
                             const run_order&) = nullptr;
   answer_facts (*read_answer)(const http_response& head) = nullptr;
+  // Asks a target to stop a run. Null: closing the connection is enough.
+  http_request (*write_cancel)(std::string_view request_id) = nullptr;
   boost::asio::awaitable<tl::expected<target_state, http_error>> (*read_target)(
       const http_pool&,
       endpoint,
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -100,8 +100,9 @@
   }
   const directory_query query =
       state->spoken.read_directory_query(exchange.request);
-  http_response answer = state->spoken.write_directory(
-      ChooseAddresses(*state, query.zone), kDirectoryLifetime);
+  const directory_answer known{
+      ChooseAddresses(*state, query.zone), kDirectoryLifetime, {}};
+  http_response answer = state->spoken.write_directory(known);
   Count(state->stats, "waxwing_directory_answers_total");
   co_await Respond(exchange, std::move(answer));
 }
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -19,7 +19,7 @@
 namespace {
 
 // Longest wait for a caller without a deadline of its own and no route yet.
-constexpr milliseconds kDefaultDeadline{30'000};
+constexpr milliseconds kLongestWithoutRoute{30'000};
 // Sends after refusals: beyond it the service as a whole has no room.
 constexpr int kMostSends = 4;
 constexpr milliseconds kShortestRetryAfter{100};
@@ -76,9 +76,9 @@
       return refusal{401, "unknown_key", {}};
     run.account = found->second;
   }
-  run.deadline =
-      run.arrived + std::min(run.request.time_left.value_or(kDefaultDeadline),
-                             run.path->timeout);
+  run.deadline = run.arrived +
+                 std::min(run.request.time_left.value_or(kLongestWithoutRoute),
+                          run.path->timeout);
   run.service = ChooseService(*run.path, run.state->random());
   return std::nullopt;
 }
--- /dev/null
+++ b/waxwing/own_dialect.cc
@@ -0,0 +1,267 @@
+#include "waxwing/own_dialect.h"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <boost/json.hpp>
+#include <charconv>
+#include <initializer_list>
+
+#include "waxwing/api.h"
+#include "waxwing/config.h"
+
+namespace waxwing {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view kHeaderPriority = "X-Priority";
+constexpr std::string_view kHeaderDeadline = "X-Deadline-Ms";
+constexpr std::string_view kHeaderTicket = "X-Ticket";
+constexpr std::string_view kHeaderNonIdempotent = "X-Non-Idempotent";
+constexpr std::string_view kHeaderForwarded = "X-Waxwing-Forwarded";
+constexpr std::string_view kHeaderRequestId = "X-Request-Id";
+constexpr std::string_view kHeaderAttempt = "X-Attempt";
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::string_view kChatPath = "/v1/chat/completions";
+constexpr std::string_view kServicesPath = "/v1/services/";
+
+// A header field that holds a whole number in a range. Absent: nothing.
+tl::expected<std::optional<std::int64_t>, std::string> ReadNumberHeader(
+    const http_headers& headers,
+    std::string_view name,
+    std::int64_t minimum,
+    std::int64_t maximum) {
+  const std::string_view text = FindHeader(headers, name);
+  if (text.empty())
+    return std::nullopt;
+  std::int64_t value = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size() ||
+      value < minimum || value > maximum)
+    return tl::unexpected(std::string(name) + ": must be " +
+                          std::to_string(minimum) + " to " +
+                          std::to_string(maximum));
+  return value;
+}
+
+tl::expected<inbound_request, std::string> ReadOwnRequest(
+    const http_request& from) {
+  inbound_request out;
+  const std::string_view key = FindHeader(from.headers, "Authorization");
+  if (key.starts_with(kBearer))
+    out.account_key = std::string(key.substr(kBearer.size()));
+  const auto priority = ReadNumberHeader(from.headers, kHeaderPriority,
+                                         kLowestPriority, kHighestPriority);
+  if (!priority)
+    return tl::unexpected(priority.error());
+  if (*priority)
+    out.priority = static_cast<int>(**priority);
+  const auto deadline = ReadNumberHeader(from.headers, kHeaderDeadline, 1,
+                                         kLongestDeadline.count());
+  if (!deadline)
+    return tl::unexpected(deadline.error());
+  if (*deadline)
+    out.time_left = milliseconds(**deadline);
+  const std::string_view mark = FindHeader(from.headers, kHeaderNonIdempotent);
+  if (!mark.empty() && mark != "true" && mark != "false")
+    return tl::unexpected(
+        std::string("X-Non-Idempotent: must be true or false"));
+  out.is_non_idempotent = mark == "true";
+  out.ticket = std::string(FindHeader(from.headers, kHeaderTicket));
+  return out;
+}
+
+caller_call_kind ClassifyCall(const http_request& request) {
+  switch (ClassifyOwnCall(request)) {
+    case own_call::kEntry:
+      return caller_call_kind::kDirectory;
+    case own_call::kHealth:
+      return caller_call_kind::kReadiness;
+    default:
+      return caller_call_kind::kForward;
+  }
+}
+
+http_response WriteEntry(const directory_answer& answer) {
+  json::array addresses;
+  for (const endpoint& address : answer.addresses)
+    addresses.push_back(json::value(ToText(address)));
+  json::array tickets;
+  for (const std::string& ticket : answer.tickets)
+    tickets.push_back(json::value(ticket));
+  return JsonResponse(200, json::serialize(json::object{
+                               {"addresses", std::move(addresses)},
+                               {"lifetime_ms", answer.lifetime.count()},
+                               {"tickets", std::move(tickets)}}));
+}
+
+// Of a target's answer the caller gets what describes its body.
+http_headers AnswerHeaders(const http_headers& from_target) {
+  return {
+      {"Content-Type", std::string(FindHeader(from_target, "Content-Type"))}};
+}
+
+http_request WriteRun(const http_request& from_caller,
+                      const inbound_request& /*request*/,
+                      const run_order& order) {
+  http_request out = from_caller;
+  const auto add = [&](std::string_view name, std::string value) {
+    out.headers.push_back({std::string(name), std::move(value)});
+  };
+  add(kHeaderRequestId, order.request_id);
+  if (!order.account.empty())
+    add("X-Client-Account", order.account);
+  if (order.attempt > 0)
+    add(kHeaderAttempt, std::to_string(order.attempt));
+  if (order.priority)
+    add(kHeaderPriority, std::to_string(*order.priority));
+  if (!order.cache_salt.empty())
+    add("X-Cache-Salt", order.cache_salt);
+  if (!order.weights_name.empty())
+    add("X-Expect-Version", order.weights_name);
+  if (!order.adapter.empty())
+    add("X-Adapter", order.adapter);
+  if (order.is_resume_only)
+    add("X-Resume-Only", "true");
+  if (order.resume_from > 0) {
+    add("X-Resume-From", std::to_string(order.resume_from));
+    out.body.pop_back();
+    out.body += ",\"delivered\":\"" + order.delivered + "\"}";
+  }
+  return out;
+}
+
+answer_facts ReadAnswer(const http_response& head) {
+  answer_facts out;
+  out.request_id = std::string(FindHeader(head.headers, kHeaderRequestId));
+  const std::string_view attempt = FindHeader(head.headers, kHeaderAttempt);
+  std::from_chars(attempt.data(), attempt.data() + attempt.size(), out.attempt);
+  const std::string_view boot = FindHeader(head.headers, "X-Boot-Id");
+  std::from_chars(boot.data(), boot.data() + boot.size(), out.boot);
+  out.weights_name = std::string(FindHeader(head.headers, "X-Weights-Version"));
+  return out;
+}
+
+http_request WriteCancel(std::string_view request_id) {
+  return {"POST", "/v1/cancel?id=" + std::string(request_id), {}, ""};
+}
+
+void DropHeaders(http_headers& headers,
+                 std::initializer_list<std::string_view> names) {
+  std::erase_if(headers, [&](const http_header& header) {
+    return std::any_of(names.begin(), names.end(), [&](std::string_view name) {
+      return boost::beast::iequals(name, header.name);
+    });
+  });
+}
+
+}  // namespace
+
+dialect MakeOwnDialect() {
+  dialect out;
+  out.classify = ClassifyCall;
+  out.read_request = ReadOwnRequest;
+  out.write_directory = WriteEntry;
+  out.answer_headers = AnswerHeaders;
+  out.write_run = WriteRun;
+  out.read_answer = ReadAnswer;
+  out.write_cancel = WriteCancel;
+  return out;
+}
+
+own_call ClassifyOwnCall(const http_request& request) {
+  const std::string_view path = PathOf(request.target);
+  if (request.method == "POST" && path == kChatPath)
+    return own_call::kChat;
+  if (path.starts_with(kServicesPath))
+    return own_call::kService;
+  if (path == "/v1/entry")
+    return own_call::kEntry;
+  if (path == "/healthz")
+    return own_call::kHealth;
+  return path == "/metrics" ? own_call::kMetrics : own_call::kUnknown;
+}
+
+service_call ReadServiceCall(std::string_view target) {
+  target.remove_prefix(kServicesPath.size());
+  const std::size_t end = std::min(target.find_first_of("/?"), target.size());
+  service_call out;
+  out.name = std::string(target.substr(0, end));
+  out.target = std::string(target.substr(end));
+  if (!out.target.starts_with('/'))
+    out.target.insert(0, "/");
+  out.path = std::string(PathOf(out.target));
+  return out;
+}
+
+http_request MakeChatRequest(std::string body) {
+  return {"POST",
+          std::string(kChatPath),
+          {{"Content-Type", "application/json"}},
+          std::move(body)};
+}
+
+http_request MakeServiceRequest(const http_request& from_caller,
+                                const service_call& call) {
+  http_request out{from_caller.method, call.target, {}, from_caller.body};
+  const std::string_view type = FindHeader(from_caller.headers, "Content-Type");
+  if (!type.empty())
+    out.headers.push_back({"Content-Type", std::string(type)});
+  return out;
+}
+
+http_request MakePassedOnRequest(const http_request& from_caller,
+                                 std::string_view vm) {
+  http_request out = from_caller;
+  DropHeaders(out.headers,
+              {"Host", "Content-Length", "Transfer-Encoding", "Connection"});
+  out.headers.push_back({std::string(kHeaderForwarded), std::string(vm)});
+  return out;
+}
+
+bool IsPassedOn(const http_request& request) {
+  return !FindHeader(request.headers, kHeaderForwarded).empty();
+}
+
+http_response MakePassedOnAnswer(http_response answer) {
+  DropHeaders(answer.headers,
+              {"Connection", "Transfer-Encoding", "Content-Length"});
+  return answer;
+}
+
+void AddRequestId(http_response& answer, std::string_view id) {
+  answer.headers.push_back({std::string(kHeaderRequestId), std::string(id)});
+}
+
+void AddTicket(http_response& answer, std::string_view ticket) {
+  answer.headers.push_back({std::string(kHeaderTicket), std::string(ticket)});
+}
+
+void MarkRepeated(http_response& answer) {
+  answer.headers.push_back({"X-Repeated", "true"});
+}
+
+http_response MakeStreamHead(std::string_view request_id) {
+  http_response out{200, {{"Content-Type", "text/event-stream"}}, ""};
+  AddRequestId(out, request_id);
+  return out;
+}
+
+std::string WriteCompletion(const whole_completion& completion) {
+  const stream_usage& usage = completion.usage;
+  return "{\"id\":\"chatcmpl-" + std::string(completion.request_id) +
+         "\",\"object\":\"chat.completion\",\"model\":\"" +
+         std::string(completion.model) +
+         "\",\"choices\":[{\"index\":0,\"message\":{\"role\":\"assistant\","
+         "\"content\":\"" +
+         std::string(completion.text) +
+         "\"},\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":" +
+         std::to_string(usage.prompt_tokens) +
+         ",\"completion_tokens\":" + std::to_string(completion.tokens) +
+         ",\"prompt_tokens_details\":{\"cached_tokens\":" +
+         std::to_string(usage.cached_tokens) + "}}}";
+}
+
+}  // namespace waxwing
--- /dev/null
+++ b/waxwing/own_dialect.h
@@ -0,0 +1,79 @@
+// The product's own protocol on the data path: header fields, paths and JSON of
+// callers and targets, read into and written from the types of dialect.h.
+//
+// The shape of a completion's body and of errors is in api.h, that of a
+// target's events in sse.h.
+
+#ifndef WAXWING_OWN_DIALECT_H_
+#define WAXWING_OWN_DIALECT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "waxwing/dialect.h"
+#include "waxwing/http.h"
+#include "waxwing/sse.h"
+
+namespace waxwing {
+
+// Fills in the calls of callers and targets. The object store and the orders of
+// the product are the agent's (platform_client.h); their functions stay null.
+dialect MakeOwnDialect();
+
+// What a caller asks for.
+enum class own_call { kChat, kService, kEntry, kHealth, kMetrics, kUnknown };
+
+own_call ClassifyOwnCall(const http_request& request);
+
+// A call to a plain service, by its path "/v1/services/NAME/REST?QUERY".
+struct service_call {
+  std::string name;
+  // The rest of the path, without and with the query. Never empty.
+  std::string path;
+  std::string target;
+};
+
+service_call ReadServiceCall(std::string_view target);
+
+// The request for a target that runs a completion.
+http_request MakeChatRequest(std::string body);
+
+// The request for a target of the service, from the caller's.
+http_request MakeServiceRequest(const http_request& from_caller,
+                                const service_call& call);
+
+// Marks a request that a router passes on to the owner of its ticket; `vm` is
+// the router's. The connection's own header fields are dropped.
+http_request MakePassedOnRequest(const http_request& from_caller,
+                                 std::string_view vm);
+bool IsPassedOn(const http_request& request);
+
+// An answer that came from another router, fit to be sent on.
+http_response MakePassedOnAnswer(http_response answer);
+
+// Adds to an answer the name of its request, a ticket for the next try, or the
+// mark of an answer that has been given before.
+void AddRequestId(http_response& answer, std::string_view id);
+void AddTicket(http_response& answer, std::string_view ticket);
+void MarkRepeated(http_response& answer);
+
+// The head of a streamed completion.
+http_response MakeStreamHead(std::string_view request_id);
+
+// A completion that is answered in one piece.
+struct whole_completion {
+  std::string_view request_id;
+  std::string_view model;
+  // Escaped as in JSON.
+  std::string_view text;
+  std::uint64_t tokens = 0;
+  stream_usage usage;
+};
+
+std::string WriteCompletion(const whole_completion& completion);
+
+}  // namespace waxwing
+
+#endif  // WAXWING_OWN_DIALECT_H_
--- a/waxwing/router.cc
+++ b/waxwing/router.cc
@@ -31,15 +31,16 @@
 // Finds the client account of a request and fills in what follows from it.
 tl::expected<admitted_request, api_error> Identify(router_state& state,
                                                    const http_request& from) {
-  auto options = ParseRequestOptions(from.headers);
-  if (!options)
-    return tl::unexpected(options.error());
+  auto call = state.spoken.read_request(from);
+  if (!call)
+    return tl::unexpected(
+        api_error{400, "bad_header", call.error(), ran::kNo, {}});
   if (state.active->generation == 0)
     return tl::unexpected(api_error{503, "starting",
                                     "no configuration is in force yet",
                                     ran::kNo, seconds(1)});
-  const auto name = state.account_of_key.find(options->account_key);
-  if (options->account_key.empty() || name == state.account_of_key.end())
+  const auto name = state.account_of_key.find(call->account_key);
+  if (call->account_key.empty() || name == state.account_of_key.end())
     return tl::unexpected(api_error{401,
                                     "unknown_account",
                                     "the key belongs to no client account",
@@ -50,13 +51,12 @@
   out.id = state.options.vm + "-" + ToHex(state.process_incarnation) + "-" +
            std::to_string(state.next_request++);
   out.arrived = std::chrono::steady_clock::now();
-  out.deadline = out.arrived + options->deadline;
+  out.deadline = out.arrived + call->time_left.value_or(kDefaultDeadline);
   const account_config& account = state.active->accounts.at(out.account);
   const int allowed = PriorityOf(account, UnixNow());
   // A caller may lower its priority, never raise it.
-  out.priority =
-      options->priority < 0 ? allowed : std::min(options->priority, allowed);
-  out.options = std::move(*options);
+  out.priority = std::min(call->priority.value_or(allowed), allowed);
+  out.call = std::move(*call);
   EarnRetry(state.retries[out.account]);
   return out;
 }
@@ -80,7 +80,7 @@
     co_return;
   }
   std::optional<ticket_id> claimed;
-  if (request->options.non_idempotent) {
+  if (request->call.is_non_idempotent) {
     ticket_id id;
     if (!co_await ClaimTicket(state, exchange, *request, id))
       co_return;
@@ -96,26 +96,22 @@
     co_await SendError(exchange, request.error());
     co_return;
   }
-  std::string_view path = PathOf(exchange.request.target);
-  path.remove_prefix(std::string_view("/v1/services/").size());
-  const std::size_t slash = std::min(path.find('/'), path.size());
-  const std::string name(path.substr(0, slash));
-  const std::string rest(path.substr(slash));
-  if (!state->active->services.contains(name)) {
+  const service_call call = ReadServiceCall(exchange.request.target);
+  if (!state->active->services.contains(call.name)) {
     const api_error error{
         404, "unknown_service", "the service is not configured", ran::kNo, {}};
     co_await SendError(exchange, error);
     co_return;
   }
   std::optional<ticket_id> claimed;
-  if (request->options.non_idempotent ||
-      IsNonIdempotentPath(*state->active, name, rest)) {
+  if (request->call.is_non_idempotent ||
+      IsNonIdempotentPath(*state->active, call.name, call.path)) {
     ticket_id id;
     if (!co_await ClaimTicket(state, exchange, *request, id))
       co_return;
     claimed = id;
   }
-  co_await RunService(state, exchange, *request, claimed);
+  co_await RunService(state, exchange, *request, call, claimed);
 }
 
 // Where the account should connect, for how long that answer holds, and tickets
@@ -130,18 +126,14 @@
   const auto vms =
       ChooseEntryVms(state->members, request->account, state->options.zone,
                      state->options.entry_vms);
-  json::array addresses;
-  json::array tickets;
+  directory_answer known;
+  known.lifetime = state->options.entry_lifetime;
   for (const member& vm : vms) {
-    addresses.push_back(json::value(ToText(vm.router)));
+    known.addresses.push_back(vm.router);
     for (std::size_t i = 0; i < kTicketsPerVm; ++i)
-      tickets.push_back(json::value(MintTicket(*state, request->account, vm)));
+      known.tickets.push_back(MintTicket(*state, request->account, vm));
   }
-  const http_response answer = JsonResponse(
-      200, json::serialize(json::object{
-               {"addresses", std::move(addresses)},
-               {"lifetime_ms", state->options.entry_lifetime.count()},
-               {"tickets", std::move(tickets)}}));
+  http_response answer = state->spoken.write_directory(known);
   co_await Respond(exchange, answer);
 }
 
@@ -170,24 +162,29 @@
 }
 
 asio::awaitable<void> Handle(router_ptr state, http_exchange& exchange) {
-  const std::string_view path = PathOf(exchange.request.target);
-  const bool is_post = exchange.request.method == "POST";
   Count(state->stats, "waxwing_requests_total");
-  if (is_post && path == "/v1/chat/completions") {
-    co_await HandleChat(state, exchange);
-  } else if (path.starts_with("/v1/services/")) {
-    co_await HandleService(state, exchange);
-  } else if (path == "/v1/entry") {
-    co_await HandleEntry(state, exchange);
-  } else {
-    http_response answer = ErrorResponse(
-        {404, "no_such_path", "there is nothing at this path", ran::kNo, {}});
-    if (path == "/healthz")
+  http_response answer = ErrorResponse(
+      {404, "no_such_path", "there is nothing at this path", ran::kNo, {}});
+  switch (ClassifyOwnCall(exchange.request)) {
+    case own_call::kChat:
+      co_await HandleChat(state, exchange);
+      co_return;
+    case own_call::kService:
+      co_await HandleService(state, exchange);
+      co_return;
+    case own_call::kEntry:
+      co_await HandleEntry(state, exchange);
+      co_return;
+    case own_call::kHealth:
       answer = HealthPage(*state);
-    else if (path == "/metrics")
+      break;
+    case own_call::kMetrics:
       answer = MetricsPage(*state);
-    co_await Respond(exchange, answer);
+      break;
+    case own_call::kUnknown:
+      break;
   }
+  co_await Respond(exchange, answer);
 }
 
 // Requests may wait for a target to become usable again, which no event tells.
@@ -269,6 +266,7 @@
   auto state = std::make_shared<router_state>();
   state->executor = executor;
   state->options = options;
+  state->spoken = MakeOwnDialect();
   state->started = std::chrono::steady_clock::now();
   state->root = MakeSupervisor(executor, "router", {});
   supervisor_limits redial;
--- a/waxwing/router_state.h
+++ b/waxwing/router_state.h
@@ -17,11 +17,13 @@
 #include "waxwing/admission.h"
 #include "waxwing/api.h"
 #include "waxwing/config.h"
+#include "waxwing/dialect.h"
 #include "waxwing/http_client.h"
 #include "waxwing/http_server.h"
 #include "waxwing/ledger.h"
 #include "waxwing/membership.h"
 #include "waxwing/metrics.h"
+#include "waxwing/own_dialect.h"
 #include "waxwing/peer_link.h"
 #include "waxwing/placement.h"
 #include "waxwing/retry.h"
@@ -63,6 +65,7 @@
 struct router_state {
   boost::asio::any_io_executor executor;
   router_options options;
+  dialect spoken;
   supervisor root;
   supervisor agent_root;
   http_server server;
@@ -97,7 +100,7 @@
   // Unique over all routers and restarts; targets know the request by it.
   std::string id;
   std::string account;
-  request_options options;
+  inbound_request call;
   int priority = kDefaultPriority;
   instant arrived;
   instant deadline;
@@ -147,6 +150,7 @@
 boost::asio::awaitable<void> RunService(router_ptr state,
                                         http_exchange& exchange,
                                         const admitted_request& request,
+                                        const service_call& call,
                                         std::optional<ticket_id> claimed);
 
 // --- ticketing.cc
--- a/waxwing/service_run.cc
+++ b/waxwing/service_run.cc
@@ -17,36 +17,18 @@
 
 namespace {
 
-constexpr std::string_view kServicesPath = "/v1/services/";
 constexpr milliseconds kLongestCall{30'000};
 constexpr int kMostAttempts = 4;
 
-// The service's name and the rest of the path.
-struct service_path {
-  std::string name;
-  std::string rest;
-};
-
-service_path SplitPath(std::string_view target) {
-  target.remove_prefix(kServicesPath.size());
-  const std::size_t slash = std::min(target.find('/'), target.size());
-  service_path out{std::string(target.substr(0, slash)),
-                   std::string(target.substr(slash))};
-  if (out.rest.empty())
-    out.rest = "/";
-  return out;
-}
-
-http_request MakeTargetRequest(const http_request& from,
+http_request MakeTargetRequest(const router_state& state,
+                               const http_request& from,
                                const admitted_request& request,
-                               const service_path& path) {
-  http_request out{from.method, path.rest, {}, from.body};
-  out.headers = {{"X-Request-Id", request.id},
-                 {"X-Client-Account", request.account}};
-  const std::string_view type = FindHeader(from.headers, "Content-Type");
-  if (!type.empty())
-    out.headers.push_back({"Content-Type", std::string(type)});
-  return out;
+                               const service_call& call) {
+  run_order order;
+  order.request_id = request.id;
+  order.account = request.account;
+  return state.spoken.write_run(MakeServiceRequest(from, call), request.call,
+                                order);
 }
 
 // The usable target of the service with the fewest calls of this router in
@@ -83,13 +65,13 @@
 asio::awaitable<service_result> CallTargets(const router_ptr& state,
                                             const http_request& message,
                                             const admitted_request& request,
-                                            const service_path& path,
+                                            const service_call& call,
                                             bool once) {
   int avoid = -1;
   bool sent = false;
   for (int attempt = 1; attempt <= kMostAttempts; ++attempt) {
     const instant now = std::chrono::steady_clock::now();
-    const auto chosen = ChooseTarget(*state, path.name, avoid, now);
+    const auto chosen = ChooseTarget(*state, call.name, avoid, now);
     if (!chosen)
       break;
     Count(state->stats, "waxwing_attempts_total");
@@ -133,12 +115,12 @@
 asio::awaitable<service_result> RunClaimed(const router_ptr& state,
                                            const http_request& message,
                                            const admitted_request& request,
-                                           const service_path& path,
+                                           const service_call& call,
                                            const ticket_id& id) {
   service_result result;
   const bool noted = co_await NoteDispatched(state, id);
   if (noted)
-    result = co_await CallTargets(state, message, request, path, true);
+    result = co_await CallTargets(state, message, request, call, true);
   else
     result.error =
         api_error{503, "agent_unavailable", "the VM's agent does not answer",
@@ -157,15 +139,15 @@
 asio::awaitable<void> RunService(router_ptr state,
                                  http_exchange& exchange,
                                  const admitted_request& request,
+                                 const service_call& call,
                                  std::optional<ticket_id> claimed) {
-  const service_path path = SplitPath(exchange.request.target);
   const http_request message =
-      MakeTargetRequest(exchange.request, request, path);
+      MakeTargetRequest(*state, exchange.request, request, call);
   service_result result;
   if (claimed)
-    result = co_await RunClaimed(state, message, request, path, *claimed);
+    result = co_await RunClaimed(state, message, request, call, *claimed);
   else
-    result = co_await CallTargets(state, message, request, path, false);
+    result = co_await CallTargets(state, message, request, call, false);
   http_response answer;
   if (result.error) {
     answer = ErrorResponse(*result.error);
@@ -173,7 +155,7 @@
     const kept_answer kept = Keep(result.answer);
     answer = {kept.status, {{"Content-Type", kept.content_type}}, kept.body};
   }
-  answer.headers.push_back({std::string(kHeaderRequestId), request.id});
+  AddRequestId(answer, request.id);
   Observe(state->stats, "waxwing_service_seconds",
           std::chrono::steady_clock::now() - request.arrived);
   co_await Respond(exchange, answer);
--- a/waxwing/ticketing.cc
+++ b/waxwing/ticketing.cc
@@ -53,8 +53,7 @@
   member self;
   self.vm = state->options.vm;
   self.incarnation = state->vm_incarnation;
-  answer.headers.push_back(
-      {std::string(kHeaderTicket), MintTicket(*state, request.account, self)});
+  AddTicket(answer, MintTicket(*state, request.account, self));
   co_await Respond(exchange, answer);
 }
 
@@ -63,7 +62,7 @@
                                      http_exchange& exchange,
                                      const admitted_request& request,
                                      const ticket& claimed) {
-  if (!FindHeader(exchange.request.headers, kHeaderForwarded).empty()) {
+  if (IsPassedOn(exchange.request)) {
     co_await Refuse(exchange, Unknown("not_owner", "forwarded to a non-owner"));
     co_return;
   }
@@ -74,12 +73,8 @@
                     Unknown("owner_gone", "the ticket's owner is gone"));
     co_return;
   }
-  http_request message = exchange.request;
-  std::erase_if(message.headers, [](const http_header& header) {
-    return header.name == "Host" || header.name == "Content-Length" ||
-           header.name == "Transfer-Encoding" || header.name == "Connection";
-  });
-  message.headers.push_back({std::string(kHeaderForwarded), state->options.vm});
+  const http_request message =
+      MakePassedOnRequest(exchange.request, state->options.vm);
   Count(state->stats, "waxwing_forwarded_total");
   const http_call_options options{
       std::chrono::duration_cast<milliseconds>(
@@ -93,11 +88,8 @@
                                       "the ticket's owner does not answer"));
     co_return;
   }
-  std::erase_if(answer->headers, [](const http_header& header) {
-    return header.name == "Connection" || header.name == "Transfer-Encoding" ||
-           header.name == "Content-Length";
-  });
-  co_await Respond(exchange, *answer);
+  http_response passed = MakePassedOnAnswer(std::move(*answer));
+  co_await Respond(exchange, std::move(passed));
 }
 
 // Waits until the run in progress under this ticket has an outcome.
@@ -132,7 +124,7 @@
   if (step == ledger_step::kAnswered && entry->answer.whole) {
     http_response answer{entry->answer.status, {}, entry->answer.body};
     answer.headers.push_back({"Content-Type", entry->answer.content_type});
-    answer.headers.push_back({"X-Repeated", "true"});
+    MarkRepeated(answer);
     co_await Respond(exchange, answer);
     co_return;
   }
@@ -183,11 +175,11 @@
                                   http_exchange& exchange,
                                   const admitted_request& request,
                                   ticket_id& claimed) {
-  if (request.options.ticket.empty()) {
+  if (request.call.ticket.empty()) {
     co_await DemandTicket(state, exchange, request);
     co_return false;
   }
-  const auto read = ReadTicket(request.options.ticket, state->options.key);
+  const auto read = ReadTicket(request.call.ticket, state->options.key);
   tl::expected<void, ticket_error> checked;
   if (read)
     checked = CheckTicket(*read, request.account, UnixNow());
