Share the mains and settings rows of the daemons

Change: RunDaemon() is the whole of a daemon's main; rows that several programs share are constants of settings.h.

--- a/programs/standin_engine.cc
+++ b/programs/standin_engine.cc
@@ -3,7 +3,6 @@
 #include "standin/engine.h"
 
 #include <boost/asio/io_context.hpp>
-#include <cstdio>
 
 #include "waxwing/program.h"
 #include "waxwing/settings.h"
@@ -14,10 +13,7 @@
 using waxwing::setting_kind;
 
 constexpr setting kTable[] = {
-    {.name = "listen",
-     .kind = setting_kind::kEndpoint,
-     .help = "address",
-     .required = true},
+    waxwing::kListenSetting,
     {.name = "model", .default_value = "triage", .help = "model it runs"},
     {.name = "weights", .default_value = "v1", .help = "weights version"},
     {.name = "slots",
@@ -50,41 +46,36 @@
      .kind = setting_kind::kFlag,
      .default_value = "true",
      .help = "refuse orders with an old fencing number"},
-    {.name = "seed",
-     .kind = setting_kind::kInteger,
-     .default_value = "1",
-     .help = "seed of its random choices"},
+    waxwing::kSeedSetting,
+    waxwing::kLogLevelSetting,
 };
 
+tl::expected<waxwing::daemon_stop, waxwing::start_error> Start(
+    boost::asio::io_context& context,
+    const waxwing::settings& all) {
+  standin::engine_options options;
+  options.address = GetEndpoint(all, "listen");
+  options.model = GetText(all, "model");
+  options.version = GetText(all, "weights");
+  options.slots = static_cast<int>(GetInteger(all, "slots"));
+  options.prefill_tokens_per_second = GetNumber(all, "prefill-rate");
+  options.token_interval = waxwing::milliseconds(GetInteger(all, "token-ms"));
+  options.cache_blocks =
+      static_cast<std::size_t>(GetInteger(all, "cache-blocks"));
+  options.cold_start = waxwing::milliseconds(GetInteger(all, "cold-start-ms"));
+  options.honours_fencing = GetFlag(all, "honours-fencing");
+  options.seed = static_cast<std::uint64_t>(GetInteger(all, "seed"));
+  auto started = standin::StartEngine(context.get_executor(), options);
+  if (!started)
+    return tl::unexpected(waxwing::start_error{started.error()});
+  return [started = *started]() mutable -> boost::asio::awaitable<bool> {
+    standin::StopEngine(started);
+    co_return true;
+  };
+}
+
 }  // namespace
 
 int main(int argc, const char** argv) {
-  const auto read =
-      waxwing::ReadSettingsOrExitCode("standin-engine", kTable, argc, argv);
-  if (!read)
-    return read.error();
-  standin::engine_options options;
-  options.address = GetEndpoint(*read, "listen");
-  options.model = GetText(*read, "model");
-  options.version = GetText(*read, "weights");
-  options.slots = static_cast<int>(GetInteger(*read, "slots"));
-  options.prefill_tokens_per_second = GetNumber(*read, "prefill-rate");
-  options.token_interval = waxwing::milliseconds(GetInteger(*read, "token-ms"));
-  options.cache_blocks =
-      static_cast<std::size_t>(GetInteger(*read, "cache-blocks"));
-  options.cold_start =
-      waxwing::milliseconds(GetInteger(*read, "cold-start-ms"));
-  options.honours_fencing = GetFlag(*read, "honours-fencing");
-  options.seed = static_cast<std::uint64_t>(GetInteger(*read, "seed"));
-  boost::asio::io_context context(1);
-  auto engine = standin::StartEngine(context.get_executor(), options);
-  if (!engine) {
-    std::fprintf(stderr, "standin-engine: %s\n", engine.error().c_str());
-    return waxwing::kExitFailure;
-  }
-  return waxwing::RunUntilStopped(context,
-                                  [&]() -> boost::asio::awaitable<bool> {
-                                    standin::StopEngine(*engine);
-                                    co_return true;
-                                  });
+  return waxwing::RunDaemon("standin-engine", kTable, argc, argv, Start);
 }
--- a/programs/standin_platform.cc
+++ b/programs/standin_platform.cc
@@ -3,7 +3,6 @@
 #include "standin/platform.h"
 
 #include <boost/asio/io_context.hpp>
-#include <cstdio>
 
 #include "waxwing/program.h"
 #include "waxwing/settings.h"
@@ -11,38 +10,30 @@
 namespace {
 
 using waxwing::setting;
-using waxwing::setting_kind;
 
 constexpr setting kTable[] = {
-    {.name = "listen",
-     .kind = setting_kind::kEndpoint,
-     .help = "address",
-     .required = true},
-    {.name = "seed",
-     .kind = setting_kind::kInteger,
-     .default_value = "1",
-     .help = "seed of its random choices"},
+    waxwing::kListenSetting,
+    waxwing::kSeedSetting,
+    waxwing::kLogLevelSetting,
 };
 
+tl::expected<waxwing::daemon_stop, waxwing::start_error> Start(
+    boost::asio::io_context& context,
+    const waxwing::settings& all) {
+  standin::platform_options options;
+  options.address = GetEndpoint(all, "listen");
+  options.seed = static_cast<std::uint64_t>(GetInteger(all, "seed"));
+  auto started = standin::StartPlatform(context.get_executor(), options);
+  if (!started)
+    return tl::unexpected(waxwing::start_error{started.error()});
+  return [started = *started]() mutable -> boost::asio::awaitable<bool> {
+    standin::StopPlatform(started);
+    co_return true;
+  };
+}
+
 }  // namespace
 
 int main(int argc, const char** argv) {
-  const auto read =
-      waxwing::ReadSettingsOrExitCode("standin-platform", kTable, argc, argv);
-  if (!read)
-    return read.error();
-  standin::platform_options options;
-  options.address = GetEndpoint(*read, "listen");
-  options.seed = static_cast<std::uint64_t>(GetInteger(*read, "seed"));
-  boost::asio::io_context context(1);
-  auto started = standin::StartPlatform(context.get_executor(), options);
-  if (!started) {
-    std::fprintf(stderr, "standin-platform: %s\n", started.error().c_str());
-    return waxwing::kExitFailure;
-  }
-  return waxwing::RunUntilStopped(context,
-                                  [&]() -> boost::asio::awaitable<bool> {
-                                    standin::StopPlatform(*started);
-                                    co_return true;
-                                  });
+  return waxwing::RunDaemon("standin-platform", kTable, argc, argv, Start);
 }
--- a/programs/waxwing_agent.cc
+++ b/programs/waxwing_agent.cc
@@ -1,10 +1,8 @@
 // waxwing-agent: control of an entry VM.
 
 #include <boost/asio/io_context.hpp>
-#include <cstdio>
 
 #include "waxwing/agent.h"
-#include "waxwing/log.h"
 #include "waxwing/program.h"
 #include "waxwing/settings.h"
 
@@ -14,12 +12,9 @@
 using waxwing::setting_kind;
 
 constexpr setting kTable[] = {
-    {.name = "vm", .help = "name of this VM", .required = true},
-    {.name = "zone", .help = "availability zone of this VM", .required = true},
-    {.name = "listen",
-     .kind = setting_kind::kEndpoint,
-     .help = "address for other agents and this VM's router",
-     .required = true},
+    waxwing::kVmSetting,
+    waxwing::kZoneSetting,
+    waxwing::kListenSetting,
     {.name = "operators",
      .kind = setting_kind::kEndpoint,
      .help = "address for operators",
@@ -35,9 +30,7 @@
     {.name = "seeds",
      .kind = setting_kind::kEndpointList,
      .help = "addresses of agents to join through"},
-    {.name = "key",
-     .help = "key shared by all routers and agents",
-     .required = true},
+    waxwing::kKeySetting,
     {.name = "operator-key",
      .help = "key that operators must show",
      .required = true},
@@ -51,11 +44,7 @@
      .help = "shortest time between two orders to load weights",
      .minimum = 10,
      .maximum = 600000},
-    {.name = "log-level",
-     .kind = setting_kind::kChoice,
-     .default_value = "info",
-     .help = "lowest level that is logged",
-     .choices = "debug|info|warning|error"},
+    waxwing::kLogLevelSetting,
 };
 
 waxwing::agent_options MakeOptions(const waxwing::settings& all) {
@@ -74,24 +63,20 @@
   return out;
 }
 
+tl::expected<waxwing::daemon_stop, waxwing::start_error> Start(
+    boost::asio::io_context& context,
+    const waxwing::settings& all) {
+  auto agent = waxwing::StartAgent(context.get_executor(), MakeOptions(all));
+  if (!agent)
+    return tl::unexpected(waxwing::start_error{agent.error()});
+  return [agent = *agent]() mutable -> boost::asio::awaitable<bool> {
+    co_await waxwing::LeaveAgent(agent);
+    co_return true;
+  };
+}
+
 }  // namespace
 
 int main(int argc, const char** argv) {
-  const auto read =
-      waxwing::ReadSettingsOrExitCode("waxwing-agent", kTable, argc, argv);
-  if (!read)
-    return read.error();
-  waxwing::StartLog("waxwing-agent",
-                    waxwing::ParseLogLevel(GetText(*read, "log-level")));
-  boost::asio::io_context context(1);
-  auto agent = waxwing::StartAgent(context.get_executor(), MakeOptions(*read));
-  if (!agent) {
-    std::fprintf(stderr, "waxwing-agent: %s\n", agent.error().c_str());
-    return waxwing::kExitFailure;
-  }
-  return waxwing::RunUntilStopped(context,
-                                  [&]() -> boost::asio::awaitable<bool> {
-                                    co_await waxwing::LeaveAgent(*agent);
-                                    co_return true;
-                                  });
+  return waxwing::RunDaemon("waxwing-agent", kTable, argc, argv, Start);
 }
--- a/programs/waxwing_entry.cc
+++ b/programs/waxwing_entry.cc
@@ -4,9 +4,9 @@
 
 #include <boost/asio.hpp>
 #include <csignal>
-#include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <memory>
 #include <optional>
 #include <sstream>
 
@@ -20,20 +20,14 @@
 namespace {
 
 using waxwing::setting;
-using waxwing::setting_kind;
+using entry_ptr = std::shared_ptr<waxwing::entry>;
 
 // The settings file may change without a signal.
 constexpr waxwing::milliseconds kSettingsPoll{1'000};
 
 constexpr setting kTable[] = {
-    {.name = "key",
-     .help = "key shared by the entries of all VMs",
-     .required = true},
-    {.name = "log-level",
-     .kind = setting_kind::kChoice,
-     .default_value = "info",
-     .help = "lowest level that is logged",
-     .choices = "debug|info|warning|error"},
+    waxwing::kKeySetting,
+    waxwing::kLogLevelSetting,
 };
 
 tl::expected<waxwing::entry_options, std::string> ReadPlatformSettings(
@@ -71,7 +65,7 @@
   waxwing::ReloadEntry(entry, *fresh);
 }
 
-boost::asio::awaitable<void> WatchSettings(waxwing::entry& entry,
+boost::asio::awaitable<void> WatchSettings(entry_ptr entry,
                                            std::string path,
                                            std::string key) {
   auto known = ChangeTime(path);
@@ -81,12 +75,12 @@
     co_await timer.async_wait(boost::asio::use_awaitable);
     const auto now = ChangeTime(path);
     if (now && now != known)
-      Reload(entry, path, key);
+      Reload(*entry, path, key);
     known = now;
   }
 }
 
-boost::asio::awaitable<void> ReloadOnSignal(waxwing::entry& entry,
+boost::asio::awaitable<void> ReloadOnSignal(entry_ptr entry,
                                             std::string path,
                                             std::string key) {
   boost::asio::signal_set signals(co_await boost::asio::this_coro::executor,
@@ -94,38 +88,34 @@
   while (true) {
     co_await signals.async_wait(boost::asio::use_awaitable);
     waxwing::LogInfo("reload_asked");
-    Reload(entry, path, key);
+    Reload(*entry, path, key);
   }
 }
 
-}  // namespace
-
-int main(int argc, const char** argv) {
-  const auto read =
-      waxwing::ReadSettingsOrExitCode("waxwing-entry", kTable, argc, argv);
-  if (!read)
-    return read.error();
-  waxwing::StartLog("waxwing-entry",
-                    waxwing::ParseLogLevel(GetText(*read, "log-level")));
+tl::expected<waxwing::daemon_stop, waxwing::start_error> Start(
+    boost::asio::io_context& context,
+    const waxwing::settings& all) {
   const char* variable = std::getenv(waxwing::platform::kSettingsVariable);
   const std::string path = variable ? variable : "";
-  const std::string key = GetText(*read, "key");
+  const std::string key = GetText(all, "key");
   const auto options = ReadPlatformSettings(path, key);
-  if (!options) {
-    std::fprintf(stderr, "waxwing-entry: %s\n", options.error().c_str());
-    return waxwing::kExitBadSettings;
-  }
-  boost::asio::io_context context(1);
-  auto entry = waxwing::StartEntry(context.get_executor(), *options,
-                                   waxwing::platform::MakeDialect());
-  if (!entry) {
-    std::fprintf(stderr, "waxwing-entry: %s\n", entry.error().c_str());
-    return waxwing::kExitFailure;
-  }
-  boost::asio::co_spawn(context, WatchSettings(*entry, path, key),
+  if (!options)
+    return tl::unexpected(
+        waxwing::start_error{options.error(), waxwing::kExitBadSettings});
+  auto started = waxwing::StartEntry(context.get_executor(), *options,
+                                     waxwing::platform::MakeDialect());
+  if (!started)
+    return tl::unexpected(waxwing::start_error{started.error()});
+  const auto entry = std::make_shared<waxwing::entry>(std::move(*started));
+  boost::asio::co_spawn(context, WatchSettings(entry, path, key),
                         boost::asio::detached);
-  boost::asio::co_spawn(context, ReloadOnSignal(*entry, path, key),
+  boost::asio::co_spawn(context, ReloadOnSignal(entry, path, key),
                         boost::asio::detached);
-  return waxwing::RunUntilStopped(context,
-                                  [&] { return waxwing::DrainEntry(*entry); });
+  return [entry] { return waxwing::DrainEntry(*entry); };
+}
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  return waxwing::RunDaemon("waxwing-entry", kTable, argc, argv, Start);
 }
--- a/programs/waxwing_router.cc
+++ b/programs/waxwing_router.cc
@@ -1,9 +1,7 @@
 // waxwing-router: the data path of an entry VM.
 
 #include <boost/asio/io_context.hpp>
-#include <cstdio>
 
-#include "waxwing/log.h"
 #include "waxwing/program.h"
 #include "waxwing/router.h"
 #include "waxwing/settings.h"
@@ -14,19 +12,14 @@
 using waxwing::setting_kind;
 
 constexpr setting kTable[] = {
-    {.name = "vm", .help = "name of this VM", .required = true},
-    {.name = "zone", .help = "availability zone of this VM", .required = true},
-    {.name = "listen",
-     .kind = setting_kind::kEndpoint,
-     .help = "address for callers",
-     .required = true},
+    waxwing::kVmSetting,
+    waxwing::kZoneSetting,
+    waxwing::kListenSetting,
     {.name = "agent",
      .kind = setting_kind::kEndpoint,
      .help = "address of this VM's agent",
      .required = true},
-    {.name = "key",
-     .help = "key shared by all routers and agents",
-     .required = true},
+    waxwing::kKeySetting,
     {.name = "policy",
      .kind = setting_kind::kChoice,
      .default_value = "homes-and-cost",
@@ -74,11 +67,7 @@
      .help = "on SIGTERM, longest wait for requests in flight",
      .minimum = 0,
      .maximum = 3600000},
-    {.name = "log-level",
-     .kind = setting_kind::kChoice,
-     .default_value = "info",
-     .help = "lowest level that is logged",
-     .choices = "debug|info|warning|error"},
+    waxwing::kLogLevelSetting,
 };
 
 waxwing::router_options MakeOptions(const waxwing::settings& all) {
@@ -103,22 +92,17 @@
   return out;
 }
 
+tl::expected<waxwing::daemon_stop, waxwing::start_error> Start(
+    boost::asio::io_context& context,
+    const waxwing::settings& all) {
+  auto router = waxwing::StartRouter(context.get_executor(), MakeOptions(all));
+  if (!router)
+    return tl::unexpected(waxwing::start_error{router.error()});
+  return [router = *router]() mutable { return waxwing::DrainRouter(router); };
+}
+
 }  // namespace
 
 int main(int argc, const char** argv) {
-  const auto read =
-      waxwing::ReadSettingsOrExitCode("waxwing-router", kTable, argc, argv);
-  if (!read)
-    return read.error();
-  waxwing::StartLog("waxwing-router",
-                    waxwing::ParseLogLevel(GetText(*read, "log-level")));
-  boost::asio::io_context context(1);
-  auto router =
-      waxwing::StartRouter(context.get_executor(), MakeOptions(*read));
-  if (!router) {
-    std::fprintf(stderr, "waxwing-router: %s\n", router.error().c_str());
-    return waxwing::kExitFailure;
-  }
-  return waxwing::RunUntilStopped(
-      context, [&] { return waxwing::DrainRouter(*router); });
+  return waxwing::RunDaemon("waxwing-router", kTable, argc, argv, Start);
 }
--- a/waxwing/program.cc
+++ b/waxwing/program.cc
@@ -2,16 +2,34 @@
 
 #include <boost/asio.hpp>
 #include <csignal>
+#include <cstdio>
 
 #include "waxwing/log.h"
-#include "waxwing/settings.h"
 
 namespace waxwing {
 
 namespace asio = boost::asio;
 
-int RunUntilStopped(asio::io_context& context,
-                    std::function<asio::awaitable<bool>()> stop) {
+int RunDaemon(std::string_view program,
+              std::span<const setting> table,
+              int argc,
+              const char** argv,
+              const daemon_start& start) {
+  const auto read = ReadSettingsOrExitCode(program, table, argc, argv);
+  if (!read)
+    return read.error();
+  StartLog(program, ParseLogLevel(GetText(*read, kLogLevelSetting.name)));
+  asio::io_context context(1);
+  const auto stop = start(context, *read);
+  if (!stop) {
+    std::fprintf(stderr, "%.*s: %s\n", static_cast<int>(program.size()),
+                 program.data(), stop.error().message.c_str());
+    return stop.error().exit_code;
+  }
+  return RunUntilStopped(context, *stop);
+}
+
+int RunUntilStopped(asio::io_context& context, const daemon_stop& stop) {
   int exit_code = kExitSuccess;
   bool is_stopping = false;
   std::signal(SIGPIPE, SIG_IGN);
--- a/waxwing/settings.h
+++ b/waxwing/settings.h
@@ -45,6 +45,32 @@
   bool required = false;
 };
 
+// Rows that several programs share.
+inline constexpr setting kVmSetting{.name = "vm",
+                                    .help = "name of this VM",
+                                    .required = true};
+inline constexpr setting kZoneSetting{.name = "zone",
+                                      .help = "availability zone of this VM",
+                                      .required = true};
+inline constexpr setting kKeySetting{
+    .name = "key",
+    .help = "key shared by the daemons of all VMs",
+    .required = true};
+inline constexpr setting kListenSetting{.name = "listen",
+                                        .kind = setting_kind::kEndpoint,
+                                        .help = "address to listen at",
+                                        .required = true};
+inline constexpr setting kSeedSetting{.name = "seed",
+                                      .kind = setting_kind::kInteger,
+                                      .default_value = "1",
+                                      .help = "seed of its random choices"};
+inline constexpr setting kLogLevelSetting{
+    .name = "log-level",
+    .kind = setting_kind::kChoice,
+    .default_value = "info",
+    .help = "lowest level that is logged",
+    .choices = "debug|info|warning|error"};
+
 enum class settings_failure {
   kBadValue,     // a value does not fit its kind or range
   kMissing,      // a required setting has no value
