--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -100,6 +100,24 @@
 struct shared_objectBuilder;
 struct shared_objectT;
 
+struct shared_objects;
+struct shared_objectsBuilder;
+struct shared_objectsT;
+
+struct shared_age;
+struct shared_ageBuilder;
+struct shared_ageT;
+
+struct shared_ages;
+struct shared_agesBuilder;
+struct shared_agesT;
+
+struct cached_part_change;
+
+struct cache_changes;
+struct cache_changesBuilder;
+struct cache_changesT;
+
 struct frame;
 struct frameBuilder;
 struct frameT;
@@ -122,12 +140,14 @@
   in_force = 14,
   demands = 15,
   shared_request = 16,
-  shared_object = 17,
+  shared_objects = 17,
+  shared_ages = 18,
+  cache_changes = 19,
   MIN = NONE,
-  MAX = shared_object
+  MAX = cache_changes
 };
 
-inline const message (&EnumValuesmessage())[18] {
+inline const message (&EnumValuesmessage())[20] {
   static const message values[] = {
     message::NONE,
     message::challenge,
@@ -146,13 +166,15 @@
     message::in_force,
     message::demands,
     message::shared_request,
-    message::shared_object
+    message::shared_objects,
+    message::shared_ages,
+    message::cache_changes
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[19] = {
+  static const char * const names[21] = {
     "NONE",
     "challenge",
     "hello",
@@ -170,14 +192,16 @@
     "in_force",
     "demands",
     "shared_request",
-    "shared_object",
+    "shared_objects",
+    "shared_ages",
+    "cache_changes",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::shared_object)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::cache_changes)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -250,8 +274,16 @@
   static const message enum_value = message::shared_request;
 };
 
-template<> struct messageTraits<waxwing::wire::shared_object> {
-  static const message enum_value = message::shared_object;
+template<> struct messageTraits<waxwing::wire::shared_objects> {
+  static const message enum_value = message::shared_objects;
+};
+
+template<> struct messageTraits<waxwing::wire::shared_ages> {
+  static const message enum_value = message::shared_ages;
+};
+
+template<> struct messageTraits<waxwing::wire::cache_changes> {
+  static const message enum_value = message::cache_changes;
 };
 
 template<typename T> struct messageUnionTraits {
@@ -322,8 +354,16 @@
   static const message enum_value = message::shared_request;
 };
 
-template<> struct messageUnionTraits<waxwing::wire::shared_objectT> {
-  static const message enum_value = message::shared_object;
+template<> struct messageUnionTraits<waxwing::wire::shared_objectsT> {
+  static const message enum_value = message::shared_objects;
+};
+
+template<> struct messageUnionTraits<waxwing::wire::shared_agesT> {
+  static const message enum_value = message::shared_ages;
+};
+
+template<> struct messageUnionTraits<waxwing::wire::cache_changesT> {
+  static const message enum_value = message::cache_changes;
 };
 
 struct messageUnion {
@@ -484,19 +524,68 @@
     return type == message::shared_request ?
       reinterpret_cast<const waxwing::wire::shared_requestT *>(value) : nullptr;
   }
-  waxwing::wire::shared_objectT *Asshared_object() {
-    return type == message::shared_object ?
-      reinterpret_cast<waxwing::wire::shared_objectT *>(value) : nullptr;
+  waxwing::wire::shared_objectsT *Asshared_objects() {
+    return type == message::shared_objects ?
+      reinterpret_cast<waxwing::wire::shared_objectsT *>(value) : nullptr;
+  }
+  const waxwing::wire::shared_objectsT *Asshared_objects() const {
+    return type == message::shared_objects ?
+      reinterpret_cast<const waxwing::wire::shared_objectsT *>(value) : nullptr;
+  }
+  waxwing::wire::shared_agesT *Asshared_ages() {
+    return type == message::shared_ages ?
+      reinterpret_cast<waxwing::wire::shared_agesT *>(value) : nullptr;
   }
-  const waxwing::wire::shared_objectT *Asshared_object() const {
-    return type == message::shared_object ?
-      reinterpret_cast<const waxwing::wire::shared_objectT *>(value) : nullptr;
+  const waxwing::wire::shared_agesT *Asshared_ages() const {
+    return type == message::shared_ages ?
+      reinterpret_cast<const waxwing::wire::shared_agesT *>(value) : nullptr;
+  }
+  waxwing::wire::cache_changesT *Ascache_changes() {
+    return type == message::cache_changes ?
+      reinterpret_cast<waxwing::wire::cache_changesT *>(value) : nullptr;
+  }
+  const waxwing::wire::cache_changesT *Ascache_changes() const {
+    return type == message::cache_changes ?
+      reinterpret_cast<const waxwing::wire::cache_changesT *>(value) : nullptr;
   }
 };
 
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
 bool VerifymessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<message> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) cached_part_change FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t key_;
+  uint32_t tokens_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  cached_part_change()
+      : key_(0),
+        tokens_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  cached_part_change(uint64_t _key, uint32_t _tokens)
+      : key_(flatbuffers::EndianScalar(_key)),
+        tokens_(flatbuffers::EndianScalar(_tokens)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t key() const {
+    return flatbuffers::EndianScalar(key_);
+  }
+  uint32_t tokens() const {
+    return flatbuffers::EndianScalar(tokens_);
+  }
+};
+FLATBUFFERS_STRUCT_END(cached_part_change, 16);
+
+struct cached_part_change::Traits {
+  using type = cached_part_change;
+};
+
 struct challengeT : public flatbuffers::NativeTable {
   typedef challenge TableType;
   uint32_t version = 0;
@@ -2316,14 +2405,28 @@
 
 struct shared_requestT : public flatbuffers::NativeTable {
   typedef shared_request TableType;
+  bool follows = false;
+  bool is_first = false;
 };
 
 struct shared_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef shared_requestT NativeTableType;
   typedef shared_requestBuilder Builder;
   struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FOLLOWS = 4,
+    VT_IS_FIRST = 6
+  };
+  bool follows() const {
+    return GetField<uint8_t>(VT_FOLLOWS, 0) != 0;
+  }
+  bool is_first() const {
+    return GetField<uint8_t>(VT_IS_FIRST, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_FOLLOWS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_FIRST, 1) &&
            verifier.EndTable();
   }
   shared_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2335,6 +2438,12 @@
   typedef shared_request Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_follows(bool follows) {
+    fbb_.AddElement<uint8_t>(shared_request::VT_FOLLOWS, static_cast<uint8_t>(follows), 0);
+  }
+  void add_is_first(bool is_first) {
+    fbb_.AddElement<uint8_t>(shared_request::VT_IS_FIRST, static_cast<uint8_t>(is_first), 0);
+  }
   explicit shared_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2347,8 +2456,12 @@
 };
 
 inline flatbuffers::Offset<shared_request> Createshared_request(
-    flatbuffers::FlatBufferBuilder &_fbb) {
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool follows = false,
+    bool is_first = false) {
   shared_requestBuilder builder_(_fbb);
+  builder_.add_is_first(is_first);
+  builder_.add_follows(follows);
   return builder_.Finish();
 }
 
@@ -2361,10 +2474,10 @@
 
 struct shared_objectT : public flatbuffers::NativeTable {
   typedef shared_object TableType;
-  uint8_t kind = 0;
   std::string name{};
   uint64_t revision = 0;
   std::string spec{};
+  bool is_removed = false;
 };
 
 struct shared_object FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2372,14 +2485,11 @@
   typedef shared_objectBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_KIND = 4,
-    VT_NAME = 6,
-    VT_REVISION = 8,
-    VT_SPEC = 10
+    VT_NAME = 4,
+    VT_REVISION = 6,
+    VT_SPEC = 8,
+    VT_IS_REMOVED = 10
   };
-  uint8_t kind() const {
-    return GetField<uint8_t>(VT_KIND, 0);
-  }
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
   }
@@ -2389,14 +2499,17 @@
   const flatbuffers::String *spec() const {
     return GetPointer<const flatbuffers::String *>(VT_SPEC);
   }
+  bool is_removed() const {
+    return GetField<uint8_t>(VT_IS_REMOVED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            VerifyOffset(verifier, VT_NAME) &&
            verifier.VerifyString(name()) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            VerifyOffset(verifier, VT_SPEC) &&
            verifier.VerifyString(spec()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_REMOVED, 1) &&
            verifier.EndTable();
   }
   shared_objectT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2408,9 +2521,6 @@
   typedef shared_object Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_kind(uint8_t kind) {
-    fbb_.AddElement<uint8_t>(shared_object::VT_KIND, kind, 0);
-  }
   void add_name(flatbuffers::Offset<flatbuffers::String> name) {
     fbb_.AddOffset(shared_object::VT_NAME, name);
   }
@@ -2420,6 +2530,9 @@
   void add_spec(flatbuffers::Offset<flatbuffers::String> spec) {
     fbb_.AddOffset(shared_object::VT_SPEC, spec);
   }
+  void add_is_removed(bool is_removed) {
+    fbb_.AddElement<uint8_t>(shared_object::VT_IS_REMOVED, static_cast<uint8_t>(is_removed), 0);
+  }
   explicit shared_objectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2433,15 +2546,15 @@
 
 inline flatbuffers::Offset<shared_object> Createshared_object(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint8_t kind = 0,
     flatbuffers::Offset<flatbuffers::String> name = 0,
     uint64_t revision = 0,
-    flatbuffers::Offset<flatbuffers::String> spec = 0) {
+    flatbuffers::Offset<flatbuffers::String> spec = 0,
+    bool is_removed = false) {
   shared_objectBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_spec(spec);
   builder_.add_name(name);
-  builder_.add_kind(kind);
+  builder_.add_is_removed(is_removed);
   return builder_.Finish();
 }
 
@@ -2452,22 +2565,372 @@
 
 inline flatbuffers::Offset<shared_object> Createshared_objectDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint8_t kind = 0,
     const char *name = nullptr,
     uint64_t revision = 0,
-    const char *spec = nullptr) {
+    const char *spec = nullptr,
+    bool is_removed = false) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto spec__ = spec ? _fbb.CreateString(spec) : 0;
   return waxwing::wire::Createshared_object(
       _fbb,
-      kind,
       name__,
       revision,
-      spec__);
+      spec__,
+      is_removed);
 }
 
 flatbuffers::Offset<shared_object> Createshared_object(flatbuffers::FlatBufferBuilder &_fbb, const shared_objectT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct shared_objectsT : public flatbuffers::NativeTable {
+  typedef shared_objects TableType;
+  uint8_t kind = 0;
+  uint64_t revision = 0;
+  bool is_whole = false;
+  std::vector<std::unique_ptr<waxwing::wire::shared_objectT>> objects{};
+  shared_objectsT() = default;
+  shared_objectsT(const shared_objectsT &o);
+  shared_objectsT(shared_objectsT&&) FLATBUFFERS_NOEXCEPT = default;
+  shared_objectsT &operator=(shared_objectsT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct shared_objects FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef shared_objectsT NativeTableType;
+  typedef shared_objectsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_REVISION = 6,
+    VT_IS_WHOLE = 8,
+    VT_OBJECTS = 10
+  };
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool is_whole() const {
+    return GetField<uint8_t>(VT_IS_WHOLE, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_object>> *objects() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_object>> *>(VT_OBJECTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_WHOLE, 1) &&
+           VerifyOffset(verifier, VT_OBJECTS) &&
+           verifier.VerifyVector(objects()) &&
+           verifier.VerifyVectorOfTables(objects()) &&
+           verifier.EndTable();
+  }
+  shared_objectsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(shared_objectsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<shared_objects> Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_objectsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct shared_objectsBuilder {
+  typedef shared_objects Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(shared_objects::VT_KIND, kind, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(shared_objects::VT_REVISION, revision, 0);
+  }
+  void add_is_whole(bool is_whole) {
+    fbb_.AddElement<uint8_t>(shared_objects::VT_IS_WHOLE, static_cast<uint8_t>(is_whole), 0);
+  }
+  void add_objects(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_object>>> objects) {
+    fbb_.AddOffset(shared_objects::VT_OBJECTS, objects);
+  }
+  explicit shared_objectsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<shared_objects> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<shared_objects>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<shared_objects> Createshared_objects(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    uint64_t revision = 0,
+    bool is_whole = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_object>>> objects = 0) {
+  shared_objectsBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_objects(objects);
+  builder_.add_is_whole(is_whole);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+struct shared_objects::Traits {
+  using type = shared_objects;
+  static auto constexpr Create = Createshared_objects;
+};
+
+inline flatbuffers::Offset<shared_objects> Createshared_objectsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    uint64_t revision = 0,
+    bool is_whole = false,
+    const std::vector<flatbuffers::Offset<waxwing::wire::shared_object>> *objects = nullptr) {
+  auto objects__ = objects ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_object>>(*objects) : 0;
+  return waxwing::wire::Createshared_objects(
+      _fbb,
+      kind,
+      revision,
+      is_whole,
+      objects__);
+}
+
+flatbuffers::Offset<shared_objects> Createshared_objects(flatbuffers::FlatBufferBuilder &_fbb, const shared_objectsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct shared_ageT : public flatbuffers::NativeTable {
+  typedef shared_age TableType;
+  uint8_t kind = 0;
+  uint32_t age_ms = 0;
+};
+
+struct shared_age FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef shared_ageT NativeTableType;
+  typedef shared_ageBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_AGE_MS = 6
+  };
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+  shared_ageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(shared_ageT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<shared_age> Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_ageT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct shared_ageBuilder {
+  typedef shared_age Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(shared_age::VT_KIND, kind, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(shared_age::VT_AGE_MS, age_ms, 0);
+  }
+  explicit shared_ageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<shared_age> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<shared_age>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<shared_age> Createshared_age(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    uint32_t age_ms = 0) {
+  shared_ageBuilder builder_(_fbb);
+  builder_.add_age_ms(age_ms);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+struct shared_age::Traits {
+  using type = shared_age;
+  static auto constexpr Create = Createshared_age;
+};
+
+flatbuffers::Offset<shared_age> Createshared_age(flatbuffers::FlatBufferBuilder &_fbb, const shared_ageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct shared_agesT : public flatbuffers::NativeTable {
+  typedef shared_ages TableType;
+  std::vector<std::unique_ptr<waxwing::wire::shared_ageT>> ages{};
+  shared_agesT() = default;
+  shared_agesT(const shared_agesT &o);
+  shared_agesT(shared_agesT&&) FLATBUFFERS_NOEXCEPT = default;
+  shared_agesT &operator=(shared_agesT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct shared_ages FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef shared_agesT NativeTableType;
+  typedef shared_agesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_AGES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>> *ages() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>> *>(VT_AGES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_AGES) &&
+           verifier.VerifyVector(ages()) &&
+           verifier.VerifyVectorOfTables(ages()) &&
+           verifier.EndTable();
+  }
+  shared_agesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(shared_agesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<shared_ages> Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_agesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct shared_agesBuilder {
+  typedef shared_ages Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_ages(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>>> ages) {
+    fbb_.AddOffset(shared_ages::VT_AGES, ages);
+  }
+  explicit shared_agesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<shared_ages> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<shared_ages>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<shared_ages> Createshared_ages(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>>> ages = 0) {
+  shared_agesBuilder builder_(_fbb);
+  builder_.add_ages(ages);
+  return builder_.Finish();
+}
+
+struct shared_ages::Traits {
+  using type = shared_ages;
+  static auto constexpr Create = Createshared_ages;
+};
+
+inline flatbuffers::Offset<shared_ages> Createshared_agesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<waxwing::wire::shared_age>> *ages = nullptr) {
+  auto ages__ = ages ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_age>>(*ages) : 0;
+  return waxwing::wire::Createshared_ages(
+      _fbb,
+      ages__);
+}
+
+flatbuffers::Offset<shared_ages> Createshared_ages(flatbuffers::FlatBufferBuilder &_fbb, const shared_agesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct cache_changesT : public flatbuffers::NativeTable {
+  typedef cache_changes TableType;
+  std::string source{};
+  bool is_whole = false;
+  std::vector<waxwing::wire::cached_part_change> changes{};
+};
+
+struct cache_changes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef cache_changesT NativeTableType;
+  typedef cache_changesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SOURCE = 4,
+    VT_IS_WHOLE = 6,
+    VT_CHANGES = 8
+  };
+  const flatbuffers::String *source() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOURCE);
+  }
+  bool is_whole() const {
+    return GetField<uint8_t>(VT_IS_WHOLE, 0) != 0;
+  }
+  const flatbuffers::Vector<const waxwing::wire::cached_part_change *> *changes() const {
+    return GetPointer<const flatbuffers::Vector<const waxwing::wire::cached_part_change *> *>(VT_CHANGES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SOURCE) &&
+           verifier.VerifyString(source()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_WHOLE, 1) &&
+           VerifyOffset(verifier, VT_CHANGES) &&
+           verifier.VerifyVector(changes()) &&
+           verifier.EndTable();
+  }
+  cache_changesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(cache_changesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<cache_changes> Pack(flatbuffers::FlatBufferBuilder &_fbb, const cache_changesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct cache_changesBuilder {
+  typedef cache_changes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_source(flatbuffers::Offset<flatbuffers::String> source) {
+    fbb_.AddOffset(cache_changes::VT_SOURCE, source);
+  }
+  void add_is_whole(bool is_whole) {
+    fbb_.AddElement<uint8_t>(cache_changes::VT_IS_WHOLE, static_cast<uint8_t>(is_whole), 0);
+  }
+  void add_changes(flatbuffers::Offset<flatbuffers::Vector<const waxwing::wire::cached_part_change *>> changes) {
+    fbb_.AddOffset(cache_changes::VT_CHANGES, changes);
+  }
+  explicit cache_changesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<cache_changes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<cache_changes>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<cache_changes> Createcache_changes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> source = 0,
+    bool is_whole = false,
+    flatbuffers::Offset<flatbuffers::Vector<const waxwing::wire::cached_part_change *>> changes = 0) {
+  cache_changesBuilder builder_(_fbb);
+  builder_.add_changes(changes);
+  builder_.add_source(source);
+  builder_.add_is_whole(is_whole);
+  return builder_.Finish();
+}
+
+struct cache_changes::Traits {
+  using type = cache_changes;
+  static auto constexpr Create = Createcache_changes;
+};
+
+inline flatbuffers::Offset<cache_changes> Createcache_changesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *source = nullptr,
+    bool is_whole = false,
+    const std::vector<waxwing::wire::cached_part_change> *changes = nullptr) {
+  auto source__ = source ? _fbb.CreateString(source) : 0;
+  auto changes__ = changes ? _fbb.CreateVectorOfStructs<waxwing::wire::cached_part_change>(*changes) : 0;
+  return waxwing::wire::Createcache_changes(
+      _fbb,
+      source__,
+      is_whole,
+      changes__);
+}
+
+flatbuffers::Offset<cache_changes> Createcache_changes(flatbuffers::FlatBufferBuilder &_fbb, const cache_changesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct frameT : public flatbuffers::NativeTable {
   typedef frame TableType;
   waxwing::wire::messageUnion message{};
@@ -2536,8 +2999,14 @@
   const waxwing::wire::shared_request *message_as_shared_request() const {
     return message_type() == waxwing::wire::message::shared_request ? static_cast<const waxwing::wire::shared_request *>(message()) : nullptr;
   }
-  const waxwing::wire::shared_object *message_as_shared_object() const {
-    return message_type() == waxwing::wire::message::shared_object ? static_cast<const waxwing::wire::shared_object *>(message()) : nullptr;
+  const waxwing::wire::shared_objects *message_as_shared_objects() const {
+    return message_type() == waxwing::wire::message::shared_objects ? static_cast<const waxwing::wire::shared_objects *>(message()) : nullptr;
+  }
+  const waxwing::wire::shared_ages *message_as_shared_ages() const {
+    return message_type() == waxwing::wire::message::shared_ages ? static_cast<const waxwing::wire::shared_ages *>(message()) : nullptr;
+  }
+  const waxwing::wire::cache_changes *message_as_cache_changes() const {
+    return message_type() == waxwing::wire::message::cache_changes ? static_cast<const waxwing::wire::cache_changes *>(message()) : nullptr;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -2615,8 +3084,16 @@
   return message_as_shared_request();
 }
 
-template<> inline const waxwing::wire::shared_object *frame::message_as<waxwing::wire::shared_object>() const {
-  return message_as_shared_object();
+template<> inline const waxwing::wire::shared_objects *frame::message_as<waxwing::wire::shared_objects>() const {
+  return message_as_shared_objects();
+}
+
+template<> inline const waxwing::wire::shared_ages *frame::message_as<waxwing::wire::shared_ages>() const {
+  return message_as_shared_ages();
+}
+
+template<> inline const waxwing::wire::cache_changes *frame::message_as<waxwing::wire::cache_changes>() const {
+  return message_as_cache_changes();
 }
 
 struct frameBuilder {
@@ -3360,6 +3837,8 @@
 inline void shared_request::UnPackTo(shared_requestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = follows(); _o->follows = _e; }
+  { auto _e = is_first(); _o->is_first = _e; }
 }
 
 inline flatbuffers::Offset<shared_request> shared_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3370,8 +3849,12 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const shared_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _follows = _o->follows;
+  auto _is_first = _o->is_first;
   return waxwing::wire::Createshared_request(
-      _fbb);
+      _fbb,
+      _follows,
+      _is_first);
 }
 
 inline shared_objectT *shared_object::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3383,10 +3866,10 @@
 inline void shared_object::UnPackTo(shared_objectT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = kind(); _o->kind = _e; }
   { auto _e = name(); if (_e) _o->name = _e->str(); }
   { auto _e = revision(); _o->revision = _e; }
   { auto _e = spec(); if (_e) _o->spec = _e->str(); }
+  { auto _e = is_removed(); _o->is_removed = _e; }
 }
 
 inline flatbuffers::Offset<shared_object> shared_object::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_objectT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3397,16 +3880,164 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const shared_objectT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _kind = _o->kind;
   auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
   auto _revision = _o->revision;
   auto _spec = _o->spec.empty() ? 0 : _fbb.CreateString(_o->spec);
+  auto _is_removed = _o->is_removed;
   return waxwing::wire::Createshared_object(
       _fbb,
-      _kind,
       _name,
       _revision,
-      _spec);
+      _spec,
+      _is_removed);
+}
+
+inline shared_objectsT::shared_objectsT(const shared_objectsT &o)
+      : kind(o.kind),
+        revision(o.revision),
+        is_whole(o.is_whole) {
+  objects.reserve(o.objects.size());
+  for (const auto &objects_ : o.objects) { objects.emplace_back((objects_) ? new waxwing::wire::shared_objectT(*objects_) : nullptr); }
+}
+
+inline shared_objectsT &shared_objectsT::operator=(shared_objectsT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(kind, o.kind);
+  std::swap(revision, o.revision);
+  std::swap(is_whole, o.is_whole);
+  std::swap(objects, o.objects);
+  return *this;
+}
+
+inline shared_objectsT *shared_objects::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<shared_objectsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void shared_objects::UnPackTo(shared_objectsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = is_whole(); _o->is_whole = _e; }
+  { auto _e = objects(); if (_e) { _o->objects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->objects[_i] = std::unique_ptr<waxwing::wire::shared_objectT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<shared_objects> shared_objects::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_objectsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createshared_objects(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<shared_objects> Createshared_objects(flatbuffers::FlatBufferBuilder &_fbb, const shared_objectsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const shared_objectsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _kind = _o->kind;
+  auto _revision = _o->revision;
+  auto _is_whole = _o->is_whole;
+  auto _objects = _o->objects.size() ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_object>> (_o->objects.size(), [](size_t i, _VectorArgs *__va) { return Createshared_object(*__va->__fbb, __va->__o->objects[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return waxwing::wire::Createshared_objects(
+      _fbb,
+      _kind,
+      _revision,
+      _is_whole,
+      _objects);
+}
+
+inline shared_ageT *shared_age::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<shared_ageT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void shared_age::UnPackTo(shared_ageT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<shared_age> shared_age::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_ageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createshared_age(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<shared_age> Createshared_age(flatbuffers::FlatBufferBuilder &_fbb, const shared_ageT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const shared_ageT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _kind = _o->kind;
+  auto _age_ms = _o->age_ms;
+  return waxwing::wire::Createshared_age(
+      _fbb,
+      _kind,
+      _age_ms);
+}
+
+inline shared_agesT::shared_agesT(const shared_agesT &o) {
+  ages.reserve(o.ages.size());
+  for (const auto &ages_ : o.ages) { ages.emplace_back((ages_) ? new waxwing::wire::shared_ageT(*ages_) : nullptr); }
+}
+
+inline shared_agesT &shared_agesT::operator=(shared_agesT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(ages, o.ages);
+  return *this;
+}
+
+inline shared_agesT *shared_ages::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<shared_agesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void shared_ages::UnPackTo(shared_agesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = ages(); if (_e) { _o->ages.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ages[_i] = std::unique_ptr<waxwing::wire::shared_ageT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<shared_ages> shared_ages::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_agesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createshared_ages(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<shared_ages> Createshared_ages(flatbuffers::FlatBufferBuilder &_fbb, const shared_agesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const shared_agesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _ages = _o->ages.size() ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_age>> (_o->ages.size(), [](size_t i, _VectorArgs *__va) { return Createshared_age(*__va->__fbb, __va->__o->ages[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return waxwing::wire::Createshared_ages(
+      _fbb,
+      _ages);
+}
+
+inline cache_changesT *cache_changes::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<cache_changesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void cache_changes::UnPackTo(cache_changesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = source(); if (_e) _o->source = _e->str(); }
+  { auto _e = is_whole(); _o->is_whole = _e; }
+  { auto _e = changes(); if (_e) { _o->changes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->changes[_i] = *_e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<cache_changes> cache_changes::Pack(flatbuffers::FlatBufferBuilder &_fbb, const cache_changesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcache_changes(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<cache_changes> Createcache_changes(flatbuffers::FlatBufferBuilder &_fbb, const cache_changesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const cache_changesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _source = _o->source.empty() ? 0 : _fbb.CreateString(_o->source);
+  auto _is_whole = _o->is_whole;
+  auto _changes = _o->changes.size() ? _fbb.CreateVectorOfStructs(_o->changes) : 0;
+  return waxwing::wire::Createcache_changes(
+      _fbb,
+      _source,
+      _is_whole,
+      _changes);
 }
 
 inline frameT *frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3507,8 +4138,16 @@
       auto ptr = reinterpret_cast<const waxwing::wire::shared_request *>(obj);
       return verifier.VerifyTable(ptr);
     }
-    case message::shared_object: {
-      auto ptr = reinterpret_cast<const waxwing::wire::shared_object *>(obj);
+    case message::shared_objects: {
+      auto ptr = reinterpret_cast<const waxwing::wire::shared_objects *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::shared_ages: {
+      auto ptr = reinterpret_cast<const waxwing::wire::shared_ages *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::cache_changes: {
+      auto ptr = reinterpret_cast<const waxwing::wire::cache_changes *>(obj);
       return verifier.VerifyTable(ptr);
     }
     default: return true;
@@ -3594,8 +4233,16 @@
       auto ptr = reinterpret_cast<const waxwing::wire::shared_request *>(obj);
       return ptr->UnPack(resolver);
     }
-    case message::shared_object: {
-      auto ptr = reinterpret_cast<const waxwing::wire::shared_object *>(obj);
+    case message::shared_objects: {
+      auto ptr = reinterpret_cast<const waxwing::wire::shared_objects *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::shared_ages: {
+      auto ptr = reinterpret_cast<const waxwing::wire::shared_ages *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::cache_changes: {
+      auto ptr = reinterpret_cast<const waxwing::wire::cache_changes *>(obj);
       return ptr->UnPack(resolver);
     }
     default: return nullptr;
@@ -3669,9 +4316,17 @@
       auto ptr = reinterpret_cast<const waxwing::wire::shared_requestT *>(value);
       return Createshared_request(_fbb, ptr, _rehasher).Union();
     }
-    case message::shared_object: {
-      auto ptr = reinterpret_cast<const waxwing::wire::shared_objectT *>(value);
-      return Createshared_object(_fbb, ptr, _rehasher).Union();
+    case message::shared_objects: {
+      auto ptr = reinterpret_cast<const waxwing::wire::shared_objectsT *>(value);
+      return Createshared_objects(_fbb, ptr, _rehasher).Union();
+    }
+    case message::shared_ages: {
+      auto ptr = reinterpret_cast<const waxwing::wire::shared_agesT *>(value);
+      return Createshared_ages(_fbb, ptr, _rehasher).Union();
+    }
+    case message::cache_changes: {
+      auto ptr = reinterpret_cast<const waxwing::wire::cache_changesT *>(value);
+      return Createcache_changes(_fbb, ptr, _rehasher).Union();
     }
     default: return 0;
   }
@@ -3743,8 +4398,16 @@
       value = new waxwing::wire::shared_requestT(*reinterpret_cast<waxwing::wire::shared_requestT *>(u.value));
       break;
     }
-    case message::shared_object: {
-      value = new waxwing::wire::shared_objectT(*reinterpret_cast<waxwing::wire::shared_objectT *>(u.value));
+    case message::shared_objects: {
+      value = new waxwing::wire::shared_objectsT(*reinterpret_cast<waxwing::wire::shared_objectsT *>(u.value));
+      break;
+    }
+    case message::shared_ages: {
+      value = new waxwing::wire::shared_agesT(*reinterpret_cast<waxwing::wire::shared_agesT *>(u.value));
+      break;
+    }
+    case message::cache_changes: {
+      value = new waxwing::wire::cache_changesT(*reinterpret_cast<waxwing::wire::cache_changesT *>(u.value));
       break;
     }
     default:
@@ -3834,8 +4497,18 @@
       delete ptr;
       break;
     }
-    case message::shared_object: {
-      auto ptr = reinterpret_cast<waxwing::wire::shared_objectT *>(value);
+    case message::shared_objects: {
+      auto ptr = reinterpret_cast<waxwing::wire::shared_objectsT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::shared_ages: {
+      auto ptr = reinterpret_cast<waxwing::wire::shared_agesT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::cache_changes: {
+      auto ptr = reinterpret_cast<waxwing::wire::cache_changesT *>(value);
       delete ptr;
       break;
     }
--- a/testing/entry_policy_test.cc
+++ b/testing/entry_policy_test.cc
@@ -9,6 +9,7 @@
 #include "waxwing/cache_map.h"
 #include "waxwing/cache_saves.h"
 #include "waxwing/engine_choice.h"
+#include "waxwing/feed.h"
 #include "waxwing/hash.h"
 #include "waxwing/lease.h"
 #include "waxwing/pacing.h"
@@ -419,5 +420,82 @@
   EXPECT_EQ(PickTurn({}, waiting, now), 2u);
 }
 
+membership MakeZones(const std::string& self, int zones, int vms_per_zone) {
+  membership table;
+  table.self = self;
+  for (int zone = 0; zone < zones; ++zone) {
+    for (int i = 0; i < vms_per_zone; ++i) {
+      member vm;
+      vm.zone = "z" + std::to_string(zone);
+      vm.vm = vm.zone + "-" + std::to_string(i);
+      table.members[vm.vm].data = vm;
+    }
+  }
+  return table;
+}
+
+// Followers of a source among all VMs, by duty.
+std::map<cache_duty, int> CountDuties(int zones,
+                                      int vms_per_zone,
+                                      const std::string& source,
+                                      int most) {
+  std::map<cache_duty, int> out;
+  const membership all = MakeZones("", zones, vms_per_zone);
+  for (const auto& [vm, record] : all.members) {
+    const membership table = MakeZones(vm, zones, vms_per_zone);
+    ++out[ChooseCacheDuty(table, source, record.data.zone, most)];
+  }
+  return out;
+}
+
+TEST(Feed, AllVmsFollowACacheThatTakesThem) {
+  EXPECT_EQ(CountDuties(3, 2, "e1", 9)[cache_duty::kForSelf], 6);
+  EXPECT_EQ(CountDuties(5, 15, "e1", 0)[cache_duty::kForSelf], 75);
+}
+
+TEST(Feed, OneVmOfEachZoneFollowsACacheThatDoesNotTakeAll) {
+  EXPECT_EQ(CountDuties(5, 15, "e1", 16)[cache_duty::kForZone], 5);
+  EXPECT_EQ(CountDuties(5, 15, "e1", 16)[cache_duty::kNone], 70);
+}
+
+TEST(Feed, NeverMoreFollowersThanACacheTakes) {
+  // Three of the calls are kept free.
+  EXPECT_EQ(CountDuties(6, 4, "e1", 6)[cache_duty::kForZone], 3);
+  EXPECT_EQ(CountDuties(6, 4, "e1", 1)[cache_duty::kForZone], 1);
+}
+
+TEST(Feed, SourcesAreSpreadOverTheVmsOfAZone) {
+  const membership table = MakeZones("z0-0", 1, 10);
+  std::map<std::string, int> sources;
+  for (int i = 0; i < 100; ++i)
+    ++sources[ChooseInZone(table, "e" + std::to_string(i), "z0", 1).at(0)];
+  EXPECT_EQ(sources.size(), 10u);
+  for (const auto& [vm, count] : sources)
+    EXPECT_LE(count, 25) << vm;
+}
+
+TEST(Feed, AReaderIsReliableWhileItIsHeardAndUpToDate) {
+  const instant now = instant{} + seconds(100);
+  const milliseconds read{2'200};
+  EXPECT_TRUE(IsReliable({now, now}, read, now));
+  EXPECT_TRUE(IsReliable({now, now - read}, read, now));
+  EXPECT_FALSE(IsReliable({now - kReaderSilence, now}, read, now));
+  EXPECT_FALSE(IsReliable({now, now - read - kReaderSilence}, read, now));
+}
+
+TEST(CacheMap, TellsAllThatATargetHolds) {
+  cache_map map;
+  NoteHeld(map, 1, 0, 1, 100);
+  NoteHeld(map, 2, 0, 1, 200);
+  NoteHeld(map, 2, 1, 1, 50);
+  NoteHeld(map, 3, 0, 0, 300);
+  std::vector<cached_part> held = PartsHeldBy(map, 0, 1);
+  std::sort(held.begin(), held.end(),
+            [](const auto& a, const auto& b) { return a.key < b.key; });
+  ASSERT_EQ(held.size(), 2u);
+  EXPECT_EQ(held[0].tokens, 100u);
+  EXPECT_EQ(held[1].tokens, 200u);
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -509,6 +509,166 @@
   StopEntry(second);
 }
 
+// Entries of one zone that know each other.
+struct zone_fixture : entry_fixture {
+  std::vector<entry> vms;
+
+  explicit zone_fixture(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) {
+      entry_options options;
+      options.vm = "vm-" + std::to_string(i);
+      options.store = store->server.address;
+      options.key = "test";
+      if (i > 0)
+        options.seeds = {vms[0].state->members.address};
+      vms.push_back(*StartEntry(context.get_executor(), options,
+                                platform::MakeDialect()));
+    }
+  }
+  ~zone_fixture() {
+    for (entry& vm : vms)
+      StopEntry(vm);
+  }
+
+  bool IsReader(const entry& vm) const {
+    const auto& readers = vm.state->readers;
+    return std::find(readers.begin(), readers.end(), vm.state->options.vm) !=
+           readers.end();
+  }
+  bool IsToldOfAll(const entry& vm) const {
+    const instant now = std::chrono::steady_clock::now();
+    return IsTold(*vm.state, object_kind::kConfig, seconds(2), now) &&
+           IsTold(*vm.state, object_kind::kTargets, seconds(2), now);
+  }
+  // Waits until each VM knows all others and is a reader or told.
+  bool Settle() {
+    return RunUntil([&] {
+      return std::all_of(vms.begin(), vms.end(), [&](const entry& vm) {
+        return CountServingVms(*vm.state) == vms.size() &&
+               vm.state->readers.size() == kReadersPerZone &&
+               (IsReader(vm) || IsToldOfAll(vm));
+      });
+    });
+  }
+  // Waits until all VMs but those stopped have the configuration.
+  bool AllHave(std::int64_t version) {
+    return RunUntil([&] {
+      return std::all_of(vms.begin(), vms.end(), [&](const entry& vm) {
+        return IsStopping(vm.state->root) ||
+               vm.state->table->version == version;
+      });
+    });
+  }
+};
+
+TEST(EntryFeed, TwoReadersOfAZoneTellTheOthers) {
+  zone_fixture f(6);
+  f.AddTarget("t1", "panel", Answer);
+  ASSERT_TRUE(f.Settle());
+  // What was under way when the readers were chosen ends.
+  f.RunUntil([&] { return false; });
+  const std::uint64_t before = f.store->calls;
+  f.RunUntil([&] { return false; });
+  // Three seconds: a reader makes 2 + 2 + 1 calls, and candidates for the duty
+  // of orders look at the lease.
+  EXPECT_LE(f.store->calls - before, 2 * (3 + 3 + 2) + 4);
+  PutObject(*f.store, "config", "main", Config(2));
+  EXPECT_TRUE(f.AllHave(2));
+  RemoveObject(*f.store, "servers", "t1");
+  EXPECT_TRUE(f.RunUntil([&] {
+    return std::all_of(f.vms.begin(), f.vms.end(), [](const entry& vm) {
+      return vm.state->targets.empty();
+    });
+  }));
+}
+
+TEST(EntryFeed, AVmReadsByItselfWhenItsReadersAreGone) {
+  zone_fixture f(4);
+  ASSERT_TRUE(f.Settle());
+  for (entry& vm : f.vms) {
+    if (f.IsReader(vm))
+      StopEntry(vm);
+  }
+  const instant start = std::chrono::steady_clock::now();
+  PutObject(*f.store, "config", "main", Config(2));
+  EXPECT_TRUE(f.AllHave(2));
+  EXPECT_LT(std::chrono::steady_clock::now() - start, seconds(2));
+}
+
+TEST(EntryFeed, AReaderThatLosesTheStoreIsNotReliedOn) {
+  zone_fixture f(4);
+  ASSERT_TRUE(f.Settle());
+  // The readers' calls fail, those of the others do not.
+  for (entry& vm : f.vms) {
+    if (f.IsReader(vm))
+      vm.state->store.address = {"127.0.0.1", 1};
+  }
+  f.RunUntil([&] { return false; });
+  PutObject(*f.store, "config", "main", Config(2));
+  EXPECT_TRUE(f.RunUntil([&] {
+    return std::all_of(f.vms.begin(), f.vms.end(), [&](const entry& vm) {
+      return f.IsReader(vm) || vm.state->table->version == 2;
+    });
+  }));
+}
+
+TEST(EntryFeed, OlderObjectsOfAPeerChangeNothing) {
+  entry_fixture f;
+  f.AddTarget("t1", "panel", Answer);
+  f.Start(1);
+  entry_state& state = *f.running.state;
+  const std::uint64_t revision =
+      state.objects[object_kind::kTargets].at("t1").revision;
+  TakeInObject(state, object_kind::kTargets, {"t1", revision - 1, "null"},
+               true);
+  EXPECT_TRUE(state.targets.contains("t1"));
+  object_list older;
+  older.revision = revision - 1;
+  DropMissing(state, object_kind::kTargets, older);
+  EXPECT_TRUE(state.targets.contains("t1"));
+  older.revision = revision;
+  DropMissing(state, object_kind::kTargets, older);
+  EXPECT_FALSE(state.targets.contains("t1"));
+}
+
+TEST(EntryFeed, AFollowerOfTheZoneTellsWhatATargetHolds) {
+  entry_fixture f;
+  const auto target = f.AddTarget("e1", "llm", WholeStream);
+  f.Start(1);
+  entry_state& state = *f.running.state;
+  // Other VMs follow the target's events.
+  state.followed.clear();
+  const std::uint32_t index = state.targets.at("e1").index;
+  const auto held = [&](std::uint64_t key) {
+    const cached_part part{key, 100};
+    return HeldTokens(state.caches, {&part, 1}, index,
+                      state.placement.targets[index].epoch);
+  };
+  wire::cache_changesT told;
+  told.source = ToText(target->Address());
+  told.changes.emplace_back(7, 100);
+  TakeInCacheChanges(state, told);
+  EXPECT_EQ(held(7), 100u);
+  told.changes.clear();
+  told.changes.emplace_back(8, 60);
+  TakeInCacheChanges(state, told);
+  EXPECT_EQ(held(7), 100u);
+  EXPECT_EQ(held(8), 60u);
+  told.is_whole = true;
+  TakeInCacheChanges(state, told);
+  EXPECT_EQ(held(7), 0u);
+  EXPECT_EQ(held(8), 60u);
+  told.source = "nonsense";
+  told.changes.clear();
+  TakeInCacheChanges(state, told);
+  EXPECT_EQ(held(8), 60u);
+  // One that follows the target by itself is not told by others.
+  state.followed.insert(target->Address());
+  told.source = ToText(target->Address());
+  TakeInCacheChanges(state, told);
+  EXPECT_EQ(held(8), 60u);
+}
+
 TEST(Entry, AStoppingVmClosesOnceNoAnswerNamesItAnyMore) {
   entry_fixture f;
   f.AddTarget("t1", "panel", Answer);
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -110,6 +110,7 @@
 
 asio::awaitable<void> Serve(object_store_standin& store,
                             http_exchange& exchange) {
+  ++store.calls;
   std::string path(PathOf(exchange.request.target).substr(kObjectsPath.size()));
   const std::size_t slash = path.find('/');
   const std::string kind = path.substr(0, slash);
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -36,6 +36,8 @@
   std::vector<change> changes;
   // Every call is answered 503.
   bool is_down = false;
+  // Calls so far.
+  std::uint64_t calls = 0;
   // Watches from before this revision are answered 410.
   std::uint64_t oldest_history = 0;
 };
--- a/waxwing/agent_config.cc
+++ b/waxwing/agent_config.cc
@@ -20,24 +20,11 @@
 
 // True if this agent is one of the few of its zone that watch the platform.
 bool IsWatcher(const agent_state& state) {
-  const std::uint64_t key = Hash64("watch/" + state.options.zone);
-  std::vector<std::uint64_t> nodes;
-  std::vector<std::string> names;
-  for (const auto& [vm, record] : state.members.members) {
-    const bool is_candidate =
-        record.data.zone == state.options.zone &&
-        (record.data.status == member_status::kAlive || vm == state.options.vm);
-    if (!is_candidate)
-      continue;
-    nodes.push_back(Hash64(vm));
-    names.push_back(vm);
-  }
-  for (const std::size_t pick :
-       RendezvousPick(key, nodes, state.options.watchers_per_zone)) {
-    if (names[pick] == state.options.vm)
-      return true;
-  }
-  return false;
+  const auto chosen =
+      ChooseInZone(state.members, "watch/" + state.options.zone,
+                   state.options.zone, state.options.watchers_per_zone);
+  return std::find(chosen.begin(), chosen.end(), state.options.vm) !=
+         chosen.end();
 }
 
 // Fetches the shards of a root that are not here yet.
--- a/waxwing/agent_links.cc
+++ b/waxwing/agent_links.cc
@@ -113,6 +113,13 @@
   }
 }
 
+bool IsShared(wire::message type) {
+  return type == wire::message::shared_request ||
+         type == wire::message::shared_objects ||
+         type == wire::message::shared_ages ||
+         type == wire::message::cache_changes;
+}
+
 void TakeInAgentFrame(agent_state& state,
                       const std::string& vm,
                       wire::frameT& frame) {
@@ -138,12 +145,8 @@
     answer.number = query->number;
     answer.generation = OwnGeneration(state);
     SendMessage(link.link, answer);
-  } else if (message.Asshared_request()) {
-    if (state.on_shared_request)
-      state.on_shared_request(link.link);
-  } else if (auto* object = message.Asshared_object()) {
-    if (state.on_shared_object)
-      state.on_shared_object(*object);
+  } else if (state.on_shared && IsShared(message.type)) {
+    state.on_shared(link.link, message);
   } else if (auto* answer = message.Asin_force()) {
     const auto round = state.queries.find(answer->number);
     if (round != state.queries.end())
--- a/waxwing/agent_state.h
+++ b/waxwing/agent_state.h
@@ -96,8 +96,7 @@
   instant last_load;
   std::uint64_t orders_sent = 0;
   // Set by a process that shares what it knows from the store with its peers.
-  std::function<void(const peer_link&)> on_shared_request;
-  std::function<void(const wire::shared_objectT&)> on_shared_object;
+  std::function<void(const peer_link&, wire::messageUnion&)> on_shared;
   std::uint64_t next_query = 1;
   std::map<std::uint64_t, in_force_round*> queries;
 };
--- a/waxwing/cache_map.cc
+++ b/waxwing/cache_map.cc
@@ -45,6 +45,19 @@
   }
 }
 
+std::vector<cached_part> PartsHeldBy(const cache_map& map,
+                                     std::uint32_t target,
+                                     std::uint32_t epoch) {
+  std::vector<cached_part> out;
+  for (const auto& [key, holders] : map.parts) {
+    for (const cache_map::holder& holder : holders) {
+      if (holder.target == target && holder.epoch == epoch)
+        out.push_back({key, holder.tokens});
+    }
+  }
+  return out;
+}
+
 std::uint32_t HeldTokens(const cache_map& map,
                          std::span<const cached_part> prompt,
                          std::uint32_t target,
--- a/waxwing/cache_map.h
+++ b/waxwing/cache_map.h
@@ -55,6 +55,11 @@
 // Forgets what is known of a target in all its epochs.
 void ForgetHolder(cache_map& map, std::uint32_t target);
 
+// All parts that a target holds.
+std::vector<cached_part> PartsHeldBy(const cache_map& map,
+                                     std::uint32_t target,
+                                     std::uint32_t epoch);
+
 // Tokens from the start of the prompt that the target holds without a gap.
 std::uint32_t HeldTokens(const cache_map& map,
                          std::span<const cached_part> prompt,
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -178,6 +178,8 @@
             [state] { return WatchKind(state, object_kind::kWeights); });
   Supervise(state->root, "weights", [state] { return KeepWeights(state); });
   Supervise(state->root, "caches", [state] { return FollowCaches(state); });
+  Supervise(state->root, "cache_feed", [state] { return TellCaches(state); });
+  Supervise(state->root, "feed", [state] { return KeepFeed(state); });
   Supervise(state->root, "peers", [state] { return AskPeers(state); });
   Supervise(state->root, "refresh", [state] { return RefreshLoop(state); });
 }
--- a/waxwing/entry_caches.cc
+++ b/waxwing/entry_caches.cc
@@ -5,7 +5,6 @@
 
 #include "waxwing/agent_state.h"
 #include "waxwing/entry_state.h"
-#include "waxwing/hash.h"
 #include "waxwing/log.h"
 
 namespace waxwing {
@@ -19,24 +18,7 @@
 constexpr milliseconds kEventPause{500};
 constexpr milliseconds kFollowPeriod{500};
 
-// Calls kept free of the followers that a source takes, for VMs that see other
-// members than this one does.
-constexpr int kSpareFollowers = 3;
-
-// True if this VM is one of those that follow the source: all VMs, or as many
-// as it takes, by rendezvous.
-bool IsFollower(const entry_state& state, const endpoint& source, int most) {
-  const std::uint64_t key = Hash64(ToText(source));
-  const std::uint64_t own = RendezvousWeight(key, Hash64(state.options.vm));
-  int ahead = 0;
-  for (const auto& [vm, record] : state.members.state->members.members) {
-    ahead += record.data.status == member_status::kAlive &&
-             RendezvousWeight(key, Hash64(vm)) > own;
-  }
-  return most == 0 || ahead < std::max(1, most - kSpareFollowers);
-}
-
-// Takes events in until the call fails or the source is no longer followed.
+// A target or cache store whose events this VM follows.
 struct followed_cache {
   // VMs that may follow it at a time.
   int followers = 0;
@@ -55,34 +37,34 @@
          found->second.record.address == cache.address;
 }
 
-std::uint32_t EpochOf(const entry_state& state, const followed_cache& cache) {
-  return cache.index == kCacheStore
-             ? 0
-             : state.placement.targets[cache.index].epoch;
+cache_duty DutyFor(const entry_state& state, const followed_cache& cache) {
+  return ChooseCacheDuty(state.members.state->members, ToText(cache.address),
+                         state.options.zone, cache.followers);
 }
 
 void TakeInEvents(entry_state& state,
                   followed_cache& cache,
                   const cache_events& events) {
-  if (events.epoch != cache.epoch || events.has_gap) {
-    if (cache.epoch != 0)
-      LogInfo("cache_unknown", {{"target", cache.target},
-                                {"address", ToText(cache.address)},
-                                {"gap", events.has_gap}});
-    ForgetHolder(state.caches, cache.index);
-    if (cache.index == kCacheStore)
-      ForgetAllSaved(state.saved);
-  }
+  const bool is_whole = events.epoch != cache.epoch || events.has_gap;
+  if (is_whole && cache.epoch != 0)
+    LogInfo("cache_unknown", {{"target", cache.target},
+                              {"address", ToText(cache.address)},
+                              {"gap", events.has_gap}});
   cache.epoch = events.epoch;
   cache.since = events.next;
+  std::vector<cached_part> changes;
+  changes.reserve(events.changes.size());
   for (const cache_events::change& change : events.changes)
-    NoteHeld(state.caches, CacheKey(change.salt, change.part), cache.index,
-             EpochOf(state, cache), change.tokens);
+    changes.push_back({CacheKey(change.salt, change.part), change.tokens});
+  NoteCacheChanges(state, cache.index, is_whole, changes);
+  if (DutyFor(state, cache) == cache_duty::kForZone)
+    AddUntold(state, cache.address, is_whole, changes);
 }
 
+// Takes events in until the call fails or the source is no longer followed.
 asio::awaitable<void> FollowOne(entry_ptr state, followed_cache cache) {
   while (!IsStopping(state->root) && IsListed(*state, cache) &&
-         IsFollower(*state, cache.address, cache.followers)) {
+         DutyFor(*state, cache) != cache_duty::kNone) {
     const auto events = co_await state->spoken.read_cache_events(
         state->pool, cache.address, cache.since, kEventWait);
     if (!IsListed(*state, cache))
@@ -99,10 +81,11 @@
       co_await Pause(state->root, kEventPause);
   }
   state->followed.erase(cache.address);
+  state->untold.erase(cache.address);
 }
 
 void Follow(const entry_ptr& state, followed_cache cache) {
-  if (!IsFollower(*state, cache.address, cache.followers))
+  if (DutyFor(*state, cache) == cache_duty::kNone)
     return;
   if (!state->followed.insert(cache.address).second)
     return;
@@ -118,6 +101,37 @@
 
 }  // namespace
 
+std::optional<std::uint32_t> CacheAt(const entry_state& state,
+                                     const endpoint& address) {
+  for (const auto& [id, target] : state.targets) {
+    if (target.record.address == address)
+      return target.index;
+  }
+  for (const auto& [name, service] : state.table->services) {
+    if (service.cache_store == address)
+      return kCacheStore;
+  }
+  return std::nullopt;
+}
+
+std::uint32_t EpochOfCache(const entry_state& state, std::uint32_t index) {
+  return index == kCacheStore ? 0 : state.placement.targets[index].epoch;
+}
+
+void NoteCacheChanges(entry_state& state,
+                      std::uint32_t index,
+                      bool is_whole,
+                      std::span<const cached_part> changes) {
+  if (is_whole) {
+    ForgetHolder(state.caches, index);
+    if (index == kCacheStore)
+      ForgetAllSaved(state.saved);
+  }
+  const std::uint32_t epoch = EpochOfCache(state, index);
+  for (const cached_part& change : changes)
+    NoteHeld(state.caches, change.key, index, epoch, change.tokens);
+}
+
 asio::awaitable<void> FollowCaches(entry_ptr state) {
   while (!IsStopping(state->root)) {
     for (const auto& [id, target] : state->targets) {
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -17,10 +18,12 @@
 #include "waxwing/cache_saves.h"
 #include "waxwing/engine_choice.h"
 #include "waxwing/entry.h"
+#include "waxwing/feed.h"
 #include "waxwing/http_server.h"
 #include "waxwing/lease.h"
 #include "waxwing/metrics.h"
 #include "waxwing/pacing.h"
+#include "waxwing/peer_link.h"
 #include "waxwing/placement.h"
 #include "waxwing/retry.h"
 #include "waxwing/rollout.h"
@@ -56,6 +59,28 @@
   std::optional<instant> lost_since;
 };
 
+// A reader of this VM's zone that tells it of the store.
+struct feed_source {
+  peer_link link;
+  bool is_dialling = false;
+  // When this VM last asked to be told.
+  instant asked;
+  instant heard;
+  std::map<object_kind, instant> current_at;
+};
+
+// A VM that this one tells of the store.
+struct feed_follower {
+  peer_link link;
+  instant heard;
+};
+
+// Changes of one target's cache that the VMs of the zone have yet to be told.
+struct untold_changes {
+  bool is_whole = false;
+  std::vector<cached_part> changes;
+};
+
 // Requests of one service that wait for their turn. Both lists run in step.
 struct turn_queue {
   pace at_engines;
@@ -83,12 +108,21 @@
   // Invariant: the version never falls.
   std::shared_ptr<const route_table> table = std::make_shared<route_table>();
   std::map<object_kind, watch_position> watches;
-  // Objects as last read, for peers that start while the store is away.
+  // VMs of this zone that read the store for it, this one perhaps included.
+  std::vector<std::string> readers;
+  // By VM.
+  std::map<std::string, feed_source> sources;
+  std::map<std::string, feed_follower> followers;
+  // Objects as last read, for peers.
   std::map<object_kind, std::map<std::string, stored_object>> objects;
   placement_state placement;
   cache_map caches;
   // Followers of cache events that run, by address.
   std::set<endpoint> followed;
+  // Caches that this VM follows for its zone, by address.
+  std::map<endpoint, untold_changes> untold;
+  // Links on which a VM of the zone has been told of all of them.
+  std::map<std::string, peer_link> told;
   // False after a failure of the cache store, until it answers again.
   bool is_store_usable = false;
   std::map<std::string, listed_target, std::less<>> targets;
@@ -153,6 +187,11 @@
                   const stored_object& object,
                   bool is_removed);
 
+// Drops the objects of a kind that a whole list lacks.
+void DropMissing(entry_state& state,
+                 object_kind kind,
+                 const object_list& listed);
+
 // True if the entry can serve: it knows a configuration.
 bool CanServe(const entry_state& state);
 
@@ -161,11 +200,52 @@
 // Follows the cache events of the targets and stores in use.
 boost::asio::awaitable<void> FollowCaches(entry_ptr state);
 
-// --- entry_peers.cc
+// The cache at an address: a target's index or kCacheStore.
+std::optional<std::uint32_t> CacheAt(const entry_state& state,
+                                     const endpoint& address);
+std::uint32_t EpochOfCache(const entry_state& state, std::uint32_t index);
 
-// Serves peers that ask for the store's objects, and takes in their answers.
+// Notes changes of a cache, by its own events or as a follower tells them.
+void NoteCacheChanges(entry_state& state,
+                      std::uint32_t index,
+                      bool is_whole,
+                      std::span<const cached_part> changes);
+
+// --- entry_cache_feed.cc
+
+// Keeps changes that the other VMs of the zone are to be told.
+void AddUntold(entry_state& state,
+               const endpoint& address,
+               bool is_whole,
+               std::span<const cached_part> changes);
+
+void TakeInCacheChanges(entry_state& state, const wire::cache_changesT& told);
+
+// Tells the other VMs of the zone of the caches that this one follows for them.
+boost::asio::awaitable<void> TellCaches(entry_ptr state);
+
+// --- entry_feed.cc
+
+// Serves peers that ask for the store's objects, and takes in what they tell.
 void ShareWithPeers(const entry_ptr& state);
 
+// Tells the VMs that follow this one what the store has just told it, or all
+// that it has of a kind.
+void TellFollowers(entry_state& state,
+                   object_kind kind,
+                   const object_changes& changes);
+void TellFollowersAll(entry_state& state, object_kind kind);
+
+// True if a reader of the zone keeps this VM up to date on a kind of object.
+bool IsTold(const entry_state& state,
+            object_kind kind,
+            milliseconds longest_read,
+            instant now);
+
+// Follows the readers of the zone, and tells those that follow this VM how far
+// it has read.
+boost::asio::awaitable<void> KeepFeed(entry_ptr state);
+
 // Asks peers for the store's objects until the store itself has answered.
 boost::asio::awaitable<void> AskPeers(entry_ptr state);
 
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -18,10 +18,10 @@
 constexpr milliseconds kSilent{5'000};
 // Cost of a target that is about to load new weights.
 constexpr milliseconds kAboutToLoad{1'000};
-// Cost of older weights, whose answers lose worth.
 // Loads ahead of those in progress that work is steered away from, as a
 // multiple of the loads side by side.
 constexpr std::size_t kSteeredLoads = 2;
+// Cost of older weights, whose answers lose worth.
 constexpr milliseconds kOlderWeights{60};
 // From this long before older weights are out of bounds, no request is sent to
 // them: it may have to wait at the target.
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -1,6 +1,7 @@
 // What the entry knows from the object store: configuration, targets, weights.
 //
-// Each kind is listed once and then watched. A watch that fails is made again
+// Each kind is listed once and then watched, unless a reader of the zone tells
+// this VM of it (entry_feed.cc). A watch that fails is made again
 // after a growing pause; what is known stays in use meanwhile. When a list
 // comes after a gap, targets that it lacks get the time in which lapsed records
 // return, and count as gone after it.
@@ -24,6 +25,10 @@
 constexpr milliseconds kWatchWait{1'500};
 // Weights are loaded over seconds; their watch may be noticed later.
 constexpr int kWeightsWaitFactor = 2;
+// A call that takes this much longer than its wait counts as lost.
+constexpr milliseconds kAnswerTime{700};
+// Between two looks at whether a VM that is told still is.
+constexpr milliseconds kToldPause{50};
 constexpr milliseconds kFirstPause{50};
 constexpr milliseconds kLongestPause{1'000};
 constexpr std::string_view kConfigName = "main";
@@ -97,31 +102,15 @@
                             {"revision", object.revision}});
 }
 
-// Targets that a list lacks are dropped: at once if the store was there all
-// along, else once lapsed records have had time to return.
-void DropMissing(entry_state& state,
-                 const std::set<std::string>& listed,
-                 bool after_outage) {
-  const instant now = std::chrono::steady_clock::now();
-  std::vector<std::string> gone;
-  for (auto& [id, target] : state.targets) {
-    if (listed.contains(id))
-      continue;
-    if (after_outage && !target.drop_at)
-      target.drop_at = now + state.options.bounds.lapsed_return;
-    else if (!after_outage)
-      gone.push_back(id);
-  }
-  for (const std::string& id : gone) {
-    state.objects[object_kind::kTargets].erase(id);
-    RetireTarget(state, id);
-  }
+milliseconds WaitOf(object_kind kind) {
+  return kind == object_kind::kWeights ? kWatchWait * kWeightsWaitFactor
+                                       : kWatchWait;
 }
 
 // Reads all pages of a kind. False if a call failed.
 asio::awaitable<bool> ListAll(entry_ptr state, object_kind kind) {
   watch_position& position = state->watches[kind];
-  std::set<std::string> listed;
+  object_list listed;
   std::string after;
   std::uint64_t revision = 0;
   bool more = true;
@@ -137,15 +126,16 @@
       revision = page->revision;
     for (const stored_object& object : page->objects) {
       TakeInObject(*state, kind, object, false);
-      listed.insert(object.name);
+      listed.objects.push_back(object);
       after = object.name;
     }
     more = page->has_more && !page->objects.empty();
   }
-  if (kind == object_kind::kTargets)
-    DropMissing(*state, listed, position.lost_since.has_value());
-  position.revision = revision;
+  listed.revision = revision;
+  DropMissing(*state, kind, listed);
+  position.revision = std::max(position.revision, revision);
   position.is_listed = true;
+  TellFollowersAll(*state, kind);
   co_return true;
 }
 
@@ -169,14 +159,19 @@
              {{"kind", NameOf(kind)}, {"revision", position.revision}});
 }
 
+// A reader of the zone stands in for the store.
+void NoteTold(watch_position& position, object_kind kind) {
+  if (!position.lost_since)
+    return;
+  LogInfo("store_regained", {{"kind", NameOf(kind)}, {"by", "reader"}});
+  position.lost_since.reset();
+}
+
 // One watch call. False if it failed.
 asio::awaitable<bool> WatchOnce(entry_ptr state, object_kind kind) {
   watch_position& position = state->watches[kind];
-  milliseconds wait = kWatchWait;
-  if (kind == object_kind::kWeights)
-    wait *= kWeightsWaitFactor;
-  const auto changes =
-      co_await state->spoken.watch(state->store, kind, position.revision, wait);
+  const auto changes = co_await state->spoken.watch(
+      state->store, kind, position.revision, WaitOf(kind));
   if (!changes) {
     if (changes.error().failure == store_failure::kHistoryGone)
       LogInfo("history_gone", {{"kind", NameOf(kind)}});
@@ -187,16 +182,54 @@
   for (const object_change& change : changes->changes)
     TakeInObject(*state, kind, change.object, change.is_removed);
   position.revision = std::max(position.revision, changes->revision);
+  TellFollowers(*state, kind, *changes);
   co_return true;
 }
 
 }  // namespace
 
+// Targets are dropped at once if the store was there all along, else once
+// lapsed records have had time to return.
+void DropMissing(entry_state& state,
+                 object_kind kind,
+                 const object_list& listed) {
+  std::set<std::string_view> names;
+  for (const stored_object& object : listed.objects)
+    names.insert(object.name);
+  auto& known = state.objects[kind];
+  // What is newer than the list was learned of while the list was under way.
+  for (const auto& [name, object] : known) {
+    if (object.revision > listed.revision)
+      names.insert(name);
+  }
+  std::erase_if(
+      known, [&](const auto& entry) { return !names.contains(entry.first); });
+  if (kind != object_kind::kTargets)
+    return;
+  const bool after_outage = state.watches[kind].lost_since.has_value();
+  const instant now = std::chrono::steady_clock::now();
+  std::vector<std::string> gone;
+  for (auto& [id, target] : state.targets) {
+    if (names.contains(id))
+      continue;
+    if (after_outage && !target.drop_at)
+      target.drop_at = now + state.options.bounds.lapsed_return;
+    else if (!after_outage)
+      gone.push_back(id);
+  }
+  for (const std::string& id : gone)
+    RetireTarget(state, id);
+}
+
 void TakeInObject(entry_state& state,
                   object_kind kind,
                   const stored_object& object,
                   bool is_removed) {
   auto& known = state.objects[kind];
+  // Revisions only rise, whoever brings them.
+  const auto older = known.find(object.name);
+  if (older != known.end() && older->second.revision > object.revision)
+    return;
   if (is_removed)
     known.erase(object.name);
   else
@@ -218,6 +251,12 @@
 asio::awaitable<void> WatchKind(entry_ptr state, object_kind kind) {
   milliseconds pause = kFirstPause;
   while (!IsStopping(state->root)) {
+    if (IsTold(*state, kind, WaitOf(kind) + kAnswerTime,
+               std::chrono::steady_clock::now())) {
+      NoteTold(state->watches[kind], kind);
+      co_await Pause(state->root, kToldPause);
+      continue;
+    }
     bool done = false;
     if (!state->watches[kind].is_listed)
       done = co_await ListAll(state, kind);
--- /dev/null
+++ b/waxwing/feed.h
@@ -0,0 +1,62 @@
+// What a VM reads by itself, and what others of its availability zone tell it.
+//
+// Load that this answers: many VMs that would each watch the same objects of
+// the store and the same targets' caches. Two VMs of a zone read the store and
+// tell the others of each change at once, and several times a second how far
+// they have read; a VM reads by itself as soon as no reader is heard of, or
+// none is up to date. A target's cache events are followed by one VM of a zone,
+// which tells the others, where the target can't take all of them.
+
+#ifndef WAXWING_FEED_H_
+#define WAXWING_FEED_H_
+
+#include <cstddef>
+#include <string_view>
+
+#include "waxwing/membership.h"
+#include "waxwing/types.h"
+
+namespace waxwing {
+
+// Two, so that the loss of one leaves a zone's VMs up to date.
+inline constexpr std::size_t kReadersPerZone = 2;
+
+// Between two messages of a reader.
+inline constexpr milliseconds kFeedPeriod{250};
+
+// A reader that has been silent for three periods counts as gone.
+inline constexpr milliseconds kReaderSilence{750};
+
+// What a VM knows of a reader with regard to one kind of object.
+struct reader_signs {
+  // When the reader was last heard.
+  instant heard;
+  // When the store last told the reader that it is up to date.
+  instant current_at;
+};
+
+// True if the reader can be relied on. `longest_read` is how long a reader's
+// call to the store may take before it counts as lost.
+inline bool IsReliable(const reader_signs& reader,
+                       milliseconds longest_read,
+                       instant now) {
+  return now < reader.heard + kReaderSilence &&
+         now < reader.current_at + longest_read + kReaderSilence;
+}
+
+enum class cache_duty {
+  kNone,     // another VM follows the target, or none of the zone
+  kForSelf,  // all VMs follow it
+  kForZone,  // this VM follows it and tells the others of its zone
+};
+
+// This VM's duty for the target called `source`, which takes `most` followers
+// at a time (0: any number).
+cache_duty ChooseCacheDuty(const membership& table,
+                           std::string_view source,
+                           std::string_view zone,
+                           int most);
+
+}  // namespace waxwing
+
+#endif  // WAXWING_FEED_H_
--- a/waxwing/membership.cc
+++ b/waxwing/membership.cc
@@ -177,6 +177,27 @@
   return best ? best->vm : std::string();
 }
 
+std::vector<std::string> ChooseInZone(const membership& table,
+                                      std::string_view key,
+                                      std::string_view zone,
+                                      std::size_t count) {
+  std::vector<std::uint64_t> hashes;
+  std::vector<const std::string*> names;
+  for (const auto& [vm, record] : table.members) {
+    const bool is_candidate =
+        record.data.zone == zone &&
+        (record.data.status == member_status::kAlive || vm == table.self);
+    if (!is_candidate)
+      continue;
+    hashes.push_back(Hash64(vm));
+    names.push_back(&vm);
+  }
+  std::vector<std::string> out;
+  for (const std::size_t pick : RendezvousPick(Hash64(key), hashes, count))
+    out.push_back(*names[pick]);
+  return out;
+}
+
 std::vector<member> ChooseEntryVms(const membership& table,
                                    std::string_view account,
                                    std::string_view zone,
--- a/waxwing/membership.h
+++ b/waxwing/membership.h
@@ -102,6 +102,13 @@
                           std::string_view key,
                           std::string_view zone);
 
+// The alive VMs of `zone`, by rendezvous for `key`, best first, `count` at
+// most. The VM itself counts as alive.
+std::vector<std::string> ChooseInZone(const membership& table,
+                                      std::string_view key,
+                                      std::string_view zone,
+                                      std::size_t count);
+
 // The entry VMs that an account should use, best first: alive ones of the zone
 // by rendezvous, then those of other zones. At most `count`.
 std::vector<member> ChooseEntryVms(const membership& table,
