Let a VM have six requests unread, however many VMs there are

Cause: the smallest window of a VM is its share of what the engines read in 0.4 s: with 80 VMs that is two or three requests. Change: the larger of the share and six requests of mean length. Test: Pacing.AVmWithFewRequests- DoesNotHoldThemBackWhileEnginesHaveRoom.

--- a/testing/entry_policy_test.cc
+++ b/testing/entry_policy_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <random>
 #include <set>
 
 #include "waxwing/cache_map.h"
@@ -420,6 +421,52 @@
   EXPECT_EQ(PickTurn({}, waiting, now), 2u);
 }
 
+// Requests of many VMs at engines that read them one after the other, each VM
+// with its own window. Gives the mean wait at the VMs while engines were idle.
+TEST(Pacing, AVmWithFewRequestsDoesNotHoldThemBackWhileEnginesHaveRoom) {
+  std::mt19937 random(20261204);
+  constexpr int kVms = 80;
+  constexpr double kTokens = 5'000;
+  // The engines read 1.1 requests a step, and 0.9 a step arrive over all VMs,
+  // each at a VM by chance; a request is at the engines for 4 steps or more.
+  constexpr double kShare = 4 * 1.1 * kTokens / kVms * 20;
+  std::vector<pace> vms(kVms);
+  for (pace& vm : vms) {
+    vm.window = SmallestWindow(kShare, kTokens);
+    vm.smallest = vm.window;
+  }
+  std::vector<int> queued(kVms, 0);
+  std::vector<std::pair<int, int>> at_engines;  // due step, VM
+  std::poisson_distribution<int> arrivals(18);
+  int held = 0;
+  int seen = 0;
+  for (int step = 0; step < 2'000; ++step) {
+    std::erase_if(at_engines, [&](const auto& request) {
+      if (request.first > step)
+        return false;
+      NoteWorkGone(vms[request.second], kTokens);
+      return true;
+    });
+    for (int n = arrivals(random); n > 0; --n)
+      ++queued[random() % kVms];
+    for (int vm = 0; vm < kVms; ++vm) {
+      seen += queued[vm];
+      while (queued[vm] > 0 && HasRoom(vms[vm], kTokens)) {
+        NoteWorkSent(vms[vm], kTokens);
+        --queued[vm];
+        at_engines.emplace_back(step + 4, vm);
+      }
+      held += queued[vm];
+    }
+  }
+  EXPECT_LT(held, seen / 20);
+}
+
+TEST(Pacing, AFewVmsKeepToTheirShareOfWhatTheEnginesRead) {
+  EXPECT_EQ(SmallestWindow(44'000, 5'000), 44'000);
+  EXPECT_EQ(SmallestWindow(18'000, 0), 18'000);
+}
+
 membership MakeZones(const std::string& self, int zones, int vms_per_zone) {
   membership table;
   table.self = self;
--- a/waxwing/entry_turns.cc
+++ b/waxwing/entry_turns.cc
@@ -49,8 +49,10 @@
     if (view.serves == service && IsLastResort(view))
       rate += view.prefill_tokens_per_second;
   }
-  queue.at_engines.smallest = rate * ToSeconds(kSmallestWindow) /
-                              static_cast<double>(CountServingVms(state));
+  const double share = rate * ToSeconds(kSmallestWindow) /
+                       static_cast<double>(CountServingVms(state));
+  queue.at_engines.smallest =
+      SmallestWindow(share, queue.at_engines.mean_tokens);
 }
 
 void GrantTurns(entry_state& state, std::string_view service) {
--- a/waxwing/pacing.cc
+++ b/waxwing/pacing.cc
@@ -18,13 +18,27 @@
 // The effect of one change shows only after the requests under way.
 constexpr milliseconds kShrinkPause{150};
 
+// Weight of one request in the mean work, which follows over some fifty.
+constexpr double kWorkSmoothing = 0.02;
+// Requests that a VM may always have unread: fewer than it has now and then
+// when the VMs are many and each has one or two on average.
+constexpr double kFewestUnread = 6;
+
 }  // namespace
 
+double SmallestWindow(double share, double mean_tokens) {
+  return std::max(share, kFewestUnread * mean_tokens);
+}
+
 bool HasRoom(const pace& of, double tokens) {
   return of.outstanding <= 0 || of.outstanding + tokens <= of.window;
 }
 
 void NoteWorkSent(pace& of, double tokens) {
+  of.mean_tokens =
+      of.mean_tokens > 0
+          ? of.mean_tokens + kWorkSmoothing * (tokens - of.mean_tokens)
+          : tokens;
   of.outstanding += tokens;
 }
 
--- a/waxwing/pacing.h
+++ b/waxwing/pacing.h
@@ -30,6 +30,8 @@
   // read in a short time.
   double smallest = 6'000;
   double outstanding = 0;
+  // Mean work of a request, a moving average.
+  double mean_tokens = 0;
   // Time from sending to the first byte, a moving average.
   duration first_byte = milliseconds(100);
   instant shrunk_at;
@@ -47,6 +49,12 @@
   instant useful_until;
 };
 
+// The window below which a VM's does not shrink. `share` is its part of the
+// tokens that the engines read in a short time, `mean_tokens` the mean work of
+// a request. A VM with few requests at a time must bear that their number
+// varies, since it can't know that the other VMs have fewer just then.
+double SmallestWindow(double share, double mean_tokens);
+
 // True if work of `tokens` may be sent. One request may always be under way.
 bool HasRoom(const pace& of, double tokens);
 
