Do not count targets that have ended among a route's attempts

Cause: a repeatable call that fails on a kept connection and can't dial anew may have run, and since it counted against the route's attempts; the rule does not count workers that have ended. Change: such runs still forbid 'not run', but leave the attempts to other targets. Test: Entry.TargetsThatHaveEndedLeaveTheAttemptsToOthers, 502 before, 200 after.

--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -283,6 +283,44 @@
   EXPECT_EQ(two->seen.size(), 1u);
 }
 
+// Targets that answer once and then end: their connection breaks, and nobody
+// listens any more. They don't count among the route's two attempts.
+TEST(Entry, TargetsThatHaveEndedLeaveTheAttemptsToOthers) {
+  for (int round = 0; round < 6; ++round) {
+    entry_fixture f;
+    const auto ends = [&f](std::size_t index) {
+      return [&f, index](const http_request& request) -> scripted_answer {
+        if (f.targets[index]->seen.size() <= 1)
+          return {{PlainAnswer(200, IdOf(request), "first")}};
+        f.targets[index]->acceptor.close();
+        return {{}, true};
+      };
+    };
+    const auto view_of = [&f](const std::string& id) -> target_view& {
+      entry_state& state = *f.running.state;
+      return state.placement.targets[state.targets.at(id).index];
+    };
+    f.AddTarget("t1", "panel", ends(0));
+    f.Start(1);
+    EXPECT_EQ(f.Send(kRepeatablePath)->status, 200u);
+    f.AddTarget("t2", "panel", ends(1));
+    ASSERT_TRUE(
+        f.RunUntil([&] { return f.running.state->targets.contains("t2"); }));
+    view_of("t1").usable = false;
+    EXPECT_EQ(f.Send(kRepeatablePath)->status, 200u);
+    view_of("t1").usable = true;
+    f.AddTarget("t3", "panel", Answer);
+    ASSERT_TRUE(
+        f.RunUntil([&] { return f.running.state->targets.contains("t3"); }));
+    // The last choice.
+    view_of("t3").own_in_flight = 3;
+    EXPECT_EQ(f.Send(kRepeatablePath)->status, 200u);
+    EXPECT_EQ(f.targets[0]->seen.size(), 2u);
+    EXPECT_EQ(f.targets[1]->seen.size(), 2u);
+    EXPECT_EQ(f.targets[2]->seen.size(), 1u);
+  }
+}
+
 TEST(Entry, AnAnswerOfAnotherRequestIsSkipped) {
   entry_fixture f;
   f.AddTarget("t1", "panel",
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -98,7 +98,9 @@
     return SpendRetry(run.state->retries[run.service]);
   if (end != run_end::kBroken && end != run_end::kFailed)
     return false;
-  return MayRepeat(*run.path) && run.runs < run.path->max_attempts &&
+  // Targets that have ended don't count as attempts.
+  const int attempts = run.runs - run.runs_at_ended;
+  return MayRepeat(*run.path) && attempts < run.path->max_attempts &&
          SpendRetry(run.state->retries[run.service]);
 }
 
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -147,7 +147,11 @@
   auto call = co_await StartCall(run.state->pool, sent.target.record.address,
                                  message, options);
   if (!call) {
-    run.runs += call.error().sent ? 1 : 0;
+    if (call.error().sent) {
+      ++run.runs;
+      if (call.error().failure == http_failure::kConnect)
+        ++run.runs_at_ended;
+    }
     co_return EndOfFailure(run, call.error());
   }
   const auto facts = co_await FindOwnAnswer(run, *call);
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -39,9 +39,11 @@
   instant deadline;
   http_abort abort;
   bool caller_gone = false;
-  // Requests sent, and targets that may have run it.
+  // Requests sent, targets that may have run it, and those of them that could
+  // not be reached any more afterwards.
   int sends = 0;
   int runs = 0;
+  int runs_at_ended = 0;
   int avoid = -1;
   // The caller has the head of a stream, and its events up to `last_event`.
   bool began = false;
