Hold directory answers within the platform's bound; remove what nothing used

Cause: ttl_max_s was read and not used, so that a deployment with a bound below 1 s would have got answers that hold too long; ForgetSaved(), processor_share and target_heartbeat had no user. Change: the lifetime is the smaller of ours and the bound, also for the wait of a stopping VM. Test: Entry.ADirectoryAnswerHoldsNoLongerThanThePlatformAllows (1 s before, 0.4 s after).

--- a/testing/entry_policy_test.cc
+++ b/testing/entry_policy_test.cc
@@ -406,6 +406,7 @@
   const instant now = instant{} + seconds(100);
   // Each takes 0.2 s of the engines' time; the last ones come too late.
   std::vector<waiting_turn> waiting;
+  waiting.reserve(10);
   for (int i = 0; i < 10; ++i)
     waiting.push_back({5'000, 1, now + milliseconds(i), now + seconds(5),
                        now + milliseconds(1'500)});
--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -547,6 +547,21 @@
   StopEntry(second);
 }
 
+TEST(Entry, ADirectoryAnswerHoldsNoLongerThanThePlatformAllows) {
+  entry_fixture f;
+  f.Start(0);
+  f.running.state->options.bounds.longest_lifetime = milliseconds(400);
+  http_request request;
+  request.target = "/api/resolve?name=calls.example&region=r&zone=a";
+  const http_call_options options{milliseconds(2'000), false};
+  const auto answer = RunToEnd(
+      f.context,
+      Fetch(f.pool, f.running.state->directory.address, request, options));
+  ASSERT_TRUE(answer);
+  const auto body = json::parse(answer->body).as_object();
+  EXPECT_DOUBLE_EQ(body.at("ttl_s").to_number<double>(), 0.4);
+}
+
 // Entries of one zone that know each other.
 struct zone_fixture : entry_fixture {
   std::vector<entry> vms;
--- a/waxwing/cache_saves.cc
+++ b/waxwing/cache_saves.cc
@@ -12,10 +12,6 @@
   return true;
 }
 
-void ForgetSaved(cache_saves& saves, std::uint64_t prefix) {
-  saves.saved_at.erase(prefix);
-}
-
 void ForgetAllSaved(cache_saves& saves) {
   saves.saved_at.clear();
 }
--- a/waxwing/cache_saves.h
+++ b/waxwing/cache_saves.h
@@ -22,9 +22,6 @@
 // then noted.
 bool NoteSaved(cache_saves& saves, std::uint64_t prefix, instant now);
 
-// Forgets that the prefix was saved: the request did not run to its end.
-void ForgetSaved(cache_saves& saves, std::uint64_t prefix);
-
 // Forgets all: the store has restarted.
 void ForgetAllSaved(cache_saves& saves);
 
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -89,6 +89,10 @@
   co_await Respond(exchange, std::move(answer));
 }
 
+milliseconds DirectoryLifetime(const entry_state& state) {
+  return std::min(kDirectoryLifetime, state.options.bounds.longest_lifetime);
+}
+
 asio::awaitable<void> HandleDirectory(entry_ptr state,
                                       http_exchange& exchange) {
   if (state->spoken.classify(exchange.request) !=
@@ -101,7 +105,7 @@
   const directory_query query =
       state->spoken.read_directory_query(exchange.request);
   const directory_answer known{
-      ChooseAddresses(*state, query.zone), kDirectoryLifetime, {}};
+      ChooseAddresses(*state, query.zone), DirectoryLifetime(*state), {}};
   http_response answer = state->spoken.write_directory(known);
   Count(state->stats, "waxwing_directory_answers_total");
   co_await Respond(exchange, std::move(answer));
@@ -244,7 +248,7 @@
   const instant limit = start + state->options.bounds.stop - kStopReserve;
   // Callers that hold an older answer still come, with new connections.
   CloseAfterAnswers(state->callers);
-  co_await Pause(state->root, kDirectoryLifetime * kLifetimesKept);
+  co_await Pause(state->root, DirectoryLifetime(*state) * kLifetimesKept);
   state->is_closed = true;
   StopAccepting(state->callers);
   while (OpenExchanges(state->callers) > 0 &&
--- a/waxwing/entry.h
+++ b/waxwing/entry.h
@@ -60,9 +60,6 @@
   std::vector<endpoint> seeds;
   std::string key;
   std::size_t descriptors = 4'096;
-  // Part of a core that the VM has.
-  double processor_share = 1;
-  milliseconds target_heartbeat{1'200};
   entry_bounds bounds;
 };
 
