--- a/testing/cluster.cc
+++ b/testing/cluster.cc
@@ -1,9 +1,7 @@
 #include "testing/cluster.h"
 
-#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <signal.h>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -11,8 +9,6 @@
 
 #include "waxwing/json.h"
 
-extern char** environ;
-
 namespace testing_support {
 
 namespace json = boost::json;
@@ -31,51 +27,6 @@
   return std::chrono::steady_clock::now();
 }
 
-// A port that was free a moment ago. Stays below the range from which the
-// system takes the ports of outgoing connections, and apart from that of other
-// test processes.
-endpoint FreeAddress(cluster& c) {
-  constexpr int kFirstPort = 12'000;
-  constexpr int kPortsPerProcess = 200;
-  constexpr int kProcesses = 100;
-  static int next = 0;
-  const int base = kFirstPort + (getpid() % kProcesses) * kPortsPerProcess;
-  while (true) {
-    const auto port =
-        static_cast<std::uint16_t>(base + next++ % kPortsPerProcess);
-    boost::system::error_code error;
-    asio::ip::tcp::acceptor acceptor(c.context);
-    const asio::ip::tcp::endpoint local(asio::ip::make_address("127.0.0.1"),
-                                        port);
-    acceptor.open(local.protocol(), error);
-    acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    acceptor.bind(local, error);
-    if (!error)
-      return {"127.0.0.1", port};
-  }
-}
-
-pid_t Spawn(const std::string& program, std::vector<std::string> arguments) {
-  const std::string path = std::string(WAXWING_PROGRAM_DIR) + "/" + program;
-  arguments.insert(arguments.begin(), path);
-  std::vector<char*> argv;
-  argv.reserve(arguments.size() + 1);
-  for (std::string& argument : arguments)
-    argv.push_back(argument.data());
-  argv.push_back(nullptr);
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  const char* log = std::getenv("WAXWING_TEST_LOG");
-  posix_spawn_file_actions_addopen(&actions, 2, log ? log : "/dev/null",
-                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
-  pid_t pid = 0;
-  const int error =
-      posix_spawn(&pid, path.c_str(), &actions, nullptr, argv.data(), environ);
-  posix_spawn_file_actions_destroy(&actions);
-  EXPECT_EQ(error, 0) << path;
-  return error == 0 ? pid : 0;
-}
-
 std::string ZoneOf(int index) {
   return "zone-" + std::to_string(index % 3);
 }
@@ -128,11 +79,11 @@
 
 void StartStandins(cluster& c) {
   standin::platform_options platform;
-  platform.address = FreeAddress(c);
+  platform.address = FreeAddress(c.context);
   c.platform = *standin::StartPlatform(c.context.get_executor(), platform);
   for (int i = 0; i < c.options.engines; ++i) {
     standin::engine_options options;
-    options.address = FreeAddress(c);
+    options.address = FreeAddress(c.context);
     options.model = standin::ModelOf(c.options.shape);
     options.prefill_tokens_per_second = 100'000;
     options.token_interval = milliseconds(5);
@@ -145,7 +96,7 @@
   }
   for (int i = 0; i < c.options.services; ++i) {
     standin::service_options options;
-    options.address = FreeAddress(c);
+    options.address = FreeAddress(c.context);
     c.services.push_back(
         *standin::StartService(c.context.get_executor(), options));
   }
@@ -175,7 +126,8 @@
   c->pool = waxwing::MakeHttpPool(c->context.get_executor(), {});
   StartStandins(*c);
   for (int i = 0; i < options.vms; ++i)
-    c->vms.push_back({0, 0, FreeAddress(*c), FreeAddress(*c), FreeAddress(*c)});
+    c->vms.push_back({0, 0, FreeAddress(c->context), FreeAddress(c->context),
+                      FreeAddress(c->context)});
   for (int i = 0; i < options.vms; ++i) {
     StartVmAgent(*c, i);
     StartVmRouter(*c, i);
@@ -226,15 +178,6 @@
   v.router = Spawn("waxwing-router", arguments);
 }
 
-void KillProcess(pid_t& pid) {
-  if (pid == 0)
-    return;
-  kill(pid, SIGKILL);
-  int status = 0;
-  waitpid(pid, &status, 0);
-  pid = 0;
-}
-
 int TerminateProcess(cluster& c, pid_t& pid) {
   kill(pid, SIGTERM);
   int status = 0;
@@ -249,14 +192,6 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
-void PauseProcess(pid_t pid) {
-  kill(pid, SIGSTOP);
-}
-
-void ResumeProcess(pid_t pid) {
-  kill(pid, SIGCONT);
-}
-
 void RunFor(cluster& c, milliseconds time) {
   c.context.restart();
   c.context.run_for(time);
--- a/testing/cluster.h
+++ b/testing/cluster.h
@@ -18,6 +18,7 @@
 #include "standin/platform.h"
 #include "standin/service.h"
 #include "testing/event_loop.h"
+#include "testing/processes.h"
 #include "waxwing/http_client.h"
 #include "waxwing/types.h"
 
@@ -66,12 +67,8 @@
 void StartVmAgent(cluster& c, int index);
 void StartVmRouter(cluster& c, int index);
 
-// Sends SIGKILL and waits for the end.
-void KillProcess(pid_t& pid);
 // Sends SIGTERM and gives the exit code, while the test's own loop goes on.
 int TerminateProcess(cluster& c, pid_t& pid);
-void PauseProcess(pid_t pid);
-void ResumeProcess(pid_t pid);
 
 // Runs the loop for a time.
 void RunFor(cluster& c, waxwing::milliseconds time);
--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -27,65 +27,6 @@
 constexpr std::string_view kOncePath = "/start/x";
 constexpr std::string_view kRepeatablePath = "/status/x";
 
-json::object Route(std::string_view name,
-                   std::string_view prefix,
-                   std::string_view kind,
-                   std::string_view service,
-                   int attempts,
-                   bool can_resume) {
-  return {{"name", name},
-          {"host", "calls.example"},
-          {"path_prefix", prefix},
-          {"route_type", kind},
-          {"service", service},
-          {"max_attempts", attempts},
-          {"timeout_ms", 1'500},
-          {"slo_ms", 300},
-          {"gap_target_ms", 250},
-          {"priority", 1},
-          {"anonymous", false},
-          {"sticky", service == "llm"},
-          {"can_resume", can_resume}};
-}
-
-std::string Config(int version, const json::array& extra_routes = {}) {
-  json::array routes{
-      Route("chat", "/chat/", "streaming", "llm", 1, false),
-      Route("note", "/note/", "streaming", "llm", 2, true),
-      Route("start", "/start/", "non_idempotent", "panel", 1, false),
-      Route("status", "/status/", "idempotent", "panel", 2, false)};
-  for (const json::value& extra : extra_routes)
-    routes.push_back(extra);
-  const json::object engine{
-      {"slots", 8},
-      {"kv_capacity", 100'000},
-      {"kv_bytes", 96'256},
-      {"link_mbps", 260'000.0},
-      {"models", json::array{json::object{{"name", "m"}}}}};
-  return json::serialize(json::object{
-      {"version", version},
-      {"routes", std::move(routes)},
-      {"services",
-       json::array{json::object{{"name", "llm"}, {"engine", engine}},
-                   json::object{{"name", "panel"}}}},
-      {"tenants", json::array{json::object{
-                      {"name", "shop"}, {"api_keys", json::array{"key-1"}}}}}});
-}
-
-std::string TargetRecord(const endpoint& address,
-                         std::string_view service,
-                         int weights,
-                         std::string_view state = "ready") {
-  json::object out{{"service", service}, {"address", ToText(address)},
-                   {"zone", "a"},        {"version", "v1"},
-                   {"slots", 8},         {"state", state},
-                   {"cold_left_ms", 0},  {"sequence", 0}};
-  if (weights > 0)
-    out["models"] =
-        json::array{json::object{{"name", "m"}, {"version", weights}}};
-  return json::serialize(out);
-}
-
 std::string IdOf(const http_request& request) {
   return std::string(FindHeader(request.headers, "Request-Id"));
 }
@@ -98,7 +39,7 @@
   http_pool pool = MakeHttpPool(context.get_executor(), {});
   int next_id = 1;
 
-  entry_fixture() { PutObject(*store, "config", "main", Config(1)); }
+  entry_fixture() { PutObject(*store, "config", "main", EntryConfig(1)); }
   ~entry_fixture() {
     if (running.state)
       StopEntry(running);
@@ -113,8 +54,8 @@
       std::function<scripted_answer(const http_request&)> script) {
     targets.push_back(StartTarget(context, std::move(script)));
     PutObject(*store, "servers", id,
-              TargetRecord(targets.back()->Address(), service,
-                           service == "llm" ? 1 : 0));
+              EntryTargetRecord(targets.back()->Address(), service,
+                                service == "llm" ? 1 : 0));
     return targets.back();
   }
 
@@ -321,6 +262,25 @@
   }
 }
 
+// Found by the soak, seed 2: the kept connection breaks after the target has
+// run the request, and the target refuses the same request on a new one.
+TEST(Entry, ARefusalOfARequestSentAgainIsNotCalledNotRun) {
+  entry_fixture f;
+  const auto target = f.AddTarget(
+      "t1", "panel", [&f](const http_request& request) -> scripted_answer {
+        const std::size_t count = f.targets[0]->seen.size();
+        if (count == 1)
+          return {{PlainAnswer(200, IdOf(request), "first")}};
+        if (count == 2)
+          return {{}, true};
+        return Refusal(request);
+      });
+  f.Start(1);
+  EXPECT_EQ(f.Send(kRepeatablePath)->status, 200u);
+  EXPECT_EQ(f.Send(kRepeatablePath)->status, 502u);
+  EXPECT_GE(target->seen.size(), 3u);
+}
+
 TEST(Entry, AnAnswerOfAnotherRequestIsSkipped) {
   entry_fixture f;
   f.AddTarget("t1", "panel",
@@ -438,11 +398,11 @@
   f.AddTarget("t1", "panel", Answer);
   f.Start(1);
   const json::array added{
-      Route("new", "/new/", "idempotent", "panel", 2, false)};
-  PutObject(*f.store, "config", "main", Config(5, added));
+      EntryRoute("new", "/new/", "idempotent", "panel", 2, false)};
+  PutObject(*f.store, "config", "main", EntryConfig(5, added));
   ASSERT_TRUE(f.RunUntil([&] { return f.running.state->table->version == 5; }));
   EXPECT_EQ(f.Send("/new/x")->status, 200u);
-  PutObject(*f.store, "config", "main", Config(4));
+  PutObject(*f.store, "config", "main", EntryConfig(4));
   PutObject(*f.store, "versions", "m", R"({"model":"m","version":2})");
   ASSERT_TRUE(f.RunUntil([&] { return f.running.state->goals.contains("m"); }));
   EXPECT_EQ(f.running.state->table->version, 5);
@@ -474,7 +434,7 @@
   f.AddTarget("t2", "panel", Answer);
   f.Start(2);
   PutObject(*f.store, "servers", "t1",
-            TargetRecord(leaving->Address(), "panel", 0, "draining"));
+            EntryTargetRecord(leaving->Address(), "panel", 0, "draining"));
   const auto& state = *f.running.state;
   ASSERT_TRUE(
       f.RunUntil([&] { return state.targets.at("t1").record.is_leaving; }));
@@ -519,7 +479,7 @@
   PutObject(*f.store, "versions", "m", R"({"model":"m","version":2})");
   ASSERT_TRUE(f.RunUntil([&] { return orders == 1; }));
   PutObject(*f.store, "servers", "e1",
-            TargetRecord(target->Address(), "llm", 2));
+            EntryTargetRecord(target->Address(), "llm", 2));
   f.RunUntil([&] {
     return f.running.state->targets.at("e1").record.weights_version == 2;
   });
@@ -625,7 +585,7 @@
   // Three seconds: a reader makes 2 + 2 + 1 calls, and candidates for the duty
   // of orders look at the lease.
   EXPECT_LE(f.store->calls - before, 2 * (3 + 3 + 2) + 4);
-  PutObject(*f.store, "config", "main", Config(2));
+  PutObject(*f.store, "config", "main", EntryConfig(2));
   EXPECT_TRUE(f.AllHave(2));
   RemoveObject(*f.store, "servers", "t1");
   EXPECT_TRUE(f.RunUntil([&] {
@@ -643,7 +603,7 @@
       StopEntry(vm);
   }
   const instant start = std::chrono::steady_clock::now();
-  PutObject(*f.store, "config", "main", Config(2));
+  PutObject(*f.store, "config", "main", EntryConfig(2));
   EXPECT_TRUE(f.AllHave(2));
   EXPECT_LT(std::chrono::steady_clock::now() - start, seconds(2));
 }
@@ -657,7 +617,7 @@
       vm.state->store.address = {"127.0.0.1", 1};
   }
   f.RunUntil([&] { return false; });
-  PutObject(*f.store, "config", "main", Config(2));
+  PutObject(*f.store, "config", "main", EntryConfig(2));
   EXPECT_TRUE(f.RunUntil([&] {
     return std::all_of(f.vms.begin(), f.vms.end(), [&](const entry& vm) {
       return f.IsReader(vm) || vm.state->table->version == 2;
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -251,4 +251,63 @@
   return "0\r\n\r\n";
 }
 
+json::object EntryRoute(std::string_view name,
+                        std::string_view prefix,
+                        std::string_view kind,
+                        std::string_view service,
+                        int attempts,
+                        bool can_resume) {
+  return {{"name", name},
+          {"host", "calls.example"},
+          {"path_prefix", prefix},
+          {"route_type", kind},
+          {"service", service},
+          {"max_attempts", attempts},
+          {"timeout_ms", 1'500},
+          {"slo_ms", 300},
+          {"gap_target_ms", 250},
+          {"priority", 1},
+          {"anonymous", false},
+          {"sticky", service == "llm"},
+          {"can_resume", can_resume}};
+}
+
+std::string EntryConfig(int version, const json::array& extra_routes) {
+  json::array routes{
+      EntryRoute("chat", "/chat/", "streaming", "llm", 1, false),
+      EntryRoute("note", "/note/", "streaming", "llm", 2, true),
+      EntryRoute("start", "/start/", "non_idempotent", "panel", 1, false),
+      EntryRoute("status", "/status/", "idempotent", "panel", 2, false)};
+  for (const json::value& extra : extra_routes)
+    routes.push_back(extra);
+  const json::object engine{
+      {"slots", 8},
+      {"kv_capacity", 100'000},
+      {"kv_bytes", 96'256},
+      {"link_mbps", 260'000.0},
+      {"models", json::array{json::object{{"name", "m"}}}}};
+  return json::serialize(json::object{
+      {"version", version},
+      {"routes", std::move(routes)},
+      {"services",
+       json::array{json::object{{"name", "llm"}, {"engine", engine}},
+                   json::object{{"name", "panel"}}}},
+      {"tenants", json::array{json::object{
+                      {"name", "shop"}, {"api_keys", json::array{"key-1"}}}}}});
+}
+
+std::string EntryTargetRecord(const waxwing::endpoint& address,
+                              std::string_view service,
+                              int weights,
+                              std::string_view state) {
+  json::object out{{"service", service}, {"address", waxwing::ToText(address)},
+                   {"zone", "a"},        {"version", "v1"},
+                   {"slots", 8},         {"state", state},
+                   {"cold_left_ms", 0},  {"sequence", 0}};
+  if (weights > 0)
+    out["models"] =
+        json::array{json::object{{"name", "m"}, {"version", weights}}};
+  return json::serialize(out);
+}
+
 }  // namespace testing_support
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -5,6 +5,7 @@
 #define TESTING_PLATFORM_STANDIN_H_
 
 #include <boost/asio.hpp>
+#include <boost/json.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -84,6 +85,22 @@
 std::string StreamEvent(int id, std::string_view data);
 std::string StreamEnd();
 
+// What the operator and targets write to the store: a configuration with a
+// streaming, a resumable, a once-only and a repeatable route on two services,
+// and the record of a target.
+boost::json::object EntryRoute(std::string_view name,
+                               std::string_view prefix,
+                               std::string_view kind,
+                               std::string_view service,
+                               int attempts,
+                               bool can_resume);
+std::string EntryConfig(int version,
+                        const boost::json::array& extra_routes = {});
+std::string EntryTargetRecord(const waxwing::endpoint& address,
+                              std::string_view service,
+                              int weights,
+                              std::string_view state = "ready");
+
 }  // namespace testing_support
 
 #endif  // TESTING_PLATFORM_STANDIN_H_
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -129,6 +129,9 @@
     co_await Refuse(run, 503, "no_target_ran_it", RetryAfter(run));
     co_return;
   }
+  // Refused at last, but an earlier target may have run it.
+  if (end == run_end::kNotRun)
+    end = run_end::kBroken;
   co_await Refuse(run, end == run_end::kTimedOut ? 504 : 502, NameOf(end), {});
 }
 
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -165,6 +165,7 @@
   if (facts->weights_version && IsCurrent(*run.state, sent))
     NoteWeights(*run.state, sent.target.record.id, *facts->weights_version);
   if (facts->not_run) {
+    run.runs += call->was_sent_before ? 1 : 0;
     CancelCall(*call);
     // Another target has the address now: the one that was meant is gone.
     if (!facts->target.empty() && facts->target != sent.target.record.id &&
--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -236,6 +236,8 @@
   auto answer =
       co_await Exchange(*dialled, request, pool.state->limits.response_bytes,
                         options.header_timeout);
+  if (answer)
+    answer->was_sent_before = was_sent;
   co_return answer;
 }
 
--- a/waxwing/http_client.h
+++ b/waxwing/http_client.h
@@ -42,6 +42,9 @@
 struct http_call {
   // Status and header fields; the body stays empty.
   http_response head;
+  // The request was sent before, on a kept connection that broke, and may have
+  // run then.
+  bool was_sent_before = false;
   std::shared_ptr<detail::http_call_state> state;
 };
 
--- a/waxwing/router.h
+++ b/waxwing/router.h
@@ -6,9 +6,13 @@
 //   ticketing.cc     non-idempotent: claims its ticket, or forwards to the
 //   owner waiting.cc       checks the account's limit, waits in the fair queue
 //   placement.cc     chooses the target
-//   chat_run.cc      runs a chat completion: streams, resumes, replays
+//   chat_run.cc      runs a chat completion, with replays at other targets
+//   chat_relay.cc    its stream at one target, with resumes
 //   service_run.cc   runs a call to a plain service
 //
+// Its protocol towards callers and targets is read and written in
+// own_dialect.h.
+//
 // agent_client.cc keeps the connection to the VM's agent, from which the router
 // gets configuration, members, target reports and its ledger.
 //
