--- a/testing/entry_soak_test.cc
+++ b/testing/entry_soak_test.cc
@@ -29,6 +29,7 @@
 constexpr int kVms = 3;
 constexpr int kTargets = 4;
 constexpr int kCallers = 12;
+// Faults of one seed.
 constexpr int kFaults = 10;
 // Time in which a healed system must serve again.
 constexpr milliseconds kRecovery{10'000};
@@ -256,10 +257,10 @@
     std::function<void()> heal;
   };
   std::vector<pending> open;
-  const clock::time_point end = clock::now() + kLength;
-  while (clock::now() < end) {
-    open.push_back(
-        {clock::now() + milliseconds(200 + PickFault(s, 1'000)), Cause(s)});
+  for (int i = 0; i < kFaults; ++i) {
+    const milliseconds length(200 + PickFault(s, 1'000));
+    std::function<void()> heal = Cause(s);
+    open.push_back({clock::now() + length, std::move(heal)});
     RunFor(s, milliseconds(200 + PickFault(s, 600)));
     std::erase_if(open, [&](const pending& each) {
       if (each.at > clock::now())
