--- a/testing/entry_soak_test.cc
+++ b/testing/entry_soak_test.cc
@@ -125,6 +125,7 @@
 
 void StartAll(soak& s) {
   PutObject(*s.store, "config", "main", EntryConfig(s.config_version));
+  s.targets.reserve(kTargets);
   for (int i = 0; i < kTargets; ++i) {
     s.targets.push_back(
         StartTarget(s.context, [&s](const http_request& request) {
@@ -134,6 +135,7 @@
               EntryTargetRecord(s.targets.back()->Address(), "panel", 0));
   }
   std::vector<endpoint> peers;
+  peers.reserve(kVms);
   for (int i = 0; i < kVms; ++i)
     peers.push_back(FreeAddress(s.context));
   for (std::size_t i = 0; i < kVms; ++i) {
