Remove what nothing calls from the own dialect, and simplify the soak's loop

Found by reading the whole change. Cause: the own dialect filled in classify and answer_headers, which only the entry calls; the soak ran the loop by a copy of what run_for() does, and passed a parameter that it no longer used. Ruled out: making the router call both (it tells more kinds of calls apart, and keeps answers in the ledger's form).

--- a/testing/entry_soak_test.cc
+++ b/testing/entry_soak_test.cc
@@ -95,11 +95,8 @@
 }
 
 void RunFor(soak& s, milliseconds time) {
-  const clock::time_point end = clock::now() + time;
-  while (clock::now() < end) {
-    s.context.restart();
-    s.context.run_one_for(milliseconds(20));
-  }
+  s.context.restart();
+  s.context.run_for(time);
 }
 
 scripted_answer AnswerAsTarget(soak& s, const http_request& request) {
@@ -116,7 +113,7 @@
   return {{PlainAnswer(200, id, "answer to " + id)}};
 }
 
-void StartVm(soak& s, entry_vm& vm) {
+void StartVm(entry_vm& vm) {
   vm.process = Spawn("waxwing-entry", {},
                      {"WAXWINGPASS_SETTINGS=" + vm.settings, "WAXWING_KEY=soak",
                       "WAXWING_LOG_LEVEL=info"},
@@ -159,7 +156,7 @@
         {"bounds", json::object{{"grace_s", 5}, {"retry_slack", 50}}},
         {"platform",
          json::object{{"address", ToText(s.store->server.address)}}}});
-    StartVm(s, vm);
+    StartVm(vm);
   }
 }
 
@@ -206,7 +203,7 @@
     case 0:
       s.history += " kill";
       KillProcess(vm.process);
-      return [&s, &vm] { StartVm(s, vm); };
+      return [&vm] { StartVm(vm); };
     case 1:
       s.history += " stop";
       if (vm.process != 0)
@@ -246,7 +243,7 @@
       return [&s] {
         for (entry_vm& each : s.vms) {
           if (each.process == 0)
-            StartVm(s, each);
+            StartVm(each);
         }
       };
   }
@@ -275,7 +272,7 @@
     each.heal();
   for (entry_vm& vm : s.vms) {
     if (vm.process == 0)
-      StartVm(s, vm);
+      StartVm(vm);
   }
 }
 
--- a/waxwing/own_dialect.cc
+++ b/waxwing/own_dialect.cc
@@ -73,17 +73,6 @@
   return out;
 }
 
-caller_call_kind ClassifyCall(const http_request& request) {
-  switch (ClassifyOwnCall(request)) {
-    case own_call::kEntry:
-      return caller_call_kind::kDirectory;
-    case own_call::kHealth:
-      return caller_call_kind::kReadiness;
-    default:
-      return caller_call_kind::kForward;
-  }
-}
-
 http_response WriteEntry(const directory_answer& answer) {
   json::array addresses;
   for (const endpoint& address : answer.addresses)
@@ -97,12 +86,6 @@
                                {"tickets", std::move(tickets)}}));
 }
 
-// Of a target's answer the caller gets what describes its body.
-http_headers AnswerHeaders(const http_headers& from_target) {
-  return {
-      {"Content-Type", std::string(FindHeader(from_target, "Content-Type"))}};
-}
-
 http_request WriteRun(const http_request& from_caller,
                       const inbound_request& /*request*/,
                       const run_order& order) {
@@ -161,10 +144,8 @@
 
 dialect MakeOwnDialect() {
   dialect out;
-  out.classify = ClassifyCall;
   out.read_request = ReadOwnRequest;
   out.write_directory = WriteEntry;
-  out.answer_headers = AnswerHeaders;
   out.write_run = WriteRun;
   out.read_answer = ReadAnswer;
   out.write_cancel = WriteCancel;
--- a/waxwing/own_dialect.h
+++ b/waxwing/own_dialect.h
@@ -18,8 +18,10 @@
 
 namespace waxwing {
 
-// Fills in the calls of callers and targets. The object store and the orders of
-// the product are the agent's (platform_client.h); their functions stay null.
+// Fills in the calls of callers and targets that the router makes by the seam.
+// The object store and the orders of the product are the agent's
+// (platform_client.h); their functions stay null, as do those that only the
+// entry calls.
 dialect MakeOwnDialect();
 
 // What a caller asks for.
