--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -775,6 +775,7 @@
   uint16_t agent_port = 0;
   std::string router_host{};
   uint16_t router_port = 0;
+  uint32_t request_capacity = 0;
 };
 
 struct member_record FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -790,7 +791,8 @@
     VT_AGENT_HOST = 14,
     VT_AGENT_PORT = 16,
     VT_ROUTER_HOST = 18,
-    VT_ROUTER_PORT = 20
+    VT_ROUTER_PORT = 20,
+    VT_REQUEST_CAPACITY = 22
   };
   const flatbuffers::String *vm() const {
     return GetPointer<const flatbuffers::String *>(VT_VM);
@@ -819,6 +821,9 @@
   uint16_t router_port() const {
     return GetField<uint16_t>(VT_ROUTER_PORT, 0);
   }
+  uint32_t request_capacity() const {
+    return GetField<uint32_t>(VT_REQUEST_CAPACITY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VM) &&
@@ -834,6 +839,7 @@
            VerifyOffset(verifier, VT_ROUTER_HOST) &&
            verifier.VerifyString(router_host()) &&
            VerifyField<uint16_t>(verifier, VT_ROUTER_PORT, 2) &&
+           VerifyField<uint32_t>(verifier, VT_REQUEST_CAPACITY, 4) &&
            verifier.EndTable();
   }
   member_recordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -872,6 +878,9 @@
   void add_router_port(uint16_t router_port) {
     fbb_.AddElement<uint16_t>(member_record::VT_ROUTER_PORT, router_port, 0);
   }
+  void add_request_capacity(uint32_t request_capacity) {
+    fbb_.AddElement<uint32_t>(member_record::VT_REQUEST_CAPACITY, request_capacity, 0);
+  }
   explicit member_recordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -893,10 +902,12 @@
     flatbuffers::Offset<flatbuffers::String> agent_host = 0,
     uint16_t agent_port = 0,
     flatbuffers::Offset<flatbuffers::String> router_host = 0,
-    uint16_t router_port = 0) {
+    uint16_t router_port = 0,
+    uint32_t request_capacity = 0) {
   member_recordBuilder builder_(_fbb);
   builder_.add_version(version);
   builder_.add_incarnation(incarnation);
+  builder_.add_request_capacity(request_capacity);
   builder_.add_router_host(router_host);
   builder_.add_agent_host(agent_host);
   builder_.add_zone(zone);
@@ -922,7 +933,8 @@
     const char *agent_host = nullptr,
     uint16_t agent_port = 0,
     const char *router_host = nullptr,
-    uint16_t router_port = 0) {
+    uint16_t router_port = 0,
+    uint32_t request_capacity = 0) {
   auto vm__ = vm ? _fbb.CreateString(vm) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto agent_host__ = agent_host ? _fbb.CreateString(agent_host) : 0;
@@ -937,7 +949,8 @@
       agent_host__,
       agent_port,
       router_host__,
-      router_port);
+      router_port,
+      request_capacity);
 }
 
 flatbuffers::Offset<member_record> Createmember_record(flatbuffers::FlatBufferBuilder &_fbb, const member_recordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2407,6 +2420,7 @@
   typedef shared_request TableType;
   bool follows = false;
   bool is_first = false;
+  float requests_per_s = 0.0f;
 };
 
 struct shared_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2415,7 +2429,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FOLLOWS = 4,
-    VT_IS_FIRST = 6
+    VT_IS_FIRST = 6,
+    VT_REQUESTS_PER_S = 8
   };
   bool follows() const {
     return GetField<uint8_t>(VT_FOLLOWS, 0) != 0;
@@ -2423,10 +2438,14 @@
   bool is_first() const {
     return GetField<uint8_t>(VT_IS_FIRST, 0) != 0;
   }
+  float requests_per_s() const {
+    return GetField<float>(VT_REQUESTS_PER_S, 0.0f);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_FOLLOWS, 1) &&
            VerifyField<uint8_t>(verifier, VT_IS_FIRST, 1) &&
+           VerifyField<float>(verifier, VT_REQUESTS_PER_S, 4) &&
            verifier.EndTable();
   }
   shared_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2444,6 +2463,9 @@
   void add_is_first(bool is_first) {
     fbb_.AddElement<uint8_t>(shared_request::VT_IS_FIRST, static_cast<uint8_t>(is_first), 0);
   }
+  void add_requests_per_s(float requests_per_s) {
+    fbb_.AddElement<float>(shared_request::VT_REQUESTS_PER_S, requests_per_s, 0.0f);
+  }
   explicit shared_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2458,8 +2480,10 @@
 inline flatbuffers::Offset<shared_request> Createshared_request(
     flatbuffers::FlatBufferBuilder &_fbb,
     bool follows = false,
-    bool is_first = false) {
+    bool is_first = false,
+    float requests_per_s = 0.0f) {
   shared_requestBuilder builder_(_fbb);
+  builder_.add_requests_per_s(requests_per_s);
   builder_.add_is_first(is_first);
   builder_.add_follows(follows);
   return builder_.Finish();
@@ -2765,6 +2789,7 @@
 struct shared_agesT : public flatbuffers::NativeTable {
   typedef shared_ages TableType;
   std::vector<std::unique_ptr<waxwing::wire::shared_ageT>> ages{};
+  float zone_requests_per_s = -1.0f;
   shared_agesT() = default;
   shared_agesT(const shared_agesT &o);
   shared_agesT(shared_agesT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2776,16 +2801,21 @@
   typedef shared_agesBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_AGES = 4
+    VT_AGES = 4,
+    VT_ZONE_REQUESTS_PER_S = 6
   };
   const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>> *ages() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>> *>(VT_AGES);
   }
+  float zone_requests_per_s() const {
+    return GetField<float>(VT_ZONE_REQUESTS_PER_S, -1.0f);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_AGES) &&
            verifier.VerifyVector(ages()) &&
            verifier.VerifyVectorOfTables(ages()) &&
+           VerifyField<float>(verifier, VT_ZONE_REQUESTS_PER_S, 4) &&
            verifier.EndTable();
   }
   shared_agesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2800,6 +2830,9 @@
   void add_ages(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>>> ages) {
     fbb_.AddOffset(shared_ages::VT_AGES, ages);
   }
+  void add_zone_requests_per_s(float zone_requests_per_s) {
+    fbb_.AddElement<float>(shared_ages::VT_ZONE_REQUESTS_PER_S, zone_requests_per_s, -1.0f);
+  }
   explicit shared_agesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2813,8 +2846,10 @@
 
 inline flatbuffers::Offset<shared_ages> Createshared_ages(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>>> ages = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>>> ages = 0,
+    float zone_requests_per_s = -1.0f) {
   shared_agesBuilder builder_(_fbb);
+  builder_.add_zone_requests_per_s(zone_requests_per_s);
   builder_.add_ages(ages);
   return builder_.Finish();
 }
@@ -2826,11 +2861,13 @@
 
 inline flatbuffers::Offset<shared_ages> Createshared_agesDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<waxwing::wire::shared_age>> *ages = nullptr) {
+    const std::vector<flatbuffers::Offset<waxwing::wire::shared_age>> *ages = nullptr,
+    float zone_requests_per_s = -1.0f) {
   auto ages__ = ages ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_age>>(*ages) : 0;
   return waxwing::wire::Createshared_ages(
       _fbb,
-      ages__);
+      ages__,
+      zone_requests_per_s);
 }
 
 flatbuffers::Offset<shared_ages> Createshared_ages(flatbuffers::FlatBufferBuilder &_fbb, const shared_agesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2840,6 +2877,7 @@
   std::string source{};
   bool is_whole = false;
   std::vector<waxwing::wire::cached_part_change> changes{};
+  bool is_lost = false;
 };
 
 struct cache_changes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2849,7 +2887,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SOURCE = 4,
     VT_IS_WHOLE = 6,
-    VT_CHANGES = 8
+    VT_CHANGES = 8,
+    VT_IS_LOST = 10
   };
   const flatbuffers::String *source() const {
     return GetPointer<const flatbuffers::String *>(VT_SOURCE);
@@ -2860,6 +2899,9 @@
   const flatbuffers::Vector<const waxwing::wire::cached_part_change *> *changes() const {
     return GetPointer<const flatbuffers::Vector<const waxwing::wire::cached_part_change *> *>(VT_CHANGES);
   }
+  bool is_lost() const {
+    return GetField<uint8_t>(VT_IS_LOST, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SOURCE) &&
@@ -2867,6 +2909,7 @@
            VerifyField<uint8_t>(verifier, VT_IS_WHOLE, 1) &&
            VerifyOffset(verifier, VT_CHANGES) &&
            verifier.VerifyVector(changes()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_LOST, 1) &&
            verifier.EndTable();
   }
   cache_changesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2887,6 +2930,9 @@
   void add_changes(flatbuffers::Offset<flatbuffers::Vector<const waxwing::wire::cached_part_change *>> changes) {
     fbb_.AddOffset(cache_changes::VT_CHANGES, changes);
   }
+  void add_is_lost(bool is_lost) {
+    fbb_.AddElement<uint8_t>(cache_changes::VT_IS_LOST, static_cast<uint8_t>(is_lost), 0);
+  }
   explicit cache_changesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2902,10 +2948,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> source = 0,
     bool is_whole = false,
-    flatbuffers::Offset<flatbuffers::Vector<const waxwing::wire::cached_part_change *>> changes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const waxwing::wire::cached_part_change *>> changes = 0,
+    bool is_lost = false) {
   cache_changesBuilder builder_(_fbb);
   builder_.add_changes(changes);
   builder_.add_source(source);
+  builder_.add_is_lost(is_lost);
   builder_.add_is_whole(is_whole);
   return builder_.Finish();
 }
@@ -2919,14 +2967,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *source = nullptr,
     bool is_whole = false,
-    const std::vector<waxwing::wire::cached_part_change> *changes = nullptr) {
+    const std::vector<waxwing::wire::cached_part_change> *changes = nullptr,
+    bool is_lost = false) {
   auto source__ = source ? _fbb.CreateString(source) : 0;
   auto changes__ = changes ? _fbb.CreateVectorOfStructs<waxwing::wire::cached_part_change>(*changes) : 0;
   return waxwing::wire::Createcache_changes(
       _fbb,
       source__,
       is_whole,
-      changes__);
+      changes__,
+      is_lost);
 }
 
 flatbuffers::Offset<cache_changes> Createcache_changes(flatbuffers::FlatBufferBuilder &_fbb, const cache_changesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3216,6 +3266,7 @@
   { auto _e = agent_port(); _o->agent_port = _e; }
   { auto _e = router_host(); if (_e) _o->router_host = _e->str(); }
   { auto _e = router_port(); _o->router_port = _e; }
+  { auto _e = request_capacity(); _o->request_capacity = _e; }
 }
 
 inline flatbuffers::Offset<member_record> member_record::Pack(flatbuffers::FlatBufferBuilder &_fbb, const member_recordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3235,6 +3286,7 @@
   auto _agent_port = _o->agent_port;
   auto _router_host = _o->router_host.empty() ? 0 : _fbb.CreateString(_o->router_host);
   auto _router_port = _o->router_port;
+  auto _request_capacity = _o->request_capacity;
   return waxwing::wire::Createmember_record(
       _fbb,
       _vm,
@@ -3245,7 +3297,8 @@
       _agent_host,
       _agent_port,
       _router_host,
-      _router_port);
+      _router_port,
+      _request_capacity);
 }
 
 inline heartbeatT *heartbeat::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3839,6 +3892,7 @@
   (void)_resolver;
   { auto _e = follows(); _o->follows = _e; }
   { auto _e = is_first(); _o->is_first = _e; }
+  { auto _e = requests_per_s(); _o->requests_per_s = _e; }
 }
 
 inline flatbuffers::Offset<shared_request> shared_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3851,10 +3905,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const shared_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _follows = _o->follows;
   auto _is_first = _o->is_first;
+  auto _requests_per_s = _o->requests_per_s;
   return waxwing::wire::Createshared_request(
       _fbb,
       _follows,
-      _is_first);
+      _is_first,
+      _requests_per_s);
 }
 
 inline shared_objectT *shared_object::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3972,13 +4028,15 @@
       _age_ms);
 }
 
-inline shared_agesT::shared_agesT(const shared_agesT &o) {
+inline shared_agesT::shared_agesT(const shared_agesT &o)
+      : zone_requests_per_s(o.zone_requests_per_s) {
   ages.reserve(o.ages.size());
   for (const auto &ages_ : o.ages) { ages.emplace_back((ages_) ? new waxwing::wire::shared_ageT(*ages_) : nullptr); }
 }
 
 inline shared_agesT &shared_agesT::operator=(shared_agesT o) FLATBUFFERS_NOEXCEPT {
   std::swap(ages, o.ages);
+  std::swap(zone_requests_per_s, o.zone_requests_per_s);
   return *this;
 }
 
@@ -3992,6 +4050,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = ages(); if (_e) { _o->ages.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ages[_i] = std::unique_ptr<waxwing::wire::shared_ageT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = zone_requests_per_s(); _o->zone_requests_per_s = _e; }
 }
 
 inline flatbuffers::Offset<shared_ages> shared_ages::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_agesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4003,9 +4062,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const shared_agesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _ages = _o->ages.size() ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_age>> (_o->ages.size(), [](size_t i, _VectorArgs *__va) { return Createshared_age(*__va->__fbb, __va->__o->ages[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _zone_requests_per_s = _o->zone_requests_per_s;
   return waxwing::wire::Createshared_ages(
       _fbb,
-      _ages);
+      _ages,
+      _zone_requests_per_s);
 }
 
 inline cache_changesT *cache_changes::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4020,6 +4081,7 @@
   { auto _e = source(); if (_e) _o->source = _e->str(); }
   { auto _e = is_whole(); _o->is_whole = _e; }
   { auto _e = changes(); if (_e) { _o->changes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->changes[_i] = *_e->Get(_i); } } }
+  { auto _e = is_lost(); _o->is_lost = _e; }
 }
 
 inline flatbuffers::Offset<cache_changes> cache_changes::Pack(flatbuffers::FlatBufferBuilder &_fbb, const cache_changesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4033,11 +4095,13 @@
   auto _source = _o->source.empty() ? 0 : _fbb.CreateString(_o->source);
   auto _is_whole = _o->is_whole;
   auto _changes = _o->changes.size() ? _fbb.CreateVectorOfStructs(_o->changes) : 0;
+  auto _is_lost = _o->is_lost;
   return waxwing::wire::Createcache_changes(
       _fbb,
       _source,
       _is_whole,
-      _changes);
+      _changes,
+      _is_lost);
 }
 
 inline frameT *frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/testing/entry_policy_test.cc
+++ b/testing/entry_policy_test.cc
@@ -198,15 +198,74 @@
   EXPECT_TRUE(map.segments.empty());
 }
 
+RC_GTEST_PROP(CacheMap, PrefixesOfAllTargetsEqualThoseOfEachTarget, ()) {
+  cache_map map;
+  const std::vector<prompt_segment> segments{{1, 100}, {2, 200}, {3, 300}};
+  const auto prompt = CachedSegments("s", segments);
+  const auto small = [](int limit) { return *rc::gen::inRange(0, limit); };
+  for (int i = small(40); i > 0; --i) {
+    const auto target = static_cast<std::uint32_t>(small(5));
+    RecordCached(map, prompt[static_cast<std::size_t>(small(3))].key,
+                 small(8) == 0 ? kFirstCacheStore : target,
+                 static_cast<std::uint32_t>(small(2)),
+                 static_cast<std::uint32_t>(100 * small(5)));
+  }
+  const auto prefixes = FindCachedPrefixes(map, prompt);
+  for (const std::uint32_t target : {0u, 1u, 2u, 3u, 4u, kFirstCacheStore}) {
+    for (const std::uint32_t epoch : {0u, 1u}) {
+      std::uint32_t found = 0;
+      for (const cached_prefix& prefix : prefixes) {
+        if (prefix.target == target && prefix.epoch == epoch)
+          found += prefix.tokens;
+      }
+      RC_ASSERT(found == CachedPrefixTokens(map, prompt, target, epoch));
+    }
+  }
+}
+
+TEST(CacheMap, KnownSegmentDoesNotClearAFullMap) {
+  cache_map map;
+  map.capacity = 2;
+  RecordCached(map, 1, 0, 1, 100);
+  RecordCached(map, 2, 0, 1, 100);
+  RecordCached(map, 2, 1, 1, 100);
+  EXPECT_EQ(map.segments.size(), 2u);
+  RecordCached(map, 3, 0, 1, 100);
+  EXPECT_EQ(map.segments.size(), 1u);
+}
+
+// All sessions are new, as after an announcement of weights, so that every
+// request could save its prompt. The link of the store must stay free for
+// fetches, also when the VMs are many.
+TEST(CacheSaves, SavesOfAllVmsUseHalfOfTheLink) {
+  constexpr int kVms = 40;
+  constexpr double kLinkMbps = 590'000;
+  constexpr double kPromptBytes = 6'670 * 96'256.0;
+  constexpr int kSeconds = 20;
+  std::vector<cache_saves> vms(kVms);
+  double saved_bytes = 0;
+  for (int ms = 0; ms < kSeconds * 1'000; ++ms) {
+    const instant now = instant{} + seconds(100) + milliseconds(ms);
+    cache_saves& vm = vms[static_cast<std::size_t>(ms % kVms)];
+    SetSaveRate(vm, kLinkMbps, kVms, now);
+    if (TryStartSave(vm, static_cast<std::uint64_t>(ms), kPromptBytes, now))
+      saved_bytes += kPromptBytes;
+  }
+  const double link_bytes = kLinkMbps * 1e6 / 8 * kSeconds;
+  EXPECT_LT(saved_bytes, 0.6 * link_bytes);
+  EXPECT_GT(saved_bytes, 0.4 * link_bytes);
+}
+
 TEST(CacheSaves, SavesAgainOnlyAfterTheConfirmationTimeout) {
   cache_saves saves;
   const instant now = instant{} + seconds(100);
-  EXPECT_TRUE(TryStartSave(saves, 1, now));
-  EXPECT_FALSE(TryStartSave(saves, 1, now + saves.confirmation_timeout / 2));
-  EXPECT_TRUE(TryStartSave(saves, 1, now + saves.confirmation_timeout));
-  EXPECT_TRUE(TryStartSave(saves, 2, now));
+  EXPECT_TRUE(TryStartSave(saves, 1, 100, now));
+  EXPECT_FALSE(
+      TryStartSave(saves, 1, 100, now + saves.confirmation_timeout / 2));
+  EXPECT_TRUE(TryStartSave(saves, 1, 100, now + saves.confirmation_timeout));
+  EXPECT_TRUE(TryStartSave(saves, 2, 100, now));
   ClearSaves(saves);
-  EXPECT_TRUE(TryStartSave(saves, 2, now));
+  EXPECT_TRUE(TryStartSave(saves, 2, 100, now));
 }
 
 // The arguments of ChooseEngine() for a service with a few engines.
@@ -282,12 +341,56 @@
 
 TEST(EngineChoice, FetchesFromTheStoreWhenNoEngineHasThePrefix) {
   engine_set e(3);
-  e.request.has_cache_store = true;
-  RecordCached(e.caches, e.cached_segments[0].key, kCacheStore, 0, 2'500);
-  RecordCached(e.caches, e.cached_segments[1].key, kCacheStore, 0, 3'800);
-  EXPECT_EQ(e.Choose().source, kCacheStore);
-  e.request.has_cache_store = false;
+  const cache_store_view store{kFirstCacheStore, 5, "a"};
+  e.request.cache_stores = {&store, 1};
+  RecordCached(e.caches, e.cached_segments[0].key, store.index, 0, 2'500);
+  RecordCached(e.caches, e.cached_segments[1].key, store.index, 0, 3'800);
+  EXPECT_EQ(e.Choose().source, store.index);
+  e.request.cache_stores = {};
+  EXPECT_FALSE(e.Choose().source);
+}
+
+// Simulates sessions that the engines have evicted, over zones with a cache
+// store each. Every VM must look for a session in the store that holds it, and
+// the stores must share the sessions evenly.
+TEST(EngineChoice, EachSessionHasOneStoreInTheZoneOfItsHome) {
+  engine_set e(12);
+  const std::vector<cache_store_view> stores{{kFirstCacheStore, 5, "a"},
+                                             {kFirstCacheStore + 1, 6, "b"},
+                                             {kFirstCacheStore + 2, 7, "b"}};
+  e.request.cache_stores = stores;
+  std::map<std::uint32_t, int> sessions_by_store;
+  for (std::uint64_t session = 0; session < 3'000; ++session) {
+    e.request.prompt.home_key = Hash64(std::to_string(session));
+    const engine_choice choice = e.Choose();
+    ASSERT_TRUE(choice.store);
+    const bool is_in_a = *choice.store == kFirstCacheStore;
+    EXPECT_EQ(e.targets[choice.target].zone, is_in_a ? "a" : "b");
+    ++sessions_by_store[*choice.store];
+  }
+  EXPECT_NEAR(sessions_by_store[kFirstCacheStore], 1'500, 150);
+  EXPECT_NEAR(sessions_by_store[kFirstCacheStore + 1], 750, 100);
+  EXPECT_NEAR(sessions_by_store[kFirstCacheStore + 2], 750, 100);
+  // A session whose store does not respond is kept by another one.
+  e.request.cache_stores = {stores.data() + 1, 2};
+  EXPECT_NE(e.Choose().store, kFirstCacheStore);
+}
+
+TEST(EngineChoice, FetchesOnlyFromTheStoreOfTheSession) {
+  engine_set e(4);
+  const std::vector<cache_store_view> stores{{kFirstCacheStore, 5, "a"},
+                                             {kFirstCacheStore + 1, 6, "a"}};
+  e.request.cache_stores = stores;
+  const std::uint32_t store = *e.Choose().store;
+  const std::uint32_t other = stores[0].index + stores[1].index - store;
+  for (const cached_segment& segment :
+       {e.cached_segments[0], e.cached_segments[1]})
+    RecordCached(e.caches, segment.key, other, 0, segment.tokens);
   EXPECT_FALSE(e.Choose().source);
+  for (const cached_segment& segment :
+       {e.cached_segments[0], e.cached_segments[1]})
+    RecordCached(e.caches, segment.key, store, 0, segment.tokens);
+  EXPECT_EQ(e.Choose().source, store);
 }
 
 TEST(EngineChoice, AvoidsAnEngineWithFullCacheMemory) {
@@ -528,8 +631,10 @@
   const membership all = MakeZones("", zones, vms_per_zone);
   for (const auto& [vm, record] : all.members) {
     const membership table = MakeZones(vm, zones, vms_per_zone);
-    ++out[ChooseCacheSubscriberRole(table, cache_address, record.data.zone,
-                                    max_subscribers)];
+    const std::string& zone = record.data.zone;
+    const auto pool = MakeCacheSubscriberPool(
+        table, zone, ChooseVmsInZone(table, "", zone, table.members.size()));
+    ++out[ChooseCacheSubscriberRole(pool, cache_address, max_subscribers)];
   }
   return out;
 }
@@ -550,6 +655,30 @@
   EXPECT_EQ(CountByDuty(6, 4, "e1", 1)[cache_subscriber_role::kForZone], 1);
 }
 
+TEST(Feed, OnlyListedVmsSubscribeToCaches) {
+  const membership all = MakeZones("", 5, 59);
+  const std::vector<std::string> listed{"z0-3", "z0-17", "z0-40"};
+  std::map<std::string, int> caches_by_vm;
+  for (const auto& [vm, record] : all.members) {
+    if (record.data.zone != "z0")
+      continue;
+    membership table = all;
+    table.self = vm;
+    const auto pool = MakeCacheSubscriberPool(table, "z0", listed);
+    for (int i = 0; i < 30; ++i)
+      caches_by_vm[vm] +=
+          ChooseCacheSubscriberRole(pool, "e" + std::to_string(i), 8) ==
+          cache_subscriber_role::kForZone;
+  }
+  std::erase_if(caches_by_vm,
+                [](const auto& entry) { return entry.second == 0; });
+  ASSERT_EQ(caches_by_vm.size(), listed.size());
+  int total = 0;
+  for (const auto& [vm, count] : caches_by_vm)
+    total += count;
+  EXPECT_EQ(total, 30);
+}
+
 TEST(Feed, CachesAreSpreadOverTheVmsOfAZone) {
   const membership table = MakeZones("z0-0", 1, 10);
   std::map<std::string, int> caches_by_vm;
--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -686,6 +686,49 @@
   EXPECT_EQ(cached_tokens(8), 60u);
 }
 
+// A VM that takes over the events of a cache has no snapshot of it pending. The
+// other VMs must still get all segments, not only the next changes.
+TEST(EntryReplication, FirstPendingChangesOfACacheAreASnapshot) {
+  entry_fixture f;
+  const auto target = f.AddTarget("e1", "llm", StreamTwoEvents);
+  f.Start(1);
+  entry_state& state = *f.running.state;
+  const std::uint32_t index = state.targets.at("e1").index;
+  const cached_segment known{7, 100};
+  const cached_segment added{8, 60};
+  ApplyCacheChanges(state, target->Address(), index, false, {&known, 1});
+  ApplyCacheChanges(state, target->Address(), index, false, {&added, 1});
+  AddPendingChanges(state, target->Address(), false, {&added, 1});
+  const cache_change_batch& batch = state.pending_changes.at(target->Address());
+  EXPECT_TRUE(batch.is_snapshot);
+  EXPECT_EQ(batch.changes.size(), 2u);
+}
+
+TEST(EntryReplication, CacheStoreIsUsedWhileItsSubscriberReachesIt) {
+  entry_fixture f;
+  f.Start(1);
+  entry_state& state = *f.running.state;
+  const endpoint address{"10.0.0.9", 8080};
+  state.cache_stores[address].index = kFirstCacheStore;
+  wire::cache_changesT message;
+  message.source = ToText(address);
+  message.is_whole = true;
+  message.changes.emplace_back(7, 100);
+  HandleCacheChanges(state, message);
+  EXPECT_TRUE(state.cache_stores.at(address).is_usable);
+  message.is_whole = false;
+  message.is_lost = true;
+  message.changes.clear();
+  HandleCacheChanges(state, message);
+  EXPECT_FALSE(state.cache_stores.at(address).is_usable);
+  message.is_lost = false;
+  HandleCacheChanges(state, message);
+  EXPECT_TRUE(state.cache_stores.at(address).is_usable);
+  const cached_segment part{7, 100};
+  EXPECT_EQ(CachedPrefixTokens(state.caches, {&part, 1}, kFirstCacheStore, 0),
+            100u);
+}
+
 TEST(Entry, DrainClosesTheListenerAfterDirectoryTtlsExpire) {
   entry_fixture f;
   f.AddTarget("t1", "panel", RespondOk);
--- a/waxwing/agent.cc
+++ b/waxwing/agent.cc
@@ -37,6 +37,7 @@
   self.version = static_cast<std::uint64_t>(UnixNow());
   self.agent = options.address;
   self.router = options.router;
+  self.request_capacity = options.request_capacity;
   return self;
 }
 
--- a/waxwing/agent.h
+++ b/waxwing/agent.h
@@ -41,6 +41,8 @@
   endpoint operator_address{"127.0.0.1", 0};
   // Address at which callers reach the VM's router.
   endpoint router;
+  // Requests that the VM can forward per second; 0 if unknown.
+  std::uint32_t request_capacity = 0;
   endpoint platform;
   std::vector<endpoint> seeds;
   // Key shared by all agents and routers.
--- a/waxwing/agent_router.cc
+++ b/waxwing/agent_router.cc
@@ -110,6 +110,8 @@
 }
 
 void SendRouterView(const agent_state& state) {
+  if (!IsOpen(state.router))
+    return;
   wire::router_viewT view;
   view.incarnation = state.incarnation;
   for (const auto& [vm, record] : state.members.members)
--- a/waxwing/cache_map.cc
+++ b/waxwing/cache_map.cc
@@ -25,7 +25,7 @@
                   std::uint32_t target,
                   std::uint32_t epoch,
                   std::uint32_t tokens) {
-  if (map.segments.size() >= map.capacity)
+  if (map.segments.size() >= map.capacity && !map.segments.contains(key))
     map.segments.clear();
   auto& replicas = map.segments[key];
   std::erase_if(replicas, [&](const cache_map::replica& replica) {
@@ -59,6 +59,42 @@
   return out;
 }
 
+std::vector<cached_prefix> FindCachedPrefixes(
+    const cache_map& map,
+    std::span<const cached_segment> prompt) {
+  std::vector<cached_prefix> out;
+  // Tokens of the segments before the current one.
+  std::uint32_t tokens_before = 0;
+  for (const cached_segment& segment : prompt) {
+    const auto found = map.segments.find(segment.key);
+    if (found == map.segments.end())
+      break;
+    const bool is_first = &segment == &prompt.front();
+    for (const cache_map::replica& replica : found->second) {
+      const std::uint32_t tokens = std::min(segment.tokens, replica.tokens);
+      if (is_first) {
+        out.push_back({replica.target, replica.epoch, tokens});
+        continue;
+      }
+      const auto known =
+          std::lower_bound(out.begin(), out.end(), replica.target,
+                           [](const cached_prefix& a, std::uint32_t target) {
+                             return a.target < target;
+                           });
+      if (known != out.end() && known->target == replica.target &&
+          known->epoch == replica.epoch && known->tokens == tokens_before)
+        known->tokens += tokens;
+    }
+    if (is_first)
+      std::sort(out.begin(), out.end(),
+                [](const cached_prefix& a, const cached_prefix& b) {
+                  return a.target < b.target;
+                });
+    tokens_before += segment.tokens;
+  }
+  return out;
+}
+
 std::uint32_t CachedPrefixTokens(const cache_map& map,
                                  std::span<const cached_segment> prompt,
                                  std::uint32_t target,
--- a/waxwing/cache_map.h
+++ b/waxwing/cache_map.h
@@ -19,8 +19,13 @@
 
 namespace waxwing {
 
-// Denotes the KV cache store where the index of a target is expected.
-inline constexpr std::uint32_t kCacheStore = 0xffffffff;
+// KV cache stores have indices from this one on, targets have lower ones.
+inline constexpr std::uint32_t kFirstCacheStore = 0xffff0000;
+
+// True if `index` denotes a KV cache store and not a target.
+inline bool IsCacheStore(std::uint32_t index) {
+  return index >= kFirstCacheStore;
+}
 
 // A prompt segment with its cache key, which depends on the cache salt.
 struct cached_segment {
@@ -63,6 +68,19 @@
                                              std::uint32_t target,
                                              std::uint32_t epoch);
 
+// The contiguous tokens from the start of a prompt that one target has cached.
+struct cached_prefix {
+  std::uint32_t target = 0;
+  std::uint32_t epoch = 0;
+  std::uint32_t tokens = 0;
+};
+
+// Returns the cached prefixes of all targets that have one, by index of target.
+// The time grows with the number of replicas of the prompt's segments.
+std::vector<cached_prefix> FindCachedPrefixes(
+    const cache_map& map,
+    std::span<const cached_segment> prompt);
+
 // Returns the number of contiguous tokens from the start of the prompt that the
 // target has cached.
 std::uint32_t CachedPrefixTokens(const cache_map& map,
--- a/waxwing/engine_choice.cc
+++ b/waxwing/engine_choice.cc
@@ -24,14 +24,6 @@
 // The target that has just failed is chosen only if there is no other.
 constexpr seconds kFailedTargetPenalty{1'000};
 
-// A target, or the cache store, that has a prefix of the prompt cached.
-struct cache_replica {
-  std::uint32_t target = 0;
-  std::uint32_t cached_tokens = 0;
-  std::string_view version;
-  std::string_view zone;
-};
-
 duration PrefillTime(const target_view& view, double tokens) {
   return FromSeconds(tokens / view.prefill_tokens_per_second);
 }
@@ -40,43 +32,152 @@
   return view.own_cache_tokens + view.others_in_flight * tokens_per_request;
 }
 
+// What is known of a prompt at the targets of one weights version.
+struct version_state {
+  std::string_view version;
+  // Largest rendezvous weight of the targets without a pending load, that of
+  // the prompt's home, and the zone of the home.
+  std::uint64_t home_weight = 0;
+  std::string_view home_zone;
+  // Index of the cache store that keeps the shared segments.
+  std::optional<std::uint32_t> store;
+  std::vector<cached_prefix> prefixes;
+  // The longest cached prefix, and the targets, or the cache store, that have
+  // it: the first one, and the first one of each zone.
+  std::uint32_t longest_prefix = 0;
+  std::uint32_t longest_at = 0;
+  std::vector<std::pair<std::string_view, std::uint32_t>> longest_by_zone;
+};
+
+// Returns the shared tokens of the prompt that `target` has cached.
+std::uint32_t CachedTokensAt(const version_state& state,
+                             const engine_request& request,
+                             std::uint32_t target,
+                             std::uint32_t epoch) {
+  const auto found =
+      std::lower_bound(state.prefixes.begin(), state.prefixes.end(), target,
+                       [](const cached_prefix& prefix, std::uint32_t index) {
+                         return prefix.target < index;
+                       });
+  if (found == state.prefixes.end() || found->target != target ||
+      found->epoch != epoch)
+    return 0;
+  return std::min(request.prompt.shared_tokens, found->tokens);
+}
+
+// Records that `holder`, a target or the cache store, has `tokens` of the
+// prompt cached.
+void AddHolder(version_state& state,
+               std::uint32_t holder,
+               std::string_view zone,
+               std::uint32_t tokens) {
+  if (tokens == 0 || tokens < state.longest_prefix)
+    return;
+  if (tokens > state.longest_prefix) {
+    state.longest_prefix = tokens;
+    state.longest_at = holder;
+    state.longest_by_zone.clear();
+  }
+  const bool is_zone_known =
+      std::any_of(state.longest_by_zone.begin(), state.longest_by_zone.end(),
+                  [&](const auto& entry) { return entry.first == zone; });
+  if (!is_zone_known)
+    state.longest_by_zone.emplace_back(zone, holder);
+}
+
+version_state& FindOrAddVersion(std::vector<version_state>& versions,
+                                const cache_map& caches,
+                                const engine_request& request,
+                                const target_view& view) {
+  for (version_state& known : versions) {
+    if (known.version == view.version)
+      return known;
+  }
+  version_state& added = versions.emplace_back();
+  added.version = view.version;
+  added.prefixes = FindCachedPrefixes(caches, request.segments_at(view));
+  return added;
+}
+
+// Chooses the cache store that keeps the shared segments: one in the zone of
+// their home, which fetches them most often, or any if there is none.
+const cache_store_view* ChooseStore(const engine_request& request,
+                                    std::string_view home_zone) {
+  const cache_store_view* best = nullptr;
+  const auto rank = [&](const cache_store_view& store) {
+    return std::pair(
+        store.zone == home_zone,
+        RendezvousWeight(request.prompt.home_key, store.name_hash));
+  };
+  for (const cache_store_view& store : request.cache_stores) {
+    if (!best || rank(store) > rank(*best))
+      best = &store;
+  }
+  return best;
+}
+
+// Collects the homes and the holders of the prompt among the usable targets.
+std::vector<version_state> FindHolders(std::span<const target_view> targets,
+                                       const cache_map& caches,
+                                       const engine_request& request,
+                                       std::span<const std::uint32_t> usable) {
+  std::vector<version_state> versions;
+  for (const std::uint32_t i : usable) {
+    const target_view& view = targets[i];
+    version_state& state = FindOrAddVersion(versions, caches, request, view);
+    AddHolder(state, i, view.zone,
+              CachedTokensAt(state, request, i, view.epoch));
+    const std::uint64_t weight =
+        RendezvousWeight(request.prompt.home_key, view.name_hash);
+    if (view.is_load_pending || weight <= state.home_weight)
+      continue;
+    state.home_weight = weight;
+    state.home_zone = view.zone;
+  }
+  for (version_state& state : versions) {
+    const cache_store_view* store = ChooseStore(request, state.home_zone);
+    if (!store)
+      continue;
+    state.store = store->index;
+    AddHolder(state, store->index, store->zone,
+              CachedTokensAt(state, request, store->index, 0));
+  }
+  return versions;
+}
+
 // True if no usable target of the same weights version has a larger rendezvous
 // weight for the prompt. Targets with a pending load are not compared.
-bool IsHome(std::span<const target_view> targets,
-            std::span<const std::uint32_t> usable,
-            std::uint32_t candidate,
+bool IsHome(const version_state& state,
+            const target_view& view,
             std::uint64_t key) {
-  const target_view& view = targets[candidate];
-  const std::uint64_t weight = RendezvousWeight(key, view.name_hash);
-  return std::none_of(usable.begin(), usable.end(), [&](std::uint32_t i) {
-    return targets[i].version == view.version && !targets[i].is_load_pending &&
-           RendezvousWeight(key, targets[i].name_hash) > weight;
-  });
+  return RendezvousWeight(key, view.name_hash) >= state.home_weight;
 }
 
-// Chooses the source of the tokens that `candidate` lacks among the replicas,
-// the store included: the most cached tokens, then the same zone.
-void ChooseSource(std::span<const cache_replica> replicas,
+// Chooses the source of the tokens that the target lacks: the holder of the
+// most tokens, in the same zone if possible.
+void ChooseSource(const version_state& state,
                   const target_view& view,
-                  std::uint32_t candidate,
                   engine_choice& choice) {
-  std::uint32_t best_cached_tokens = choice.cached_tokens;
-  bool best_is_same_zone = false;
-  for (const cache_replica& replica : replicas) {
-    const bool is_same_zone = replica.zone == view.zone;
-    const bool is_better =
-        replica.cached_tokens > best_cached_tokens ||
-        (replica.cached_tokens == best_cached_tokens && choice.source &&
-         is_same_zone && !best_is_same_zone);
-    if (replica.target == candidate || replica.version != view.version ||
-        !is_better ||
-        replica.cached_tokens < choice.cached_tokens + kMinTransferTokens)
-      continue;
-    best_cached_tokens = replica.cached_tokens;
-    best_is_same_zone = is_same_zone;
-    choice.source = replica.target;
+  if (state.longest_prefix < choice.cached_tokens + kMinTransferTokens)
+    return;
+  choice.source = state.longest_at;
+  for (const auto& [zone, holder] : state.longest_by_zone) {
+    if (zone == view.zone)
+      choice.source = holder;
   }
-  choice.fetched_tokens = best_cached_tokens - choice.cached_tokens;
+  choice.fetched_tokens = state.longest_prefix - choice.cached_tokens;
+}
+
+std::string_view ZoneOf(std::span<const target_view> targets,
+                        const engine_request& request,
+                        std::uint32_t holder) {
+  if (!IsCacheStore(holder))
+    return targets[holder].zone;
+  for (const cache_store_view& store : request.cache_stores) {
+    if (store.index == holder)
+      return store.zone;
+  }
+  return "";
 }
 
 }  // namespace
@@ -99,44 +200,21 @@
     if (is_usable && targets[i].serves == request.service)
       usable.push_back(i);
   }
-  std::vector<cache_replica> replicas;
-  std::vector<std::uint32_t> cached_tokens(usable.size(), 0);
-  for (std::size_t n = 0; n < usable.size(); ++n) {
-    const target_view& view = targets[usable[n]];
-    cached_tokens[n] =
-        std::min(request.prompt.shared_tokens,
-                 CachedPrefixTokens(caches, request.segments_at(view),
-                                    usable[n], view.epoch));
-    if (cached_tokens[n] > 0)
-      replicas.push_back(
-          {usable[n], cached_tokens[n], view.version, view.zone});
-    if (!request.has_cache_store)
-      continue;
-    const bool is_known = std::any_of(
-        replicas.begin(), replicas.end(), [&](const cache_replica& other) {
-          return other.target == kCacheStore && other.version == view.version;
-        });
-    const std::uint32_t stored =
-        is_known ? 0
-                 : CachedPrefixTokens(caches, request.segments_at(view),
-                                      kCacheStore, 0);
-    if (stored > 0)
-      replicas.push_back({kCacheStore,
-                          std::min(stored, request.prompt.shared_tokens),
-                          view.version, ""});
-  }
+  std::vector<version_state> versions =
+      FindHolders(targets, caches, request, usable);
   std::optional<engine_choice> best;
-  for (std::size_t n = 0; n < usable.size(); ++n) {
-    const std::uint32_t i = usable[n];
+  for (const std::uint32_t i : usable) {
     const target_view& view = targets[i];
+    const version_state& state =
+        FindOrAddVersion(versions, caches, request, view);
     engine_choice option;
     option.target = i;
-    option.cached_tokens = cached_tokens[n];
+    option.cached_tokens = CachedTokensAt(state, request, i, view.epoch);
     if (request.transfer_time_per_token > duration::zero())
-      ChooseSource(replicas, view, i, option);
+      ChooseSource(state, view, option);
+    option.store = state.store;
     const bool is_cross_zone =
-        option.source && (*option.source == kCacheStore ||
-                          targets[*option.source].zone != view.zone);
+        option.source && ZoneOf(targets, request, *option.source) != view.zone;
     const std::uint32_t prefill_tokens =
         TokensToPrefill(request.prompt, option);
     const double backlog = view.own_prefill_backlog +
@@ -146,7 +224,7 @@
                   PrefillTime(view, backlog + prefill_tokens) +
                   request.transfer_time_per_token * option.fetched_tokens *
                       (is_cross_zone ? kCrossZoneFactor : 1);
-    if (!IsHome(targets, usable, i, request.prompt.home_key))
+    if (!IsHome(state, view, request.prompt.home_key))
       option.cost += kReplicationCostPerToken *
                      (request.prompt.shared_tokens - option.cached_tokens);
     const double needed = request.prompt.tokens + request.prompt.output_tokens;
--- a/waxwing/engine_choice.h
+++ b/waxwing/engine_choice.h
@@ -2,9 +2,13 @@
 // fetches the shared segments that it lacks.
 //
 // An engine has a shared segment cached, fetches it from another engine or from
-// the cache store, or recomputes it. The cost of an engine is the expected time
-// to first token with the best of these, plus the cost of another replica of
-// the segments, which evicts other prefixes from the engines' caches.
+// a cache store, or recomputes it. The shared segments of a prompt have a home
+// among the engines and one among the cache stores of the home's zone, both by
+// rendezvous hashing, so that the VMs agree on them without messages and the
+// stores together keep as many sessions as they have room for. The cost of an
+// engine is the expected time to first token with the best of these, plus the
+// cost of another replica of the segments, which evicts other prefixes from the
+// engines' caches.
 //
 // Designed for: prompts that share most of their length within a session, more
 // sessions than fit in one engine's cache, and few requests of one session at
@@ -35,6 +39,14 @@
   std::uint32_t output_tokens = 0;
 };
 
+// A KV cache store that can be used now.
+struct cache_store_view {
+  // Index in the cache map.
+  std::uint32_t index = 0;
+  std::uint64_t name_hash = 0;
+  std::string_view zone;
+};
+
 struct engine_request {
   std::string_view service;
   prompt_shape prompt;
@@ -44,8 +56,8 @@
   // Time to transfer the KV cache of one token within a zone; zero disables
   // transfers.
   duration transfer_time_per_token{};
-  // True if segments may be fetched from a KV cache store.
-  bool has_cache_store = false;
+  // Stores from which segments may be fetched.
+  std::span<const cache_store_view> cache_stores;
   // Index of the target that has just failed this request, or -1.
   int failed_target = -1;
   // Also considers targets in backoff, because no other target is usable.
@@ -58,8 +70,10 @@
   // source.
   std::uint32_t cached_tokens = 0;
   std::uint32_t fetched_tokens = 0;
-  // Index of a target, or kCacheStore.
+  // Index of a target or of a cache store.
   std::optional<std::uint32_t> source;
+  // The cache store that keeps the shared segments, or should.
+  std::optional<std::uint32_t> store;
   duration cost{};
 };
 
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -14,12 +14,8 @@
 
 namespace {
 
-// TTL of a directory response: long enough to keep the cost of lookups low,
-// short enough that three TTLs fit into a graceful shutdown.
-constexpr milliseconds kDirectoryTtl{1'000};
 // Some callers cache a response for three TTLs.
 constexpr int kCallerTtlMultiple = 3;
-constexpr std::size_t kMaxAddresses = 64;
 constexpr milliseconds kDrainPollPeriod{10};
 // Reserved at the end of the shutdown for the process to exit by itself.
 constexpr milliseconds kStopReserve{300};
@@ -28,53 +24,6 @@
 constexpr std::size_t kReservedDescriptors = 1'000;
 constexpr milliseconds kHealthyAfter{5'000};
 
-struct leaving_member {
-  const member* data = nullptr;
-  instant since;
-};
-
-// Returns the VMs to list in directory responses: those that serve. If all are
-// leaving, returns the one that started to leave last, since it will stay the
-// longest.
-std::vector<const member*> ChooseServing(const entry_state& state) {
-  std::vector<const member*> serving;
-  leaving_member last_leaving;
-  for (const auto& [vm, record] :
-       state.membership_agent.state->members.members) {
-    const bool is_self = vm == state.options.vm;
-    if (record.data.status == member_status::kAlive &&
-        (!is_self || CanServe(state)))
-      serving.push_back(&record.data);
-    if (record.data.status == member_status::kLeaving &&
-        (!last_leaving.data || record.status_since > last_leaving.since))
-      last_leaving = {&record.data, record.status_since};
-  }
-  if (serving.empty() && last_leaving.data)
-    serving.push_back(last_leaving.data);
-  return serving;
-}
-
-// Returns the addresses for callers of a zone: VMs of that zone, or all if it
-// has none.
-std::vector<endpoint> ChooseAddresses(const entry_state& state,
-                                      std::string_view zone) {
-  const auto serving = ChooseServing(state);
-  std::vector<endpoint> near;
-  std::vector<endpoint> all;
-  for (const member* vm : serving) {
-    all.push_back(vm->router);
-    if (vm->zone == zone)
-      near.push_back(vm->router);
-  }
-  // No VM is known to serve; list this one rather than none.
-  if (all.empty())
-    all.push_back(state.options.callers);
-  auto& chosen = near.empty() ? all : near;
-  if (chosen.size() > kMaxAddresses)
-    chosen.resize(kMaxAddresses);
-  return chosen;
-}
-
 asio::awaitable<void> HandleReadiness(entry_ptr state,
                                       http_exchange& exchange) {
   const bool is_metrics = PathOf(exchange.request.target) == "/metrics";
@@ -92,28 +41,6 @@
   co_await Respond(exchange, std::move(response));
 }
 
-milliseconds DirectoryTtl(const entry_state& state) {
-  return std::min(kDirectoryTtl, state.options.bounds.max_directory_ttl);
-}
-
-asio::awaitable<void> HandleDirectory(entry_ptr state,
-                                      http_exchange& exchange) {
-  if (state->protocol.classify_request(exchange.request) !=
-      caller_request_kind::kDirectory) {
-    http_response response =
-        JsonResponse(404, R"({"error":"there is nothing at this path"})");
-    co_await Respond(exchange, std::move(response));
-    co_return;
-  }
-  const directory_query query =
-      state->protocol.read_directory_query(exchange.request);
-  const directory_response directory{
-      ChooseAddresses(*state, query.zone), DirectoryTtl(*state), {}};
-  http_response response = state->protocol.write_directory_response(directory);
-  Count(state->stats, "waxwing_directory_answers_total");
-  co_await Respond(exchange, std::move(response));
-}
-
 using entry_handler = asio::awaitable<void> (*)(entry_ptr, http_exchange&);
 
 http_handler Bind(const entry_ptr& state, entry_handler handler) {
@@ -157,6 +84,7 @@
   options.zone = state->options.zone;
   options.address = state->options.peers;
   options.router = state->options.callers;
+  options.request_capacity = RequestCapacity(state->options.resources);
   options.seeds = state->options.seeds;
   options.key = state->options.key;
   options.has_router = false;
--- a/waxwing/entry.h
+++ b/waxwing/entry.h
@@ -3,7 +3,8 @@
 //
 // Source files:
 //
-//   entry.cc                    listeners, directory, readiness, shutdown
+//   entry.cc                    listeners, readiness, shutdown
+//   entry_directory.cc          which VMs the callers of a zone should use
 //   entry_forward.cc            forwarding of one request, with retries
 //   entry_relay.cc              one attempt: request to target, its response
 //   entry_dispatch.cc           choice of target, accounting of the attempt
@@ -31,6 +32,7 @@
 
 #include "waxwing/adapter.h"
 #include "waxwing/types.h"
+#include "waxwing/vm_selection.h"
 
 namespace waxwing {
 
@@ -71,6 +73,7 @@
   std::vector<endpoint> seeds;
   std::string key;
   std::size_t max_descriptors = 4'096;
+  vm_resources resources;
   entry_bounds bounds;
 };
 
--- a/waxwing/entry_cache_replication.cc
+++ b/waxwing/entry_cache_replication.cc
@@ -1,6 +1,7 @@
 // Replication of cache changes within a zone: the VM that is subscribed to the
-// events of a cache publishes them to the others.
+// events of a cache publishes them to the other VMs that callers use.
 
+#include <algorithm>
 #include <boost/asio.hpp>
 
 #include "waxwing/agent_state.h"
@@ -18,25 +19,30 @@
 
 void SendCacheChanges(const peer_link& link,
                       const endpoint& address,
-                      bool is_snapshot,
-                      std::span<const cached_segment> changes) {
+                      const cache_change_batch& batch) {
   wire::cache_changesT out;
   out.source = ToText(address);
-  out.is_whole = is_snapshot;
-  out.changes.reserve(changes.size());
-  for (const cached_segment& change : changes)
+  out.is_whole = batch.is_snapshot;
+  out.is_lost = batch.is_lost;
+  out.changes.reserve(batch.changes.size());
+  for (const cached_segment& change : batch.changes)
     out.changes.emplace_back(change.key, change.tokens);
   SendMessage(link, std::move(out));
 }
 
+std::vector<cached_segment> AllSegments(const entry_state& state,
+                                        const endpoint& address) {
+  const auto index = FindCache(state, address);
+  if (!index)
+    return {};
+  return SegmentsCachedBy(state.caches, *index, CacheEpoch(state, *index));
+}
+
 void SendCacheSnapshots(const entry_state& state, const peer_link& link) {
   for (const auto& [address, batch] : state.pending_changes) {
-    const auto index = FindCache(state, address);
-    if (!index)
-      continue;
-    SendCacheChanges(
-        link, address, true,
-        SegmentsCachedBy(state.caches, *index, CacheEpoch(state, *index)));
+    const bool is_lost = batch.is_lost;
+    SendCacheChanges(link, address,
+                     {true, is_lost, true, AllSegments(state, address)});
   }
 }
 
@@ -58,8 +64,8 @@
     return;
   }
   for (const auto& [address, batch] : state->pending_changes) {
-    if (batch.is_snapshot || !batch.changes.empty())
-      SendCacheChanges(link, address, batch.is_snapshot, batch.changes);
+    if (batch.is_due)
+      SendCacheChanges(link, address, batch);
   }
 }
 
@@ -69,7 +75,15 @@
                        const endpoint& address,
                        bool is_snapshot,
                        std::span<const cached_segment> changes) {
-  cache_change_batch& batch = state.pending_changes[address];
+  const auto [entry, is_first] = state.pending_changes.try_emplace(address);
+  cache_change_batch& batch = entry->second;
+  batch.is_due |= is_first || is_snapshot || batch.is_lost || !changes.empty();
+  batch.is_lost = false;
+  if (is_first) {
+    batch.is_snapshot = true;
+    batch.changes = AllSegments(state, address);
+    return;
+  }
   if (is_snapshot) {
     batch.is_snapshot = true;
     batch.changes.clear();
@@ -77,6 +91,12 @@
   batch.changes.insert(batch.changes.end(), changes.begin(), changes.end());
 }
 
+void AddPendingLoss(entry_state& state, const endpoint& address) {
+  cache_change_batch& batch = state.pending_changes[address];
+  batch.is_due = true;
+  batch.is_lost = true;
+}
+
 void HandleCacheChanges(entry_state& state,
                         const wire::cache_changesT& message) {
   const auto address = ParseEndpoint(message.source);
@@ -89,7 +109,8 @@
   changes.reserve(message.changes.size());
   for (const wire::cached_part_change& change : message.changes)
     changes.push_back({change.key(), change.tokens()});
-  ApplyCacheChanges(state, *index, message.is_whole, changes);
+  ApplyCacheChanges(state, *address, *index, message.is_whole, changes);
+  SetStoreUsable(state, *address, !message.is_lost);
 }
 
 asio::awaitable<void> RunCachePublisher(entry_ptr state) {
@@ -97,14 +118,21 @@
     co_await Pause(state->root, kPublishPeriod);
     if (state->pending_changes.empty())
       continue;
-    for (const auto& [vm, record] :
-         state->membership_agent.state->members.members) {
-      if (vm != state->options.vm && record.data.zone == state->options.zone &&
-          record.data.status == member_status::kAlive)
+    const std::vector<std::string>& listed = state->caller_load.listed_vms;
+    for (const std::string& vm : listed) {
+      if (vm != state->options.vm)
         PublishToVm(state, vm);
     }
-    for (auto& [address, batch] : state->pending_changes)
+    // A VM that is listed again later is sent a snapshot.
+    std::erase_if(state->synced_links, [&](const auto& entry) {
+      return std::find(listed.begin(), listed.end(), entry.first) ==
+             listed.end();
+    });
+    for (auto& [address, batch] : state->pending_changes) {
+      const bool is_lost = batch.is_lost;
       batch = {};
+      batch.is_lost = is_lost;
+    }
   }
 }
 
--- a/waxwing/entry_caches.cc
+++ b/waxwing/entry_caches.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <set>
 
 #include "waxwing/agent_state.h"
 #include "waxwing/entry_state.h"
@@ -31,8 +32,11 @@
 };
 
 bool IsListed(const entry_state& state, const cache_subscription& cache) {
-  if (cache.index == kCacheStore)
-    return true;
+  if (IsCacheStore(cache.index)) {
+    const auto store = state.cache_stores.find(cache.address);
+    return store != state.cache_stores.end() &&
+           store->second.index == cache.index;
+  }
   const auto found = state.targets.find(cache.target);
   return found != state.targets.end() && found->second.index == cache.index &&
          found->second.record.address == cache.address;
@@ -40,9 +44,8 @@
 
 cache_subscriber_role SubscriberRole(const entry_state& state,
                                      const cache_subscription& cache) {
-  return ChooseCacheSubscriberRole(state.membership_agent.state->members,
-                                   ToText(cache.address), state.options.zone,
-                                   cache.max_subscribers);
+  return ChooseCacheSubscriberRole(
+      state.cache_subscribers, ToText(cache.address), cache.max_subscribers);
 }
 
 void ApplyEvents(entry_state& state,
@@ -59,7 +62,7 @@
   changes.reserve(events.changes.size());
   for (const cache_events::change& change : events.changes)
     changes.push_back({CacheKey(change.salt, change.segment), change.tokens});
-  ApplyCacheChanges(state, cache.index, is_snapshot, changes);
+  ApplyCacheChanges(state, cache.address, cache.index, is_snapshot, changes);
   if (SubscriberRole(state, cache) == cache_subscriber_role::kForZone)
     AddPendingChanges(state, cache.address, is_snapshot, changes);
 }
@@ -74,16 +77,15 @@
         state->pool, cache.address, cache.since, kEventWait);
     if (!IsListed(*state, cache))
       break;
-    if (cache.index == kCacheStore &&
-        state->is_cache_store_usable != events.has_value()) {
-      state->is_cache_store_usable = events.has_value();
-      LogInfo(events ? "cache_store_regained" : "cache_store_lost",
-              {{"address", ToText(cache.address)}});
-    }
-    if (events)
+    SetStoreUsable(*state, cache.address, events.has_value());
+    if (events) {
       ApplyEvents(*state, cache, *events);
-    else
-      co_await Pause(state->root, kEventRetryPause);
+      continue;
+    }
+    if (IsCacheStore(cache.index) &&
+        SubscriberRole(*state, cache) == cache_subscriber_role::kForZone)
+      AddPendingLoss(*state, cache.address);
+    co_await Pause(state->root, kEventRetryPause);
   }
   state->subscribed_caches.erase(cache.address);
   state->pending_changes.erase(cache.address);
@@ -107,37 +109,73 @@
 
 }  // namespace
 
+void UpdateCacheStores(entry_state& state) {
+  std::set<endpoint> configured;
+  for (const auto& [name, service] : state.table->services) {
+    if (!service.cache_store)
+      continue;
+    configured.insert(*service.cache_store);
+    const auto [entry, is_new] =
+        state.cache_stores.try_emplace(*service.cache_store);
+    cache_store& store = entry->second;
+    if (is_new)
+      store.index = state.next_cache_store++;
+    store.service = name;
+    store.zone = service.zone;
+    store.link_mbps = service.link_mbps;
+    store.max_event_subscribers = service.max_event_subscribers;
+  }
+  std::erase_if(state.cache_stores, [&](const auto& entry) {
+    if (configured.contains(entry.first))
+      return false;
+    ForgetTarget(state.caches, entry.second.index);
+    return true;
+  });
+}
+
 std::optional<std::uint32_t> FindCache(const entry_state& state,
                                        const endpoint& address) {
+  const auto store = state.cache_stores.find(address);
+  if (store != state.cache_stores.end())
+    return store->second.index;
   for (const auto& [id, target] : state.targets) {
     if (target.record.address == address)
       return target.index;
   }
-  for (const auto& [name, service] : state.table->services) {
-    if (service.cache_store == address)
-      return kCacheStore;
-  }
   return std::nullopt;
 }
 
 std::uint32_t CacheEpoch(const entry_state& state, std::uint32_t index) {
-  return index == kCacheStore ? 0 : state.placement.targets[index].epoch;
+  return IsCacheStore(index) ? 0 : state.placement.targets[index].epoch;
 }
 
 void ApplyCacheChanges(entry_state& state,
+                       const endpoint& address,
                        std::uint32_t index,
                        bool is_snapshot,
                        std::span<const cached_segment> changes) {
   if (is_snapshot) {
     ForgetTarget(state.caches, index);
-    if (index == kCacheStore)
-      ClearSaves(state.cache_store_saves);
+    const auto store = state.cache_stores.find(address);
+    if (store != state.cache_stores.end())
+      ClearSaves(store->second.saves);
   }
   const std::uint32_t epoch = CacheEpoch(state, index);
   for (const cached_segment& change : changes)
     RecordCached(state.caches, change.key, index, epoch, change.tokens);
 }
 
+void SetStoreUsable(entry_state& state,
+                    const endpoint& address,
+                    bool is_usable) {
+  const auto found = state.cache_stores.find(address);
+  if (found == state.cache_stores.end() || found->second.is_usable == is_usable)
+    return;
+  found->second.is_usable = is_usable;
+  LogInfo(is_usable ? "cache_store_regained" : "cache_store_lost",
+          {{"address", ToText(address)}});
+}
+
 asio::awaitable<void> SubscribeToCaches(entry_ptr state) {
   while (!IsStopping(state->root)) {
     for (const auto& [id, target] : state->targets) {
@@ -146,11 +184,9 @@
             state, {MaxSubscribers(*state, target.record.service), target.index,
                     id, target.record.address, 0, 0});
     }
-    for (const auto& [name, service] : state->table->services) {
-      if (service.cache_store)
-        StartSubscription(state, {service.max_event_subscribers, kCacheStore,
-                                  name, *service.cache_store, 0, 0});
-    }
+    for (const auto& [address, store] : state->cache_stores)
+      StartSubscription(state, {store.max_event_subscribers, store.index,
+                                store.service, address, 0, 0});
     co_await Pause(state->root, kSubscribePeriod);
   }
 }
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -35,13 +35,12 @@
 
 namespace {
 
-// Returns the store of KV cache to use, one in this zone if there is one.
-const service_info* FindCacheStore(const forward_run& run) {
-  const service_info* out = nullptr;
-  for (const auto& [name, service] : run.table->services) {
-    if (service.cache_store &&
-        (!out || service.zone == run.state->options.zone))
-      out = &service;
+// Returns the cache stores that respond.
+std::vector<cache_store_view> UsableStores(const entry_state& state) {
+  std::vector<cache_store_view> out;
+  for (const auto& [address, store] : state.cache_stores) {
+    if (store.is_usable)
+      out.push_back({store.index, Hash64(ToText(address)), store.zone});
   }
   return out;
 }
@@ -56,6 +55,12 @@
   return segments;
 }
 
+double BytesPerToken(const forward_run& run) {
+  const auto service = run.table->services.find(run.service);
+  return service == run.table->services.end() ? 0
+                                              : service->second.bytes_per_token;
+}
+
 // Returns the time to transfer one token of KV cache within a zone.
 duration TransferTimePerToken(const service_info& engine) {
   constexpr double kBitsPerByte = 8;
@@ -80,7 +85,8 @@
   const auto service = run.table->services.find(run.service);
   if (service != run.table->services.end())
     query.transfer_time_per_token = TransferTimePerToken(service->second);
-  query.has_cache_store = run.state->is_cache_store_usable;
+  const auto stores = UsableStores(*run.state);
+  query.cache_stores = stores;
   query.failed_target = run.failed_target;
   query.ignore_backoff = is_last_resort;
   return ChooseEngine(run.state->placement.targets, run.state->caches, query,
@@ -234,24 +240,33 @@
 void AddCacheTransfers(forward_run& run,
                        const dispatch& attempt,
                        attempt_parameters& out) {
-  const entry_state& state = *run.state;
-  if (attempt.engine.source && *attempt.engine.source != kCacheStore)
-    out.cache_source = state.placement.targets[*attempt.engine.source].address;
-  const service_info* store = FindCacheStore(run);
-  if (!store || !state.is_cache_store_usable || run.chain.head_tokens == 0)
+  entry_state& state = *run.state;
+  const auto source = attempt.engine.source;
+  if (source && !IsCacheStore(*source))
+    out.cache_source = state.placement.targets[*source].address;
+  const auto found =
+      std::find_if(state.cache_stores.begin(), state.cache_stores.end(),
+                   [&](const auto& entry) {
+                     return entry.second.index == attempt.engine.store;
+                   });
+  if (found == state.cache_stores.end() || run.chain.head_tokens == 0)
     return;
-  if (attempt.engine.source && *attempt.engine.source == kCacheStore)
-    out.cache_source = store->cache_store;
+  auto& [address, store] = *found;
+  if (source && IsCacheStore(*source))
+    out.cache_source = address;
   const target_view& view = state.placement.targets[attempt.chosen.target];
   const std::uint32_t stored =
-      CachedPrefixTokens(state.caches, SegmentsAt(run, view), kCacheStore, 0);
+      CachedPrefixTokens(state.caches, SegmentsAt(run, view), store.index, 0);
   if (stored >= run.chain.head_tokens)
     return;
   const std::uint64_t save_key =
       CombineHashes(run.chain.head, Hash64(view.version));
-  if (TryStartSave(run.state->cache_store_saves, save_key,
-                   std::chrono::steady_clock::now()))
-    out.cache_store = store->cache_store;
+  const double bytes = BytesPerToken(run) * (run.chain.tokens - stored);
+  const instant now = std::chrono::steady_clock::now();
+  SetSaveRate(store.saves, store.link_mbps, state.caller_load.total_listed,
+              now);
+  if (TryStartSave(store.saves, save_key, bytes, now))
+    out.cache_store = address;
 }
 
 }  // namespace
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -284,6 +284,7 @@
   run.table = state->table;
   run.arrived = std::chrono::steady_clock::now();
   Count(state->stats, "waxwing_requests_total");
+  ++state->caller_load.requests;
   auto request = state->protocol.read_request(exchange.request);
   if (!request) {
     co_await Refuse(run, 400, request.error(), {});
--- a/waxwing/entry_queue.cc
+++ b/waxwing/entry_queue.cc
@@ -53,7 +53,7 @@
       rate += view.prefill_tokens_per_second;
   }
   const double share = rate * ToSeconds(kMinWindowTime) /
-                       static_cast<double>(CountServingVms(state));
+                       static_cast<double>(state.caller_load.total_listed);
   queue.flow_control.min_size =
       MinWindowSize(share, queue.flow_control.mean_tokens);
 }
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -55,7 +55,8 @@
   SendMessage(link, std::move(out));
 }
 
-// Sends for each kind of object how long ago the store last responded.
+// Sends for each kind of object how long ago the store last responded, and the
+// request rate of the zone.
 void SendAges(const entry_state& state, const peer_link& link, instant now) {
   wire::shared_agesT out;
   for (const object_kind kind : kReplicatedKinds) {
@@ -71,6 +72,9 @@
                                        .count());
     out.ages.push_back(std::move(age));
   }
+  if (state.caller_load.requests_per_second)
+    out.zone_requests_per_s =
+        static_cast<float>(*state.caller_load.requests_per_second);
   SendMessage(link, std::move(out));
 }
 
@@ -87,7 +91,7 @@
                    const wire::shared_requestT& request) {
   const instant now = std::chrono::steady_clock::now();
   if (request.follows)
-    state.subscribers[link.peer.vm] = {link, now};
+    state.subscribers[link.peer.vm] = {link, now, request.requests_per_s};
   if (request.follows && !request.is_first)
     return;
   for (const object_kind kind : kReplicatedKinds)
@@ -116,6 +120,7 @@
     ApplyObject(state, *kind, stored, object->is_removed);
     snapshot.objects.push_back(stored);
   }
+  RefreshTargets(state, std::chrono::steady_clock::now());
   if (message.is_whole && message.revision != 0) {
     DropMissing(state, *kind, snapshot);
     position.is_listed = true;
@@ -136,15 +141,20 @@
     return;
   const instant now = std::chrono::steady_clock::now();
   upstream->second.last_contact = now;
+  upstream->second.zone_requests_per_second.reset();
+  if (message.zone_requests_per_s >= 0)
+    upstream->second.zone_requests_per_second = message.zone_requests_per_s;
   for (const auto& age : message.ages) {
     if (const auto kind = KindOf(age->kind))
       upstream->second.current_at[*kind] = now - milliseconds(age->age_ms);
   }
 }
 
-bool IsZoneWatcher(const entry_state& state) {
-  return std::find(state.zone_watchers.begin(), state.zone_watchers.end(),
-                   state.options.vm) != state.zone_watchers.end();
+wire::shared_requestT MakeSubscription(const entry_state& state) {
+  wire::shared_requestT out;
+  out.follows = true;
+  out.requests_per_s = static_cast<float>(state.caller_load.own_rate);
+  return out;
 }
 
 // Connects to a zone watcher and requests all objects from it.
@@ -159,8 +169,7 @@
     co_return;
   upstream.link = *link;
   upstream.last_subscribed = std::chrono::steady_clock::now();
-  wire::shared_requestT request;
-  request.follows = true;
+  wire::shared_requestT request = MakeSubscription(*state);
   request.is_first = true;
   SendMessage(upstream.link, request);
   LogInfo("reader_followed", {{"reader", watcher}});
@@ -178,9 +187,7 @@
     asio::co_spawn(state->executor, Subscribe(state, watcher), asio::detached);
   } else if (now >= upstream.last_subscribed + kRenewalPeriod) {
     upstream.last_subscribed = now;
-    wire::shared_requestT request;
-    request.follows = true;
-    SendMessage(upstream.link, request);
+    SendMessage(upstream.link, MakeSubscription(*state));
   }
 }
 
@@ -223,6 +230,11 @@
     SendSnapshot(state, subscriber.link, kind);
 }
 
+bool IsZoneWatcher(const entry_state& state) {
+  return std::find(state.zone_watchers.begin(), state.zone_watchers.end(),
+                   state.options.vm) != state.zone_watchers.end();
+}
+
 bool IsSynced(const entry_state& state,
               object_kind kind,
               milliseconds max_read_time,
@@ -259,6 +271,7 @@
              now > entry.second.last_contact +
                        kMaxMissedRenewals * kRenewalPeriod;
     });
+    UpdateListedVms(*state, now);
     for (const auto& [vm, subscriber] : state->subscribers)
       SendAges(*state, subscriber.link, now);
   }
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -28,6 +28,7 @@
 #include "waxwing/retry.h"
 #include "waxwing/rollout.h"
 #include "waxwing/supervisor.h"
+#include "waxwing/vm_selection.h"
 
 namespace waxwing {
 
@@ -68,16 +69,54 @@
   instant last_contact;
   // When the watcher's data was last up to date, by kind of object.
   std::map<object_kind, instant> current_at;
+  // Request rate of the zone, if the watcher knows it.
+  std::optional<double> zone_requests_per_second;
 };
 
 // A VM that is subscribed to this one as a zone watcher.
 struct replication_subscriber {
   peer_link link;
   instant last_contact;
+  double requests_per_second = 0;
+};
+
+// Requests that callers send to the VMs of this zone, and the VMs that
+// directory responses therefore list.
+struct zone_load {
+  // Requests that this VM has received, in all and at the last update.
+  std::uint64_t requests = 0;
+  std::uint64_t requests_at_update = 0;
+  instant updated;
+  // Moving average of this VM's own requests per second.
+  double own_rate = 0;
+  peak_rate peak;
+  // Empty if neither this VM nor a zone watcher knows it.
+  std::optional<double> requests_per_second;
+  // VMs of this zone, largest capacity first.
+  std::vector<std::string> listed_vms;
+  // Number of listed VMs in all zones.
+  std::size_t total_listed = 1;
+};
+
+// A KV cache store of the configuration.
+struct cache_store {
+  // Index in the cache map.
+  std::uint32_t index = 0;
+  std::string service;
+  std::string zone;
+  double link_mbps = 0;
+  int max_event_subscribers = 0;
+  // False until the store responds, to this VM or to the one of the zone that
+  // is subscribed to it, and after a failure until it responds again.
+  bool is_usable = false;
+  cache_saves saves;
 };
 
 // Changes of one cache that have not been published to the VMs of the zone yet.
 struct cache_change_batch {
+  // The cache has responded, or has failed, since the last batch.
+  bool is_due = false;
+  bool is_lost = false;
   bool is_snapshot = false;
   std::vector<cached_segment> changes;
 };
@@ -113,6 +152,7 @@
   std::map<object_kind, watch_position> watches;
   // VMs that watch the store for this zone, possibly including this one.
   std::vector<std::string> zone_watchers;
+  zone_load caller_load;
   // By VM.
   std::map<std::string, replication_upstream> upstreams;
   std::map<std::string, replication_subscriber> subscribers;
@@ -120,6 +160,8 @@
   std::map<object_kind, std::map<std::string, stored_object>> objects;
   placement_state placement;
   cache_map caches;
+  // The VMs that may subscribe to cache events.
+  cache_subscriber_pool cache_subscribers;
   // Caches whose events this VM is subscribed to.
   std::set<endpoint> subscribed_caches;
   // Changes of the caches that this VM is subscribed to on behalf of its zone.
@@ -127,15 +169,14 @@
   // By VM of the zone: the link over which it was sent a snapshot of all these
   // caches.
   std::map<std::string, peer_link> synced_links;
-  // False until the cache store responds, and after a failure of it until it
-  // responds again.
-  bool is_cache_store_usable = false;
+  // By address.
+  std::map<endpoint, cache_store> cache_stores;
+  std::uint32_t next_cache_store = kFirstCacheStore;
   std::map<std::string, listed_target, std::less<>> targets;
   // By model.
   std::map<std::string, weights_history, std::less<>> desired_weights;
   // By service.
   std::map<std::string, retry_budget, std::less<>> retry_budgets;
-  cache_saves cache_store_saves;
   // By service.
   std::map<std::string, dispatch_queue, std::less<>> dispatch_queues;
   lease_view lease;
@@ -151,7 +192,8 @@
 
 // --- entry_targets.cc
 
-// Adds a target to the placement list, or updates it, from its record.
+// Adds a target to the placement list, or updates it, from its record. The
+// caller updates the costs with RefreshTargets(), once for all changed records.
 void AddOrUpdateTarget(entry_state& state, const target_record& record);
 
 // Records that a target has newer weights than its record says.
@@ -177,7 +219,7 @@
                                              dispatch_waiter& waiter);
 
 // Updates the minimum size of the prefill window from the prefill rates of the
-// engines and the number of VMs.
+// engines and the number of VMs that callers use.
 void UpdateWindowMinimum(entry_state& state,
                          std::string_view service,
                          dispatch_queue& queue);
@@ -193,7 +235,8 @@
 
 boost::asio::awaitable<void> WatchKind(entry_ptr state, object_kind kind);
 
-// Applies an object of the store, or its removal.
+// Applies an object of the store, or its removal. The caller updates the costs
+// of the targets with RefreshTargets(), once for all applied objects.
 void ApplyObject(entry_state& state,
                  object_kind kind,
                  const stored_object& object,
@@ -213,7 +256,10 @@
 // in use.
 boost::asio::awaitable<void> SubscribeToCaches(entry_ptr state);
 
-// Returns the cache at an address: a target's index or kCacheStore.
+// Updates the list of cache stores from the configuration.
+void UpdateCacheStores(entry_state& state);
+
+// Returns the index of the target or cache store at an address.
 std::optional<std::uint32_t> FindCache(const entry_state& state,
                                        const endpoint& address);
 std::uint32_t CacheEpoch(const entry_state& state, std::uint32_t index);
@@ -221,18 +267,30 @@
 // Applies changes of a cache, received from the cache itself or from the VM
 // that is subscribed to it.
 void ApplyCacheChanges(entry_state& state,
+                       const endpoint& address,
                        std::uint32_t index,
                        bool is_snapshot,
                        std::span<const cached_segment> changes);
 
+// Records whether the cache store at an address responds. Has no effect if
+// there is none.
+void SetStoreUsable(entry_state& state,
+                    const endpoint& address,
+                    bool is_usable);
+
 // --- entry_cache_replication.cc
 
-// Queues changes to be published to the other VMs of the zone.
+// Queues changes to be published to the other VMs of the zone. The first ones
+// of a cache are replaced by all of its segments.
 void AddPendingChanges(entry_state& state,
                        const endpoint& address,
                        bool is_snapshot,
                        std::span<const cached_segment> changes);
 
+// Queues the message to the other VMs of the zone that a cache store does not
+// respond.
+void AddPendingLoss(entry_state& state, const endpoint& address);
+
 // Applies cache changes that another VM of the zone has published.
 void HandleCacheChanges(entry_state& state,
                         const wire::cache_changesT& message);
@@ -254,6 +312,9 @@
                     const object_changes& changes);
 void PublishSnapshot(entry_state& state, object_kind kind);
 
+// True if this VM watches the store for its zone.
+bool IsZoneWatcher(const entry_state& state);
+
 // True if a zone watcher keeps this VM up to date on a kind of object.
 bool IsSynced(const entry_state& state,
               object_kind kind,
@@ -268,6 +329,18 @@
 // known.
 boost::asio::awaitable<void> RunPeerBootstrap(entry_ptr state);
 
+// --- entry_directory.cc
+
+// Updates the request rate of the zone and the VMs that are listed.
+void UpdateListedVms(entry_state& state, instant now);
+
+// Responds to a caller that asks which VMs to use.
+boost::asio::awaitable<void> HandleDirectory(entry_ptr state,
+                                             http_exchange& exchange);
+
+// TTL of directory responses.
+milliseconds DirectoryTtl(const entry_state& state);
+
 // --- entry_rollout.cc
 
 boost::asio::awaitable<void> RunRollout(entry_ptr state);
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -95,7 +95,6 @@
     // reported.
     target.record.weights_version =
         std::max(known_version, record.weights_version);
-    RefreshTargets(state, std::chrono::steady_clock::now());
     return;
   }
   if (found != state.targets.end())
@@ -111,21 +110,34 @@
                             {"address", ToText(record.address)},
                             {"weights", record.weights_version},
                             {"leaving", record.is_draining}});
-  RefreshTargets(state, std::chrono::steady_clock::now());
 }
 
-void RecordTargetWeights(entry_state& state,
-                         std::string_view target,
-                         std::int64_t version) {
+namespace {
+
+// Updates the weights version of a target if it is newer than the known one.
+// Returns true if it was.
+bool UpdateWeights(entry_state& state,
+                   std::string_view target,
+                   std::int64_t version) {
   const auto found = state.targets.find(target);
   if (found == state.targets.end() ||
       version <= found->second.record.weights_version)
-    return;
+    return false;
   target_record updated = found->second.record;
   updated.weights_version = version;
   LogInfo("target_weights_reported",
           {{"target", target}, {"version", version}});
   AddOrUpdateTarget(state, updated);
+  return true;
+}
+
+}  // namespace
+
+void RecordTargetWeights(entry_state& state,
+                         std::string_view target,
+                         std::int64_t version) {
+  if (UpdateWeights(state, target, version))
+    RefreshTargets(state, std::chrono::steady_clock::now());
 }
 
 void DropTarget(entry_state& state, const std::string& id) {
@@ -190,10 +202,14 @@
       views[model][i]->is_load_pending = true;
     }
   }
+  bool has_changed = false;
   for (const auto& [id, version] : assumed_weights)
-    RecordTargetWeights(state, id, version);
+    has_changed |= UpdateWeights(state, id, version);
   for (const std::string& id : expired_ids)
     DropTarget(state, id);
+  // The assumed versions change the costs.
+  if (has_changed)
+    RefreshTargets(state, now);
 }
 
 }  // namespace waxwing
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -65,6 +65,7 @@
   limits.read_timeout = state.table->limits.header_timeout;
   limits.idle_timeout = state.table->limits.idle_timeout;
   SetLimits(state.caller_server, limits);
+  UpdateCacheStores(state);
   LogInfo("config_in_force", {{"version", state.table->version},
                               {"revision", object.revision},
                               {"services", state.table->services.size()},
@@ -97,7 +98,6 @@
   if (!RecordAnnouncement(state.desired_weights[parsed->model], parsed->version,
                           is_inherited, now))
     return;
-  RefreshTargets(state, now);
   LogInfo("weights_named", {{"model", parsed->model},
                             {"version", parsed->version},
                             {"inherited", is_inherited},
@@ -132,6 +132,7 @@
       listed.objects.push_back(object);
       after = object.name;
     }
+    RefreshTargets(*state, std::chrono::steady_clock::now());
     more = page->has_more && !page->objects.empty();
   }
   listed.revision = revision;
@@ -185,6 +186,8 @@
   }
   for (const object_change& change : changes->changes)
     ApplyObject(*state, kind, change.object, change.is_removed);
+  if (!changes->changes.empty())
+    RefreshTargets(*state, std::chrono::steady_clock::now());
   position.revision = std::max(position.revision, changes->revision);
   PublishChanges(*state, kind, *changes);
   co_return true;
--- a/waxwing/membership.h
+++ b/waxwing/membership.h
@@ -41,6 +41,9 @@
   member_status status = member_status::kAlive;
   endpoint agent;
   endpoint router;
+  // Requests that the VM can forward per second; 0 if it has not announced
+  // that.
+  std::uint32_t request_capacity = 0;
 
   bool operator==(const member&) const = default;
 };
--- a/waxwing/replication.h
+++ b/waxwing/replication.h
@@ -13,7 +13,11 @@
 #define WAXWING_REPLICATION_H_
 
 #include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "waxwing/membership.h"
 #include "waxwing/types.h"
@@ -53,12 +57,31 @@
   kForZone,  // this VM subscribes and publishes the events to its zone
 };
 
+// The VMs among which the subscribers of all caches are chosen. Made once for
+// many caches.
+struct cache_subscriber_pool {
+  // VMs of all zones, and the hashes of the names of their zones.
+  std::size_t vms = 0;
+  std::vector<std::uint64_t> zones;
+  std::uint64_t own_zone = 0;
+  // Hashes of the names of this VM and of the VMs of its zone that need the
+  // events.
+  std::uint64_t self = 0;
+  std::vector<std::uint64_t> zone_vms;
+};
+
+// `listed_vms` are the VMs of the zone that directory responses list.
+cache_subscriber_pool MakeCacheSubscriberPool(
+    const membership& table,
+    std::string_view zone,
+    std::span<const std::string> listed_vms);
+
 // Decides whether this VM subscribes to the cache `cache_id`, which accepts
 // `max_subscribers` subscribers at a time (0: any number).
-cache_subscriber_role ChooseCacheSubscriberRole(const membership& table,
-                                                std::string_view cache_id,
-                                                std::string_view zone,
-                                                int max_subscribers);
+cache_subscriber_role ChooseCacheSubscriberRole(
+    const cache_subscriber_pool& pool,
+    std::string_view cache_id,
+    int max_subscribers);
 
 }  // namespace waxwing
 
--- a/waxwing/wire_convert.cc
+++ b/waxwing/wire_convert.cc
@@ -13,6 +13,7 @@
   out.agent_port = record.agent.port;
   out.router_host = record.router.host;
   out.router_port = record.router.port;
+  out.request_capacity = record.request_capacity;
   return out;
 }
 
@@ -27,6 +28,7 @@
   out.status = static_cast<member_status>(record.status);
   out.agent = {record.agent_host, record.agent_port};
   out.router = {record.router_host, record.router_port};
+  out.request_capacity = record.request_capacity;
   return out;
 }
 
