Shorten the smallest prefill window and save only mostly shared prompts

Cause: under overload each VM kept 0.4 s of prefill work outstanding, as long as the objective of most requests, so nearly all were late, and refused after waiting. Saves of whole prompts filled the cache stores and their links with tokens that no other request shares, while fetches waited behind them.

Change: the smallest window of all VMs is 0.2 s of prefill, or four requests a VM; saves take what fetches leave of 0.9 of a store's link, and a prompt whose own tokens exceed 0.35 of the shared ones is not saved.

Three requests a VM fail Pacing.FewRequestsPerVmAreNotDelayed..., so four.

--- a/waxwing/cache_saves.cc
+++ b/waxwing/cache_saves.cc
@@ -5,21 +5,34 @@
 namespace waxwing {
 namespace {
 
-// Share of a store's link that saves may use.
-constexpr double kSaveShare = 0.5;
-// Time for which a VM may use its share in advance.
-constexpr milliseconds kSaveBurst{2'000};
+// Share of a store's link that fetches and saves together use before a save is
+// left out.
+constexpr double kLinkShare = 0.9;
+// Time for which a VM may use its share of the link in advance.
+constexpr milliseconds kLinkBurst{2'000};
 constexpr double kBytesPerMegabit = 1e6 / 8;
+// A prompt with more tokens of its own, as a share of the shared ones, is not
+// saved: the store keeps them, too, although no other request needs them.
+constexpr double kMaxOwnTokenShare = 0.35;
 
 }  // namespace
 
-void SetSaveRate(cache_saves& saves,
+void SetLinkRate(cache_saves& saves,
                  double link_mbps,
                  std::size_t vms,
                  instant now) {
-  const double rate = link_mbps * kBytesPerMegabit * kSaveShare /
+  const double rate = link_mbps * kBytesPerMegabit * kLinkShare /
                       static_cast<double>(std::max<std::size_t>(1, vms));
-  SetLimit(saves.link, rate, rate * ToSeconds(kSaveBurst), now);
+  SetLimit(saves.link, rate, rate * ToSeconds(kLinkBurst), now);
+}
+
+void RecordFetch(cache_saves& saves, double bytes) {
+  if (saves.link.rate > 0)
+    saves.link.level = std::max(-saves.link.burst, saves.link.level - bytes);
+}
+
+bool IsWorthSaving(std::uint32_t shared_tokens, std::uint32_t prompt_tokens) {
+  return prompt_tokens <= shared_tokens * (1 + kMaxOwnTokenShare);
 }
 
 bool TryStartSave(cache_saves& saves,
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -252,19 +252,23 @@
   if (found == state.cache_stores.end() || run.chain.head_tokens == 0)
     return;
   auto& [address, store] = *found;
-  if (source && IsCacheStore(*source))
+  const instant now = std::chrono::steady_clock::now();
+  SetLinkRate(store.saves, store.link_mbps, state.caller_load.total_listed,
+              now);
+  if (source && IsCacheStore(*source)) {
     out.cache_source = address;
+    RecordFetch(store.saves,
+                BytesPerToken(run) * attempt.engine.fetched_tokens);
+  }
   const target_view& view = state.placement.targets[attempt.chosen.target];
   const std::uint32_t stored =
       CachedPrefixTokens(state.caches, SegmentsAt(run, view), store.index, 0);
-  if (stored >= run.chain.head_tokens)
+  if (stored >= run.chain.head_tokens ||
+      !IsWorthSaving(run.chain.head_tokens, run.chain.tokens))
     return;
   const std::uint64_t save_key =
       CombineHashes(run.chain.head, Hash64(view.version));
   const double bytes = BytesPerToken(run) * (run.chain.tokens - stored);
-  const instant now = std::chrono::steady_clock::now();
-  SetSaveRate(store.saves, store.link_mbps, state.caller_load.total_listed,
-              now);
   if (TryStartSave(store.saves, save_key, bytes, now))
     out.cache_store = address;
 }
--- a/waxwing/entry_queue.cc
+++ b/waxwing/entry_queue.cc
@@ -40,7 +40,7 @@
 
 // The minimum prefill window of all VMs together, as the time that all engines
 // take to prefill it. Each VM gets an equal share.
-constexpr milliseconds kMinWindowTime{400};
+constexpr milliseconds kMinWindowTime{200};
 
 }  // namespace
 
--- a/waxwing/pacing.cc
+++ b/waxwing/pacing.cc
@@ -25,7 +25,7 @@
 // Mean-sized requests that a VM may always have outstanding. With many VMs that
 // have one or two requests each on average, peaks at one VM exceed this number
 // now and then.
-constexpr double kMinOutstandingRequests = 6;
+constexpr double kMinOutstandingRequests = 4;
 
 }  // namespace
 
