Dispatch the newest request in time first; refuse late ones sooner

Cause: in overload the oldest request that could still be in time went first, so each one waited until it was nearly late, and half of those sent were late. Late requests waited behind new ones until their callers were nearly gone. The smallest window was a fixed time of prefill, less than one prompt where objectives and prompts are long.

Change: among requests in time the newest goes first; a request is late when less than half of the usual time to the first byte is left. Late requests are refused as soon as the arriving ones need all that the engines prefill. The smallest window is half of the requests' own objective, by a moving average.

RefusesRequestsThatCannotBeDispatchedInTime now expects the two oldest, which are dispatched last.

--- a/testing/entry_policy_test.cc
+++ b/testing/entry_policy_test.cc
@@ -492,7 +492,7 @@
       const queued_request request = waiting[*next];
       if (paced && !HasCapacity(window, request.tokens))
         break;
-      RecordPrefillSent(window, request.tokens);
+      RecordPrefillSent(window, request.tokens, milliseconds(400));
       engine_queue.push_back(
           {request.tokens, request.tokens, request.arrived, now});
       waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(*next));
@@ -535,24 +535,58 @@
   window.size = 10'000;
   window.time_to_first_byte = milliseconds(400);
   const instant now = instant{} + seconds(100);
-  // Each takes 0.2 s of the engines' time; the last two would be too late.
+  // Each takes 0.2 s of the engines' time; the two that are dispatched last,
+  // the oldest ones, would be too late.
   std::vector<queued_request> waiting;
   waiting.reserve(10);
   for (int i = 0; i < 10; ++i)
     waiting.push_back({5'000, 1, now + milliseconds(i), now + seconds(5),
                        now + milliseconds(1'500)});
   EXPECT_EQ(FindUndispatchable(window, waiting, now),
-            (std::vector<std::size_t>{8, 9}));
+            (std::vector<std::size_t>{1, 0}));
   EXPECT_EQ(EstimateDispatchDelay(window, 25'000), milliseconds(1'000));
   waiting.resize(8);
   EXPECT_TRUE(FindUndispatchable(window, waiting, now).empty());
 }
 
+TEST(Pacing, LateRequestsAreRefusedAtOnceWhileNewOnesNeedAllCapacity) {
+  prefill_window window;
+  window.size = 10'000;
+  window.time_to_first_byte = milliseconds(400);
+  const instant now = instant{} + seconds(100);
+  const queued_request late{5'000, 0, now - milliseconds(300),
+                            now + milliseconds(100), now + seconds(1)};
+  const queued_request in_time{5'000, 0, now, now + milliseconds(400),
+                               now + seconds(1)};
+  EXPECT_TRUE(FindUndispatchable(window, {{late, in_time}}, now).empty());
+  // 30,000 tokens per second arrive, of which 25,000 can be prefilled.
+  for (int ms = 3'000; ms > 0; ms -= 100)
+    RecordArrival(window, 3'000, now - milliseconds(ms));
+  EXPECT_EQ(FindUndispatchable(window, {{late, in_time}}, now),
+            (std::vector<std::size_t>{0}));
+  // Once fewer arrive, late requests are dispatched again.
+  const instant later = now + milliseconds(500);
+  EXPECT_TRUE(FindUndispatchable(window, {{late}}, later).empty());
+}
+
+TEST(Pacing, NewestOfTheRequestsInTimeGoesFirstAndTheOldestOfTheLateOnes) {
+  const instant now = instant{} + seconds(100);
+  const auto arrived = [&](int ms_ago) {
+    const instant at = now - milliseconds(ms_ago);
+    return queued_request{1, 0, at, at + milliseconds(400), at + seconds(2)};
+  };
+  const std::vector<queued_request> waiting{arrived(900), arrived(100),
+                                            arrived(10), arrived(700)};
+  EXPECT_EQ(PickNextRequest({}, waiting, now), 2u);
+  const std::vector<queued_request> late{arrived(700), arrived(900)};
+  EXPECT_EQ(PickNextRequest({}, late, now), 1u);
+}
+
 TEST(Pacing, LightLoadIsNeverDelayed) {
   prefill_window window;
   for (int i = 0; i < 1'000; ++i) {
     ASSERT_TRUE(HasCapacity(window, 9'000));
-    RecordPrefillSent(window, 9'000);
+    RecordPrefillSent(window, 9'000, milliseconds(500));
     RecordFirstByte(window, 9'000, milliseconds(150), milliseconds(500),
                     instant{} + milliseconds(30 * i));
   }
@@ -589,7 +623,9 @@
   constexpr double kShare = 4 * 1.1 * kTokens / kVms * 20;
   std::vector<prefill_window> vms(kVms);
   for (prefill_window& vm : vms) {
-    vm.size = MinWindowSize(kShare, kTokens);
+    vm.mean_tokens = kTokens;
+    vm.mean_token_seconds = kTokens * 0.4;
+    vm.size = MinWindowSize(vm, kShare * kVms / 0.2, kVms);
     vm.min_size = vm.size;
   }
   std::vector<int> queued(kVms, 0);
@@ -609,7 +645,7 @@
     for (int vm = 0; vm < kVms; ++vm) {
       total_queued += queued[vm];
       while (queued[vm] > 0 && HasCapacity(vms[vm], kTokens)) {
-        RecordPrefillSent(vms[vm], kTokens);
+        RecordPrefillSent(vms[vm], kTokens, milliseconds(400));
         --queued[vm];
         in_prefill.emplace_back(step + 4, vm);
       }
@@ -620,8 +656,109 @@
 }
 
 TEST(Pacing, MinWindowIsTheShareOfPrefillThroughputWithFewVms) {
-  EXPECT_EQ(MinWindowSize(44'000, 5'000), 44'000);
-  EXPECT_EQ(MinWindowSize(18'000, 0), 18'000);
+  prefill_window window;
+  window.mean_tokens = 5'000;
+  window.mean_token_seconds = 5'000 * 0.4;
+  EXPECT_DOUBLE_EQ(MinWindowSize(window, 2'200'000, 10), 44'000);
+  // Prompts with a longer objective may wait longer at the engines.
+  window.mean_token_seconds = 5'000 * 1.0;
+  EXPECT_DOUBLE_EQ(MinWindowSize(window, 2'200'000, 10), 110'000);
+  EXPECT_DOUBLE_EQ(MinWindowSize({}, 900'000, 10), 18'000);
+}
+
+struct cluster_overload {
+  int requests = 0;
+  int in_time = 0;
+  int refused = 0;
+  // Summed over the refused requests.
+  duration refusal_wait{};
+};
+
+// Simulates 20 VMs, each with a window of its own, in front of 45 engines for
+// 10 s: prompts that are 1.2 times what the engines prefill, with an objective
+// of 400 ms, at random VMs and engines. The windows are `window_scale` times as
+// large as MinWindowSize() says.
+cluster_overload PlayClusterOverload(double window_scale) {
+  constexpr int kVms = 20;
+  constexpr int kEngines = 45;
+  constexpr double kTokensPerMs = 60;
+  constexpr double kTokens = 6'000;
+  constexpr milliseconds kObjective{400};
+  constexpr double kRequestsPerMs = 1.2 * kEngines * kTokensPerMs / kTokens;
+  struct request_in_prefill {
+    int vm = 0;
+    double tokens_left = 0;
+    instant sent;
+    instant objective_deadline;
+  };
+  std::mt19937 random(20261204);
+  std::poisson_distribution<int> arrivals(kRequestsPerMs);
+  std::vector<prefill_window> windows(kVms);
+  std::vector<std::vector<queued_request>> queues(kVms);
+  std::vector<std::deque<request_in_prefill>> engines(kEngines);
+  cluster_overload out;
+  for (int ms = 0; ms < 10'000; ++ms) {
+    const instant now = instant{} + seconds(100) + milliseconds(ms);
+    for (auto& engine : engines) {
+      double budget = kTokensPerMs;
+      while (!engine.empty() && budget > 0) {
+        request_in_prefill& first = engine.front();
+        const double step = std::min(budget, first.tokens_left);
+        budget -= step;
+        first.tokens_left -= step;
+        if (first.tokens_left > 0)
+          break;
+        out.in_time += now <= first.objective_deadline;
+        RecordFirstByte(windows[first.vm], kTokens, now - first.sent,
+                        kObjective, now);
+        engine.pop_front();
+      }
+    }
+    for (int n = arrivals(random); n > 0; --n) {
+      ++out.requests;
+      const std::size_t vm = random() % kVms;
+      RecordArrival(windows[vm], kTokens, now);
+      queues[vm].push_back(
+          {kTokens, 0, now, now + kObjective, now + milliseconds(1'600)});
+    }
+    for (int vm = 0; vm < kVms; ++vm) {
+      prefill_window& window = windows[vm];
+      auto& queue = queues[vm];
+      window.min_size =
+          window_scale *
+          MinWindowSize(window, kEngines * kTokensPerMs * 1'000, kVms);
+      while (const auto next = PickNextRequest(window, queue, now)) {
+        if (!HasCapacity(window, kTokens))
+          break;
+        RecordPrefillSent(window, kTokens, kObjective);
+        engines[random() % kEngines].push_back(
+            {vm, kTokens, now, queue[*next].objective_deadline});
+        queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(*next));
+      }
+      std::vector<std::size_t> hopeless =
+          FindUndispatchable(window, queue, now);
+      std::sort(hopeless.begin(), hopeless.end(), std::greater<>());
+      for (const std::size_t i : hopeless) {
+        ++out.refused;
+        out.refusal_wait += now - queue[i].arrived;
+        queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(i));
+      }
+    }
+  }
+  return out;
+}
+
+// Of the requests that the engines can prefill, more than 55 in 100 must meet
+// their objective, though no VM knows the load of the engines, and callers must
+// learn within the objective that their request cannot be served.
+TEST(Pacing, MostRequestsMeetTheObjectiveInAnOverloadOfManyVms) {
+  const cluster_overload usual = PlayClusterOverload(1);
+  EXPECT_GT(usual.in_time, 0.55 * usual.requests / 1.2);
+  EXPECT_LT(usual.refused, usual.requests * 35 / 100);
+  EXPECT_LT(usual.refusal_wait / usual.refused, milliseconds(400));
+  // A window that takes the engines the whole objective makes requests late.
+  const cluster_overload doubled = PlayClusterOverload(2);
+  EXPECT_GT(usual.in_time, doubled.in_time);
 }
 
 membership MakeZones(const std::string& self, int zones, int vms_per_zone) {
--- a/waxwing/entry_queue.cc
+++ b/waxwing/entry_queue.cc
@@ -27,21 +27,17 @@
   }
 }
 
-void RefuseLateRequests(dispatch_queue& queue, instant now) {
-  std::vector<std::size_t> late =
+void RefuseHopelessRequests(dispatch_queue& queue, instant now) {
+  std::vector<std::size_t> hopeless =
       FindUndispatchable(queue.flow_control, queue.requests, now);
-  std::sort(late.begin(), late.end(), std::greater<>());
-  for (const std::size_t i : late) {
+  std::sort(hopeless.begin(), hopeless.end(), std::greater<>());
+  for (const std::size_t i : hopeless) {
     queue.waiters[i]->is_refused = true;
     queue.waiters[i]->wakeup.cancel();
     RemoveAt(queue, i);
   }
 }
 
-// The minimum prefill window of all VMs together, as the time that all engines
-// take to prefill it. Each VM gets an equal share.
-constexpr milliseconds kMinWindowTime{200};
-
 }  // namespace
 
 void UpdateWindowMinimum(entry_state& state,
@@ -52,10 +48,8 @@
     if (view.serves == service && IsUsableIgnoringBackoff(view))
       rate += view.prefill_tokens_per_second;
   }
-  const double share = rate * ToSeconds(kMinWindowTime) /
-                       static_cast<double>(state.caller_load.total_listed);
   queue.flow_control.min_size =
-      MinWindowSize(share, queue.flow_control.mean_tokens);
+      MinWindowSize(queue.flow_control, rate, state.caller_load.total_listed);
 }
 
 double QueuedTokens(const dispatch_queue& queue) {
@@ -71,17 +65,19 @@
     return;
   dispatch_queue& queue = found->second;
   const instant now = std::chrono::steady_clock::now();
-  RefuseLateRequests(queue, now);
   while (const auto next =
              PickNextRequest(queue.flow_control, queue.requests, now)) {
     const double tokens = queue.requests[*next].tokens;
     if (!HasCapacity(queue.flow_control, tokens))
-      return;
-    RecordPrefillSent(queue.flow_control, tokens);
+      break;
+    const queued_request& request = queue.requests[*next];
+    RecordPrefillSent(queue.flow_control, tokens,
+                      request.objective_deadline - request.arrived);
     queue.waiters[*next]->is_dispatched = true;
     queue.waiters[*next]->wakeup.cancel();
     RemoveAt(queue, *next);
   }
+  RefuseHopelessRequests(queue, now);
 }
 
 asio::awaitable<bool> WaitForDispatch(entry_ptr state,
@@ -89,6 +85,8 @@
                                       queued_request request,
                                       dispatch_waiter& waiter) {
   dispatch_queue& queue = state->dispatch_queues[service];
+  RecordArrival(queue.flow_control, request.tokens,
+                std::chrono::steady_clock::now());
   queue.requests.push_back(request);
   queue.waiters.push_back(&waiter);
   DispatchQueuedRequests(*state, service);
--- a/waxwing/pacing.cc
+++ b/waxwing/pacing.cc
@@ -1,6 +1,7 @@
 #include "waxwing/pacing.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <tuple>
 
@@ -20,6 +21,16 @@
 // Requests already outstanding do not show the effect of a change yet.
 constexpr milliseconds kMinShrinkInterval{150};
 
+// A request counts as late if less than this share of the usual time to the
+// first byte is left: some responses begin much earlier than usual.
+constexpr double kLateShare = 0.5;
+// Time over which the arrival rate is averaged.
+constexpr milliseconds kArrivalSmoothing{500};
+// The minimum windows of all VMs together, as the share of the objective in
+// which the engines prefill them.
+constexpr double kMinObjectiveShare = 0.5;
+// Assumed until a request has been sent.
+constexpr milliseconds kDefaultObjective{400};
 // Weight of one request in the mean tokens, which average over about fifty.
 constexpr double kMeanTokensSmoothing = 0.02;
 // Mean-sized requests that a VM may always have outstanding. With many VMs that
@@ -27,22 +38,44 @@
 // now and then.
 constexpr double kMinOutstandingRequests = 4;
 
+double ArrivalRate(const prefill_window& window, instant now) {
+  return window.arriving_tokens_per_second *
+         std::exp(-ToSeconds(now - window.last_arrival) /
+                  ToSeconds(kArrivalSmoothing));
+}
+
 }  // namespace
 
-double MinWindowSize(double share, double mean_tokens) {
-  return std::max(share, kMinOutstandingRequests * mean_tokens);
+double MinWindowSize(const prefill_window& window,
+                     double tokens_per_second,
+                     std::size_t vms) {
+  const double objective = window.mean_tokens > 0
+                               ? window.mean_token_seconds / window.mean_tokens
+                               : ToSeconds(kDefaultObjective);
+  const double share = tokens_per_second * objective * kMinObjectiveShare /
+                       static_cast<double>(vms);
+  return std::max(share, kMinOutstandingRequests * window.mean_tokens);
+}
+
+void RecordArrival(prefill_window& window, double tokens, instant now) {
+  window.arriving_tokens_per_second =
+      ArrivalRate(window, now) + tokens / ToSeconds(kArrivalSmoothing);
+  window.last_arrival = now;
 }
 
 bool HasCapacity(const prefill_window& window, double tokens) {
   return window.outstanding <= 0 || window.outstanding + tokens <= window.size;
 }
 
-void RecordPrefillSent(prefill_window& window, double tokens) {
-  window.mean_tokens =
-      window.mean_tokens > 0
-          ? window.mean_tokens +
-                kMeanTokensSmoothing * (tokens - window.mean_tokens)
-          : tokens;
+void RecordPrefillSent(prefill_window& window,
+                       double tokens,
+                       duration objective) {
+  const auto average = [&](double& mean, double value) {
+    mean += window.mean_tokens > 0 ? kMeanTokensSmoothing * (value - mean)
+                                   : value - mean;
+  };
+  average(window.mean_token_seconds, tokens * ToSeconds(objective));
+  average(window.mean_tokens, tokens);
   window.outstanding += tokens;
 }
 
@@ -70,13 +103,27 @@
 
 namespace {
 
+bool IsLate(const prefill_window& window,
+            const queued_request& request,
+            instant now) {
+  return now + window.time_to_first_byte * kLateShare >
+         request.objective_deadline;
+}
+
+// Lower values are dispatched first.
 auto DispatchOrder(const prefill_window& window,
                    const queued_request& request,
                    instant now) {
-  const bool is_late =
-      now + window.time_to_first_byte > request.objective_deadline;
-  return std::tuple(is_late, request.objective_deadline, request.priority,
-                    request.arrived);
+  const bool is_late = IsLate(window, request, now);
+  const duration age_rank =
+      is_late ? duration{} : duration{} - request.arrived.time_since_epoch();
+  return std::tuple(is_late, age_rank, request.objective_deadline,
+                    request.priority, request.arrived);
+}
+
+// Tokens that the engines prefill for this VM per second.
+double DispatchRate(const prefill_window& window) {
+  return window.size / ToSeconds(window.time_to_first_byte);
 }
 
 }  // namespace
@@ -101,8 +148,7 @@
 duration EstimateDispatchDelay(const prefill_window& window, double tokens) {
   if (window.size <= 0)
     return {};
-  return std::chrono::duration_cast<duration>(window.time_to_first_byte *
-                                              tokens / window.size);
+  return FromSeconds(tokens / DispatchRate(window));
 }
 
 std::vector<std::size_t> FindUndispatchable(
@@ -115,11 +161,16 @@
     return DispatchOrder(window, waiting[a], now) <
            DispatchOrder(window, waiting[b], now);
   });
+  const double arriving = ArrivalRate(window, now);
   std::vector<std::size_t> out;
   double tokens_ahead = 0;
   for (const std::size_t i : order) {
-    if (IsPastDispatchDeadline(
-            waiting[i], now + EstimateDispatchDelay(window, tokens_ahead)))
+    const double rate =
+        DispatchRate(window) - (IsLate(window, waiting[i], now) ? arriving : 0);
+    const bool is_hopeless =
+        rate <= 0 || IsPastDispatchDeadline(
+                         waiting[i], now + FromSeconds(tokens_ahead / rate));
+    if (is_hopeless)
       out.push_back(i);
     else
       tokens_ahead += waiting[i].tokens;
--- a/waxwing/pacing.h
+++ b/waxwing/pacing.h
@@ -10,8 +10,10 @@
 //
 // Designed for: more prompts than the engines can prefill in time, for seconds,
 // after a loss of engines or of their caches. Requests that can still meet
-// their objective are dispatched first. The others are dispatched as capacity
-// allows, and refused if their callers would be gone before a response.
+// their objective are dispatched first, the newest of them before the others:
+// the oldest first would make each one wait until it is nearly late. Late
+// requests are dispatched as capacity allows, and refused as soon as the new
+// ones are expected to leave none before their callers are gone.
 
 #ifndef WAXWING_PACING_H_
 #define WAXWING_PACING_H_
@@ -32,10 +34,16 @@
   // engines prefill in a short time.
   double min_size = 6'000;
   double outstanding = 0;
-  // Moving average of the prompt tokens of a request.
+  // Moving averages of the prompt tokens of a request, and of these times its
+  // objective in seconds.
   double mean_tokens = 0;
+  double mean_token_seconds = 0;
   // Moving average of the time from dispatch to the first byte.
   duration time_to_first_byte = milliseconds(100);
+  // Prompt tokens of the requests that arrive per second, as a moving average
+  // at the time of the last one.
+  double arriving_tokens_per_second = 0;
+  instant last_arrival;
   instant last_shrunk;
 };
 
@@ -51,18 +59,26 @@
   instant dispatch_deadline;
 };
 
-// Returns the minimum window of a VM. `share` is the VM's share of the tokens
-// that the engines prefill in a short time, `mean_tokens` the mean prompt
-// tokens of a request. The minimum allows for the varying number of requests at
-// a VM that has few at a time, because a VM can't know that the other VMs have
-// fewer at that moment.
-double MinWindowSize(double share, double mean_tokens);
+// Returns the minimum window of one of `vms` VMs: an equal share of the tokens
+// that the engines, which prefill `tokens_per_second` in all, prefill in half
+// of the requests' objective. In overload, a request that is dispatched at once
+// then still meets its objective. The minimum also allows for the varying
+// number of requests at a VM that has few at a time, because a VM can't know
+// that the other VMs have fewer at that moment.
+double MinWindowSize(const prefill_window& window,
+                     double tokens_per_second,
+                     std::size_t vms);
+
+// Records the arrival of a request.
+void RecordArrival(prefill_window& window, double tokens, instant now);
 
 // True if a request of `tokens` fits in the window. Any request does if none is
 // outstanding.
 bool HasCapacity(const prefill_window& window, double tokens);
 
-void RecordPrefillSent(prefill_window& window, double tokens);
+void RecordPrefillSent(prefill_window& window,
+                       double tokens,
+                       duration objective);
 
 // Records the first byte of a response, `elapsed` after the request was sent,
 // and adapts the window.
@@ -77,8 +93,9 @@
 void RecordPrefillEnded(prefill_window& window, double tokens);
 
 // Returns the index of the request to dispatch next, or std::nullopt if there
-// is none: requests that can still meet their objective before late ones, then
-// by objective deadline, priority and time of arrival.
+// is none: of the requests that can still meet their objective the newest, else
+// the late one with the earliest objective deadline; among equal ones by
+// objective deadline and priority.
 std::optional<std::size_t> PickNextRequest(
     const prefill_window& window,
     std::span<const queued_request> waiting,
@@ -92,8 +109,9 @@
 duration EstimateDispatchDelay(const prefill_window& window, double tokens);
 
 // Returns the indices of the requests that would miss their dispatch deadline
-// because of the requests ahead of them. They should be refused now rather than
-// when the deadline has passed.
+// because of the requests ahead of them, including those expected to arrive
+// ahead of late ones. They should be refused now rather than when the deadline
+// has passed.
 std::vector<std::size_t> FindUndispatchable(
     const prefill_window& window,
     std::span<const queued_request> waiting,
