--- a/waxwing/agent_orders.cc
+++ b/waxwing/agent_orders.cc
@@ -85,7 +85,10 @@
     co_return;
   }
   // The write may have taken effect despite the error, so read the object back.
-  co_await ReadLeaseObject(state, lease_put{next, sent});
+  // Named, since g++ 12 destroys an aggregate temporary in a co_await
+  // expression twice.
+  const std::optional<lease_put> put = lease_put{next, sent};
+  co_await ReadLeaseObject(state, put);
 }
 
 // Returns the first target whose weights version differs from the configured
