--- a/testing/entry_policy_test.cc
+++ b/testing/entry_policy_test.cc
@@ -295,8 +295,9 @@
         saved += kPromptBytes;
     }
     EXPECT_LT(saved, std::max(0.15, 1 - fetched / kLinkBytes) * kLinkBytes);
-    if (fetches_per_second <= 100)
+    if (fetches_per_second <= 100) {
       EXPECT_GT(saved + fetched, 0.85 * kLinkBytes);
+    }
   }
 }
 
--- a/testing/vm_selection_test.cc
+++ b/testing/vm_selection_test.cc
@@ -29,6 +29,7 @@
 
 std::vector<const member*> PointersTo(const std::vector<member>& vms) {
   std::vector<const member*> out;
+  out.reserve(vms.size());
   for (const member& vm : vms)
     out.push_back(&vm);
   return out;
