Hash a cache store's address once; drop a check that never holds

Each choice of an engine formatted and hashed the addresses of all cache stores, twice a request; IsSufficient() checked a count from which its only caller starts; the comment on the listed VMs claimed an order that a zone without a known rate does not have.

Change: the hash is kept with the store, the check is gone, the comment says what happens. No behaviour changes.

--- a/waxwing/entry_caches.cc
+++ b/waxwing/entry_caches.cc
@@ -6,6 +6,7 @@
 
 #include "waxwing/agent_state.h"
 #include "waxwing/entry_state.h"
+#include "waxwing/hash.h"
 #include "waxwing/log.h"
 
 namespace waxwing {
@@ -118,8 +119,10 @@
     const auto [entry, is_new] =
         state.cache_stores.try_emplace(*service.cache_store);
     cache_store& store = entry->second;
-    if (is_new)
+    if (is_new) {
       store.index = state.next_cache_store++;
+      store.address_hash = Hash64(ToText(*service.cache_store));
+    }
     store.service = name;
     store.zone = service.zone;
     store.link_mbps = service.link_mbps;
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -40,7 +40,7 @@
   std::vector<cache_store_view> out;
   for (const auto& [address, store] : state.cache_stores) {
     if (store.is_usable)
-      out.push_back({store.index, Hash64(ToText(address)), store.zone});
+      out.push_back({store.index, store.address_hash, store.zone});
   }
   return out;
 }
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -102,6 +102,8 @@
 struct cache_store {
   // Index in the cache map.
   std::uint32_t index = 0;
+  // Hash of its address, for rendezvous hashing.
+  std::uint64_t address_hash = 0;
   std::string service;
   std::string zone;
   double link_mbps = 0;
--- a/waxwing/vm_selection.cc
+++ b/waxwing/vm_selection.cc
@@ -35,8 +35,6 @@
 bool IsSufficient(std::size_t count,
                   double capacity,
                   double requests_per_second) {
-  if (count < kMinListedVms)
-    return false;
   const auto listed = static_cast<double>(count);
   const auto remaining = static_cast<double>(count - kToleratedLosses);
   return listed * capacity * kUsualUtilization >= requests_per_second &&
--- a/waxwing/vm_selection.h
+++ b/waxwing/vm_selection.h
@@ -40,7 +40,7 @@
 
 // Returns the members to list out of `serving`, the members of one zone that
 // accept callers, largest capacity first. `requests_per_second` is the request
-// rate of the zone; all members are listed if it is unknown.
+// rate of the zone; if it is unknown, all members are listed in their order.
 std::vector<const member*> ChooseListedVms(
     std::span<const member* const> serving,
     std::optional<double> requests_per_second);
