Log which weights a request was sent with, and when it began

A histogram waxwing_outdated_start_seconds shows how close to the limit responses began. No decision is changed.

--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -116,6 +116,23 @@
 
 }  // namespace
 
+namespace {
+
+// Notes for the log which weights the target is expected to have.
+void NoteWeights(forward_run& run, const dispatch& attempt) {
+  const target_record& record = attempt.target.record;
+  run.weights_version = record.weights_version;
+  run.outdated_for.reset();
+  run.time_to_start.reset();
+  const auto history = run.state->desired_weights.find(record.model);
+  if (history == run.state->desired_weights.end())
+    return;
+  if (const auto since = OutdatedSince(history->second, record.weights_version))
+    run.outdated_for = attempt.started - *since;
+}
+
+}  // namespace
+
 std::optional<dispatch> ChooseTarget(forward_run& run) {
   entry_state& state = *run.state;
   dispatch out;
@@ -135,6 +152,7 @@
   run.target_in_flight = InFlight(view);
   run.target_waiting = view.others_waiting;
   out.started = std::chrono::steady_clock::now();
+  NoteWeights(run, out);
   RecordDispatch(state.placement, out.chosen, out.uncached_tokens);
   RecordSent(view, out.started);
   view.own_cache_tokens += run.chain.tokens + run.request.output_tokens;
@@ -167,7 +185,11 @@
   if (attempt.has_response)
     return;
   attempt.has_response = true;
-  ReleaseWindowTokens(run, std::chrono::steady_clock::now() - attempt.started);
+  run.time_to_start = std::chrono::steady_clock::now() - attempt.started;
+  if (run.outdated_for)
+    Observe(state.stats, "waxwing_outdated_start_seconds",
+            *run.outdated_for + *run.time_to_start);
+  ReleaseWindowTokens(run, *run.time_to_start);
   RecordContact(state.placement.targets[attempt.chosen.target],
                 std::chrono::steady_clock::now());
 }
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -191,6 +191,11 @@
   co_return is_dispatched;
 }
 
+// Returns the time in milliseconds, or -1 if there is none.
+std::int64_t ToMsOrNone(const std::optional<duration>& d) {
+  return d ? ToMs(*d) : -1;
+}
+
 // Tries targets until one succeeds or no further one may be tried.
 asio::awaitable<forward_outcome> RunWithRetries(forward_run& run) {
   forward_outcome outcome = forward_outcome::kNotRun;
@@ -207,16 +212,17 @@
     outcome = co_await RunAtTarget(run, *attempt);
     FinishDispatch(run, *attempt, outcome);
     if (outcome != forward_outcome::kDone)
-      LogInfo(
-          "attempt_ended",
-          {{"request", run.request.id},
-           {"target", attempt->target.record.id},
-           {"end", NameOf(outcome)},
-           {"sends", run.sends},
-           {"events", run.last_event_id},
-           {"took_ms", std::chrono::duration_cast<milliseconds>(
-                           std::chrono::steady_clock::now() - attempt->started)
-                           .count()}});
+      LogInfo("attempt_ended",
+              {{"request", run.request.id},
+               {"target", attempt->target.record.id},
+               {"end", NameOf(outcome)},
+               {"sends", run.sends},
+               {"events", run.last_event_id},
+               {"weights", run.weights_version},
+               {"outdated_ms", ToMsOrNone(run.outdated_for)},
+               {"start_ms", ToMsOrNone(run.time_to_start)},
+               {"took_ms",
+                ToMs(std::chrono::steady_clock::now() - attempt->started)}});
     if (outcome == forward_outcome::kDone ||
         outcome == forward_outcome::kCallerGone ||
         !MayRetryElsewhere(run, outcome))
@@ -226,10 +232,6 @@
   }
 }
 
-std::int64_t ToMs(duration d) {
-  return std::chrono::duration_cast<milliseconds>(d).count();
-}
-
 void LogOutcome(const forward_run& run, forward_outcome outcome) {
   const duration took = std::chrono::steady_clock::now() - run.arrived;
   LogInfo(
@@ -250,6 +252,9 @@
        {"in_flight", run.target_in_flight},
        {"waiting", run.target_waiting},
        {"queued_ms", ToMs(run.queue_time)},
+       {"weights", run.weights_version},
+       {"outdated_ms", ToMsOrNone(run.outdated_for)},
+       {"start_ms", ToMsOrNone(run.time_to_start)},
        {"window", run.state->dispatch_queues[run.service].flow_control.size}});
 }
 
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -62,6 +62,12 @@
   int target_in_flight = 0;
   int target_waiting = 0;
   std::string cache_source;
+  // For the log, of the last attempt: the weights version that the target was
+  // expected to have, the time since a newer one was announced (empty if none
+  // was), and the time from sending to the first byte of the response.
+  std::int64_t weights_version = 0;
+  std::optional<duration> outdated_for;
+  std::optional<duration> time_to_start;
   // Set while the request is in the dispatch queue.
   dispatch_waiter* waiter = nullptr;
   // Prompt tokens counted against the prefill window until the response begins.
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -93,15 +93,20 @@
     return;
   }
   const instant now = std::chrono::steady_clock::now();
-  const bool is_inherited =
-      state.watches[object_kind::kWeights].revision == 0 && parsed->version > 1;
+  const watch_position& position = state.watches[object_kind::kWeights];
+  const bool is_inherited = position.revision == 0 && parsed->version > 1;
   if (!RecordAnnouncement(state.desired_weights[parsed->model], parsed->version,
                           is_inherited, now))
     return;
-  LogInfo("weights_named", {{"model", parsed->model},
-                            {"version", parsed->version},
-                            {"inherited", is_inherited},
-                            {"revision", object.revision}});
+  LogInfo("weights_named",
+          {{"model", parsed->model},
+           {"version", parsed->version},
+           {"inherited", is_inherited},
+           {"listed", position.is_listed},
+           {"read_ms", position.last_response == instant{}
+                           ? -1
+                           : ToMs(now - position.last_response)},
+           {"revision", object.revision}});
 }
 
 milliseconds WatchWait(object_kind kind) {
@@ -147,11 +152,9 @@
   position.last_response = std::chrono::steady_clock::now();
   if (!position.unavailable_since)
     return;
-  LogInfo("store_regained",
-          {{"kind", NameOf(kind)},
-           {"away_ms", std::chrono::duration_cast<milliseconds>(
-                           position.last_response - *position.unavailable_since)
-                           .count()}});
+  LogInfo("store_regained", {{"kind", NameOf(kind)},
+                             {"away_ms", ToMs(position.last_response -
+                                              *position.unavailable_since)}});
   position.unavailable_since.reset();
 }
 
--- a/waxwing/types.h
+++ b/waxwing/types.h
@@ -54,6 +54,11 @@
   return instant(seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
+// Whole milliseconds, for logs.
+inline std::int64_t ToMs(duration d) {
+  return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
 inline double ToSeconds(duration d) {
   return std::chrono::duration<double>(d).count();
 }
