Failing tests: a request sent in time begins on old weights after their limit

Callers of the users' run got an answer made on replaced weights. The three tests hold an engine on old weights that does not answer: the request must be withdrawn at the limit and repeated where that is allowed, and a stream that cannot be resumed must carry a deadline before the limit.

--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	@scripts/demo
 
 test: build
+	@grep '^test: ' KNOWN-RED.txt | sed 's/^/known failure, not run: /' || true
 	@cd $(BUILD) && ctest -j 4 --output-on-failure --no-tests=error
 
 format:
--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -38,6 +38,7 @@
   entry running;
   http_pool pool = MakeHttpPool(context.get_executor(), {});
   int next_id = 1;
+  int caller_deadline_ms = 1'000;
 
   entry_fixture() { PutObject(*store, "config", "main", EntryConfig(1)); }
   ~entry_fixture() {
@@ -91,7 +92,7 @@
     request.target = std::string(path);
     request.headers = {{"Host", "calls.example"},
                        {"Request-Id", "r" + std::to_string(next_id++)},
-                       {"Deadline-Ms", "1000"},
+                       {"Deadline-Ms", std::to_string(caller_deadline_ms)},
                        {"Authorization", "Token " + key}};
     for (http_header& header : extra)
       request.headers.push_back(std::move(header));
@@ -491,6 +492,66 @@
   EXPECT_FALSE(f.RunUntil([&] { return orders > 1; }));
 }
 
+// An engine on weights that were replaced 6.4 s ago: 1.1 s remain in which a
+// request may start there. Engine e2, which has the new weights, is listed as
+// soon as e1 has received a request.
+struct outdated_engine_fixture : entry_fixture {
+  std::shared_ptr<scripted_target> old_engine;
+  std::shared_ptr<scripted_target> new_engine;
+
+  explicit outdated_engine_fixture(
+      std::function<scripted_response(const http_request&)> old_script) {
+    caller_deadline_ms = 1'500;
+    new_engine = StartTarget(context, StreamTwoEvents);
+    targets.push_back(new_engine);
+    old_engine = AddTarget(
+        "e1", "llm",
+        [this, old_script](const http_request& request) -> scripted_response {
+          if (request.target.starts_with("/api/"))
+            return {{PlainResponse(404, "", "{}")}};
+          PutObject(*store, "servers", "e2",
+                    EntryTargetRecord(new_engine->Address(), "llm", 2));
+          return old_script(request);
+        });
+    Start(1);
+    RecordAnnouncement(running.state->desired_weights["m"], 2, false,
+                       std::chrono::steady_clock::now() - milliseconds(6'400));
+    RefreshTargets(*running.state, std::chrono::steady_clock::now());
+  }
+};
+
+TEST(Entry, RequestNotStartedAtTheLimitOfItsWeightsIsWithdrawnAndRepeated) {
+  outdated_engine_fixture f(
+      [](const http_request&) { return scripted_response{}; });
+  const instant sent = std::chrono::steady_clock::now();
+  const auto response = f.Send(kResumablePath);
+  EXPECT_LT(std::chrono::steady_clock::now() - sent, milliseconds(1'400));
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->status, 200u);
+  EXPECT_EQ(f.old_engine->requests.size(), 1u);
+  EXPECT_EQ(f.new_engine->requests.size(), 1u);
+}
+
+TEST(Entry, NonResumableStreamOnOldWeightsMustStartByTheirLimit) {
+  outdated_engine_fixture f(RefuseAsNotExecuted);
+  ASSERT_TRUE(f.Send(kStreamPath));
+  ASSERT_GE(f.old_engine->requests.size(), 1u);
+  const std::string deadline(
+      FindHeader(f.old_engine->requests[0].headers, "Deadline-Ms"));
+  EXPECT_LE(std::stoi(deadline), 1'100);
+}
+
+TEST(Entry, NonResumableStreamThatMayHaveStartedOnOldWeightsIsNotRepeated) {
+  outdated_engine_fixture f(
+      [](const http_request&) { return scripted_response{}; });
+  const instant sent = std::chrono::steady_clock::now();
+  const auto response = f.Send(kStreamPath);
+  EXPECT_LT(std::chrono::steady_clock::now() - sent, milliseconds(1'450));
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->status, 502u);
+  EXPECT_TRUE(f.new_engine->requests.empty());
+}
+
 TEST(Entry, ServesFromPeerDataIfStoreIsUnavailableAtStart) {
   entry_fixture f;
   f.AddTarget("t1", "panel", RespondOk);
