Withdraw requests that have not started by the limit of their weights

The limit was checked when a target was chosen, 1.5 s ahead of it, and nothing limited the wait at the target after that.

Each request sent to an engine is now listed until its first token. At 0.5 s before the limit of the weights it was sent for, whether these were outdated when it was sent or have become so since, the connection is closed and the request is repeated elsewhere if its route allows. A stream that cannot be resumed is instead sent with the limit as its deadline, so that the engine itself refuses to start it later and says that it has not run; its connection is closed only if that refusal does not come.

--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -100,7 +100,9 @@
 asio::awaitable<void> RefreshLoop(entry_ptr state) {
   while (!IsStopping(state->root)) {
     co_await Pause(state->root, kRefreshPeriod);
-    RefreshTargets(*state, std::chrono::steady_clock::now());
+    const instant now = std::chrono::steady_clock::now();
+    RefreshTargets(*state, now);
+    WithdrawLateStarts(*state, now);
     for (auto& [service, queue] : state->dispatch_queues) {
       UpdateWindowMinimum(*state, service, queue);
       DispatchQueuedRequests(*state, service);
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -152,6 +152,9 @@
   run.target_in_flight = InFlight(view);
   run.target_waiting = view.others_waiting;
   out.started = std::chrono::steady_clock::now();
+  if (DependsOnWeights(run, out))
+    out.start_limit = StartLimit(state, out.target.record.model,
+                                 out.target.record.weights_version);
   NoteWeights(run, out);
   RecordDispatch(state.placement, out.chosen, out.uncached_tokens);
   RecordSent(view, out.started);
@@ -159,6 +162,11 @@
   return out;
 }
 
+bool DependsOnWeights(const forward_run& run, const dispatch& attempt) {
+  return run.matched_route->has_prompt &&
+         attempt.target.record.weights_version > 0;
+}
+
 bool IsCurrent(const entry_state& state, const dispatch& attempt) {
   return state.placement.targets[attempt.chosen.target].name ==
          attempt.target.record.id;
@@ -238,6 +246,8 @@
                         run.request.output_tokens);
   const bool was_unresponsive =
       !attempt.has_response && IsUnresponsive(view, now);
+  const bool was_aborted = outcome == forward_outcome::kCallerGone ||
+                           outcome == forward_outcome::kWithdrawn;
   if (!attempt.has_response)
     RecordUnanswered(view);
   if (!IsCurrent(state, attempt))
@@ -249,8 +259,7 @@
   } else if (outcome == forward_outcome::kFailed) {
     // The target is working; errors that it returns count in its error rate.
     ClearFailures(view);
-  } else if ((outcome != forward_outcome::kCallerGone || was_unresponsive) &&
-             !view.is_load_pending) {
+  } else if ((!was_aborted || was_unresponsive) && !view.is_load_pending) {
     RecordFailure(view, attempt.started, now);
   }
 }
@@ -303,6 +312,12 @@
   out.account = run.account.name;
   out.time_left =
       std::max(milliseconds(1), TimeLeft(run) - kResponseTransitTime);
+  // A request that must not be repeated is sent with the limit as its deadline:
+  // the target then states that it has not run it.
+  if (attempt.start_limit && !MayRepeat(*run.matched_route))
+    out.time_left = std::clamp(std::chrono::duration_cast<milliseconds>(
+                                   *attempt.start_limit - attempt.started),
+                               milliseconds(1), out.time_left);
   if (run.matched_route->has_prompt) {
     out.priority = run.account.priority.value_or(run.matched_route->priority);
     const std::int64_t weights = attempt.target.record.weights_version;
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -105,7 +105,8 @@
   if (outcome == forward_outcome::kNotRun)
     return SpendRetry(run.state->retry_budgets[run.service]);
   if (outcome != forward_outcome::kBroken &&
-      outcome != forward_outcome::kFailed)
+      outcome != forward_outcome::kFailed &&
+      outcome != forward_outcome::kWithdrawn)
     return false;
   // Targets that have terminated don't count as attempts.
   const int attempts = run.possible_runs - run.possible_runs_at_gone;
@@ -272,6 +273,8 @@
       return "broken";
     case forward_outcome::kTimedOut:
       return "timed_out";
+    case forward_outcome::kWithdrawn:
+      return "withdrawn";
     case forward_outcome::kCallerGone:
       return "caller_gone";
   }
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -25,11 +25,44 @@
   return run.matched_route->kind == route_kind::kStream;
 }
 
+// Lists an attempt as not started for the lifetime of this object, or until
+// MarkStarted().
+struct pending_start_listing {
+  forward_run& run;
+
+  pending_start_listing(forward_run& listed, const dispatch& attempt)
+      : run(listed) {
+    // A withdrawn attempt leaves the abort flag set.
+    if (!run.caller_gone)
+      run.abort = {};
+    run.start = {};
+    if (!DependsOnWeights(run, attempt))
+      return;
+    const target_record& record = attempt.target.record;
+    run.start = {
+        run.request.id,  record.id,
+        record.model,    record.weights_version,
+        attempt.started, attempt.start_limit && !MayRepeat(*run.matched_route),
+        &run.abort};
+    run.state->pending_starts.insert(&run.start);
+  }
+  ~pending_start_listing() { run.state->pending_starts.erase(&run.start); }
+  pending_start_listing(const pending_start_listing&) = delete;
+  pending_start_listing& operator=(const pending_start_listing&) = delete;
+};
+
+void MarkStarted(forward_run& run) {
+  run.state->pending_starts.erase(&run.start);
+}
+
 // Returns the outcome of a call that failed with `error`.
 forward_outcome FailureOutcome(const forward_run& run,
                                const http_error& error) {
   if (run.caller_gone)
     return forward_outcome::kCallerGone;
+  if (run.start.is_withdrawn)
+    return error.maybe_sent ? forward_outcome::kWithdrawn
+                            : forward_outcome::kNotRun;
   if (std::chrono::steady_clock::now() >= run.deadline)
     return forward_outcome::kTimedOut;
   return error.maybe_sent ? forward_outcome::kBroken : forward_outcome::kNotRun;
@@ -90,6 +123,7 @@
         co_await ReadSomeBody(run.state->pool, call, TimeLeft(run), buffer);
     if (!more)
       co_return FailureOutcome(run, more.error());
+    MarkStarted(run);
     if (!attempt.is_prefilled)
       RecordCachedSegments(run, attempt);
     MarkPrefilled(*run.state, attempt);
@@ -150,6 +184,7 @@
   options.header_timeout = TimeLeft(run);
   options.reuse = MayRepeat(*run.matched_route);
   options.abort = &run.abort;
+  const pending_start_listing listing(run, attempt);
   ++run.sends;
   auto call = co_await StartCall(run.state->pool, attempt.target.record.address,
                                  message, options);
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -21,6 +21,8 @@
   kFailed,      // an error of the target that may be retried elsewhere
   kBroken,      // may have run; no complete response
   kTimedOut,    // the deadline has passed
+  kWithdrawn,   // not started by the limit of the target's weights, as far as
+                // this VM knows
   kCallerGone,  // the caller has disconnected
 };
 
@@ -68,6 +70,8 @@
   std::int64_t weights_version = 0;
   std::optional<duration> outdated_for;
   std::optional<duration> time_to_start;
+  // The last attempt, listed in the entry's state until it starts.
+  pending_start start;
   // Set while the request is in the dispatch queue.
   dispatch_waiter* waiter = nullptr;
   // Prompt tokens counted against the prefill window until the response begins.
@@ -86,6 +90,8 @@
   std::uint32_t uncached_tokens = 0;
   std::uint32_t epoch = 0;
   instant started;
+  // The request must start at the target before this time.
+  std::optional<instant> start_limit;
   bool is_prefilled = false;
   // The target has begun to respond.
   bool has_response = false;
@@ -141,6 +147,9 @@
                     dispatch& attempt,
                     forward_outcome outcome);
 
+// True if the request has a prompt and the weights of its target are known.
+bool DependsOnWeights(const forward_run& run, const dispatch& attempt);
+
 // --- entry_relay.cc
 
 // Sends the request to the target and relays its response.
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -131,6 +131,22 @@
   std::vector<dispatch_waiter*> waiters;
 };
 
+// A request that was sent to an engine and has not started there.
+struct pending_start {
+  std::string request_id;
+  std::string target;
+  std::string model;
+  // The engine refuses to start the request on any other weights version.
+  std::int64_t weights_version = 0;
+  instant sent_at;
+  // The engine itself refuses to start the request after the time limit, so its
+  // refusal is awaited.
+  bool has_target_deadline = false;
+  // Closes the connection to the engine.
+  http_abort* abort = nullptr;
+  bool is_withdrawn = false;
+};
+
 struct entry_state {
   boost::asio::any_io_executor executor;
   entry_options options;
@@ -177,6 +193,7 @@
   std::map<std::string, listed_target, std::less<>> targets;
   // By model.
   std::map<std::string, weights_history, std::less<>> desired_weights;
+  std::set<pending_start*> pending_starts;
   // By service.
   std::map<std::string, retry_budget, std::less<>> retry_budgets;
   // By service.
@@ -210,6 +227,15 @@
 // and rollouts, and drops targets whose `drop_at` has passed.
 void RefreshTargets(entry_state& state, instant now);
 
+// Returns the time until which a request may start on the target's weights, or
+// empty if these are the newest.
+std::optional<instant> StartLimit(const entry_state& state,
+                                  std::string_view model,
+                                  std::int64_t weights_version);
+
+// Withdraws the requests that have not started by the limit of their weights.
+void WithdrawLateStarts(entry_state& state, instant now);
+
 // --- entry_queue.cc
 
 // Waits until the request may be sent to the service's engines, and counts its
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -26,6 +26,11 @@
 // Requests to outdated weights end this long before their time limit, since a
 // request may have to wait at the target.
 constexpr milliseconds kWeightsMargin{1'500};
+// Requests that have not started are withdrawn this long before the limit, so
+// that the news of it reaches the target in time.
+constexpr milliseconds kWithdrawalMargin{500};
+// Time for the refusal of a target that observes the limit itself.
+constexpr milliseconds kRefusalTime{250};
 // A process that has just started must observe the limit on outdated weights
 // once it has been in contact with the platform for `contact_time`. This margin
 // is subtracted from that time.
@@ -152,6 +157,46 @@
   state.targets.erase(found);
 }
 
+namespace {
+
+staleness_bounds StalenessBounds(const entry_state& state) {
+  return {state.options.bounds.outdated_weights_limit,
+          state.options.bounds.contact_time};
+}
+
+}  // namespace
+
+std::optional<instant> StartLimit(const entry_state& state,
+                                  std::string_view model,
+                                  std::int64_t weights_version) {
+  const auto history = state.desired_weights.find(model);
+  if (history == state.desired_weights.end())
+    return std::nullopt;
+  const auto limit =
+      StalenessLimit(history->second, weights_version, StalenessBounds(state));
+  if (!limit)
+    return std::nullopt;
+  return *limit - kWithdrawalMargin;
+}
+
+void WithdrawLateStarts(entry_state& state, instant now) {
+  for (pending_start* pending : state.pending_starts) {
+    const auto limit =
+        StartLimit(state, pending->model, pending->weights_version);
+    const milliseconds refusal_time =
+        pending->has_target_deadline ? kRefusalTime : milliseconds(0);
+    if (pending->is_withdrawn || !limit || now < *limit + refusal_time)
+      continue;
+    pending->is_withdrawn = true;
+    Count(state.stats, "waxwing_withdrawn_total");
+    LogInfo("request_withdrawn", {{"request", pending->request_id},
+                                  {"target", pending->target},
+                                  {"weights", pending->weights_version},
+                                  {"sent_ms", ToMs(now - pending->sent_at)}});
+    Abort(*pending->abort);
+  }
+}
+
 void RefreshTargets(entry_state& state, instant now) {
   std::vector<std::string> expired_ids;
   // By model, in the order of the map of targets.
@@ -182,9 +227,9 @@
     if (desired == state.desired_weights.end())
       continue;
     const std::int64_t desired_version = DesiredVersion(desired->second);
-    const staleness_bounds bounds{
-        state.options.bounds.outdated_weights_limit - kWeightsMargin,
-        state.options.bounds.contact_time - kContactMargin};
+    staleness_bounds bounds = StalenessBounds(state);
+    bounds.after_announcement -= kWeightsMargin;
+    bounds.after_start -= kContactMargin;
     for (std::size_t i = 0; i < list.size(); ++i) {
       const bool is_past_limit =
           IsTooStale(desired->second, list[i].version, bounds, now);
--- a/waxwing/rollout.cc
+++ b/waxwing/rollout.cc
@@ -56,16 +56,23 @@
   return since && now >= *since + kSteeringLeadTime;
 }
 
+std::optional<instant> StalenessLimit(const weights_history& history,
+                                      std::int64_t version,
+                                      const staleness_bounds& bounds) {
+  const auto* announcement = FirstNewer(history, version);
+  if (!announcement)
+    return std::nullopt;
+  return announcement->learned_at + (announcement->is_inherited
+                                         ? bounds.after_start
+                                         : bounds.after_announcement);
+}
+
 bool IsTooStale(const weights_history& history,
                 std::int64_t version,
                 const staleness_bounds& bounds,
                 instant now) {
-  const auto* announcement = FirstNewer(history, version);
-  if (!announcement)
-    return false;
-  return now >= announcement->learned_at + (announcement->is_inherited
-                                                ? bounds.after_start
-                                                : bounds.after_announcement);
+  const auto limit = StalenessLimit(history, version, bounds);
+  return limit && now >= *limit;
 }
 
 std::vector<std::size_t> ChooseTargetsToLoad(
--- a/waxwing/rollout.h
+++ b/waxwing/rollout.h
@@ -57,13 +57,19 @@
 
 // How long requests may still start on outdated weights.
 struct staleness_bounds {
-  milliseconds after_announcement{6'500};
+  milliseconds after_announcement{8'000};
   // For versions announced before this process started: the time since it
   // learned of them.
-  milliseconds after_start{2'500};
+  milliseconds after_start{3'000};
 };
 
-// True if requests may no longer start on `version`.
+// The time from which requests may no longer start on `version`, or empty if no
+// newer version is known.
+std::optional<instant> StalenessLimit(const weights_history& history,
+                                      std::int64_t version,
+                                      const staleness_bounds& bounds);
+
+// True if that time has come.
 bool IsTooStale(const weights_history& history,
                 std::int64_t version,
                 const staleness_bounds& bounds,
