Place a request anew when its kept connection fails late

A reused connection that fails more than 200 ms after the call began is not replaced any more for forwarded requests; they go through target choice and the retry budget again. The remaining time is rounded up, so that a timeout is not taken for a break a fraction of a millisecond before the deadline.

--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -284,6 +284,23 @@
   EXPECT_GE(target->requests.size(), 3u);
 }
 
+TEST(Entry, RequestOnUnresponsiveKeptConnectionIsNotResentAfterItsDeadline) {
+  entry_fixture f;
+  f.caller_deadline_ms = 600;
+  const auto target = f.AddTarget(
+      "t1", "panel", [&f](const http_request& request) -> scripted_response {
+        if (f.targets[0]->requests.size() == 2)
+          return {};
+        return RespondOk(request);
+      });
+  f.Start(1);
+  EXPECT_EQ(f.Send(kIdempotentPath)->status, 200u);
+  const instant sent = std::chrono::steady_clock::now();
+  EXPECT_EQ(f.Send(kIdempotentPath)->status, 504u);
+  EXPECT_LT(std::chrono::steady_clock::now() - sent, milliseconds(850));
+  EXPECT_EQ(target->requests.size(), 2u);
+}
+
 TEST(Entry, ResponseToAnotherRequestIsSkipped) {
   entry_fixture f;
   f.AddTarget("t1", "panel",
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -283,7 +283,7 @@
 
 milliseconds TimeLeft(const forward_run& run) {
   return std::max(milliseconds(1),
-                  std::chrono::duration_cast<milliseconds>(
+                  std::chrono::ceil<milliseconds>(
                       run.deadline - std::chrono::steady_clock::now()));
 }
 
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -20,6 +20,9 @@
 // Responses to other requests that are skipped before the connection is closed.
 constexpr int kMaxSkippedResponses = 3;
 constexpr std::size_t kMaxBodyBytes = 16 * 1024 * 1024;
+// A request whose kept connection fails later than this is placed anew instead
+// of being sent to the same target again.
+constexpr milliseconds kMaxResendDelay{200};
 
 bool IsStream(const forward_run& run) {
   return run.matched_route->kind == route_kind::kStream;
@@ -183,6 +186,7 @@
   http_call_options options;
   options.header_timeout = TimeLeft(run);
   options.reuse = MayRepeat(*run.matched_route);
+  options.max_resend_delay = kMaxResendDelay;
   options.abort = &run.abort;
   const pending_start_listing listing(run, attempt);
   ++run.sends;
--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -207,6 +207,7 @@
     const http_request& request,
     const http_call_options& options) {
   bool was_sent = false;
+  const instant began = std::chrono::steady_clock::now();
   if (options.reuse) {
     auto idle = TakeIdleConnection(*pool.state, address);
     if (idle) {
@@ -225,6 +226,10 @@
         pool.state->idle.erase(address);
       if (options.abort && options.abort->aborted)
         co_return response;
+      if (std::chrono::duration_cast<milliseconds>(
+              std::chrono::steady_clock::now() - began) >
+          options.max_resend_delay)
+        co_return response;
     }
   }
   auto connected = co_await Connect(pool, address, options.abort);
--- a/waxwing/http_client.h
+++ b/waxwing/http_client.h
@@ -69,6 +69,10 @@
   bool reuse = true;
   // May be null; must outlive the call.
   http_abort* abort = nullptr;
+  // A reused connection that fails later than this after the call began is not
+  // replaced: what the request states, such as its deadline, and the choice of
+  // the address may be out of date by then.
+  milliseconds max_resend_delay = milliseconds::max();
 };
 
 // Sends a request and reads the response header.
