Count the limit of old weights from when the new ones may have been announced

Up to 3.7 s pass before a silent watch counts as lost; a list after an outage, a VM that stood still or was suspended, and a zone watcher that was itself late add to that, and 1.5 s were left. Requests could so begin on old weights after the limit although each of them was sent and begun in time by this VM's count.

Each kind of object now has a time up to which all changes are known (confirmed_at, on a clock that runs while the VM is suspended). A version found by a list, or by a watch after a gap, counts from then; one returned by an uninterrupted watch counts from its arrival, or from the last moment at which the process was running before it. Published changes carry their age, so that followers of a zone watcher count alike. Versions of before the start count from the start of the process, not from when it read them.

--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -2611,6 +2611,7 @@
   uint64_t revision = 0;
   bool is_whole = false;
   std::vector<std::unique_ptr<waxwing::wire::shared_objectT>> objects{};
+  int32_t max_age_ms = -1;
   shared_objectsT() = default;
   shared_objectsT(const shared_objectsT &o);
   shared_objectsT(shared_objectsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2625,7 +2626,8 @@
     VT_KIND = 4,
     VT_REVISION = 6,
     VT_IS_WHOLE = 8,
-    VT_OBJECTS = 10
+    VT_OBJECTS = 10,
+    VT_MAX_AGE_MS = 12
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -2639,6 +2641,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_object>> *objects() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_object>> *>(VT_OBJECTS);
   }
+  int32_t max_age_ms() const {
+    return GetField<int32_t>(VT_MAX_AGE_MS, -1);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -2647,6 +2652,7 @@
            VerifyOffset(verifier, VT_OBJECTS) &&
            verifier.VerifyVector(objects()) &&
            verifier.VerifyVectorOfTables(objects()) &&
+           VerifyField<int32_t>(verifier, VT_MAX_AGE_MS, 4) &&
            verifier.EndTable();
   }
   shared_objectsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2670,6 +2676,9 @@
   void add_objects(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_object>>> objects) {
     fbb_.AddOffset(shared_objects::VT_OBJECTS, objects);
   }
+  void add_max_age_ms(int32_t max_age_ms) {
+    fbb_.AddElement<int32_t>(shared_objects::VT_MAX_AGE_MS, max_age_ms, -1);
+  }
   explicit shared_objectsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2686,9 +2695,11 @@
     uint8_t kind = 0,
     uint64_t revision = 0,
     bool is_whole = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_object>>> objects = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_object>>> objects = 0,
+    int32_t max_age_ms = -1) {
   shared_objectsBuilder builder_(_fbb);
   builder_.add_revision(revision);
+  builder_.add_max_age_ms(max_age_ms);
   builder_.add_objects(objects);
   builder_.add_is_whole(is_whole);
   builder_.add_kind(kind);
@@ -2705,14 +2716,16 @@
     uint8_t kind = 0,
     uint64_t revision = 0,
     bool is_whole = false,
-    const std::vector<flatbuffers::Offset<waxwing::wire::shared_object>> *objects = nullptr) {
+    const std::vector<flatbuffers::Offset<waxwing::wire::shared_object>> *objects = nullptr,
+    int32_t max_age_ms = -1) {
   auto objects__ = objects ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_object>>(*objects) : 0;
   return waxwing::wire::Createshared_objects(
       _fbb,
       kind,
       revision,
       is_whole,
-      objects__);
+      objects__,
+      max_age_ms);
 }
 
 flatbuffers::Offset<shared_objects> Createshared_objects(flatbuffers::FlatBufferBuilder &_fbb, const shared_objectsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3951,7 +3964,8 @@
 inline shared_objectsT::shared_objectsT(const shared_objectsT &o)
       : kind(o.kind),
         revision(o.revision),
-        is_whole(o.is_whole) {
+        is_whole(o.is_whole),
+        max_age_ms(o.max_age_ms) {
   objects.reserve(o.objects.size());
   for (const auto &objects_ : o.objects) { objects.emplace_back((objects_) ? new waxwing::wire::shared_objectT(*objects_) : nullptr); }
 }
@@ -3961,6 +3975,7 @@
   std::swap(revision, o.revision);
   std::swap(is_whole, o.is_whole);
   std::swap(objects, o.objects);
+  std::swap(max_age_ms, o.max_age_ms);
   return *this;
 }
 
@@ -3977,6 +3992,7 @@
   { auto _e = revision(); _o->revision = _e; }
   { auto _e = is_whole(); _o->is_whole = _e; }
   { auto _e = objects(); if (_e) { _o->objects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->objects[_i] = std::unique_ptr<waxwing::wire::shared_objectT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = max_age_ms(); _o->max_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<shared_objects> shared_objects::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_objectsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3991,12 +4007,14 @@
   auto _revision = _o->revision;
   auto _is_whole = _o->is_whole;
   auto _objects = _o->objects.size() ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_object>> (_o->objects.size(), [](size_t i, _VectorArgs *__va) { return Createshared_object(*__va->__fbb, __va->__o->objects[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _max_age_ms = _o->max_age_ms;
   return waxwing::wire::Createshared_objects(
       _fbb,
       _kind,
       _revision,
       _is_whole,
-      _objects);
+      _objects,
+      _max_age_ms);
 }
 
 inline shared_ageT *shared_age::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/testing/entry_policy_test.cc
+++ b/testing/entry_policy_test.cc
@@ -130,9 +130,9 @@
 TEST(Rollout, BoundIsMeasuredFromTheFirstNewerVersion) {
   weights_history history;
   const instant start{};
-  RecordAnnouncement(history, 2, false, start);
-  RecordAnnouncement(history, 3, false, start + seconds(3));
-  EXPECT_FALSE(RecordAnnouncement(history, 2, false, start + seconds(4)));
+  RecordAnnouncement(history, 2, start, start);
+  RecordAnnouncement(history, 3, start + seconds(3), start + seconds(3));
+  EXPECT_FALSE(RecordAnnouncement(history, 2, start, start + seconds(4)));
   EXPECT_EQ(DesiredVersion(history), 3);
   const staleness_bounds bounds{seconds(6), seconds(2)};
   const instant at = start + seconds(7);
@@ -145,11 +145,12 @@
 // were replaced before its start.
 TEST(Rollout, WeightsReplacedBeforeStartupExpireAfterTheContactBound) {
   weights_history history;
-  RecordAnnouncement(history, 4, true, instant{});
+  RecordAnnouncement(history, 4, std::nullopt, instant{});
   const staleness_bounds bounds{seconds(6), seconds(2)};
   EXPECT_FALSE(IsTooStale(history, 3, bounds, instant{} + seconds(1)));
   EXPECT_TRUE(IsTooStale(history, 3, bounds, instant{} + seconds(2)));
-  RecordAnnouncement(history, 5, false, instant{} + seconds(1));
+  RecordAnnouncement(history, 5, instant{} + seconds(1),
+                     instant{} + seconds(1));
   EXPECT_FALSE(IsTooStale(history, 4, bounds, instant{} + seconds(6)));
 }
 
@@ -158,7 +159,8 @@
   weights_history history;
   const instant start = instant{} + seconds(100);
   for (int i = 0; i < 20; ++i)
-    RecordAnnouncement(history, 2 + i, false, start + milliseconds(100 * i));
+    RecordAnnouncement(history, 2 + i, start + milliseconds(100 * i),
+                       start + milliseconds(100 * i));
   EXPECT_FALSE(IsLeadTimeOver(history, 1, start + milliseconds(400)));
   EXPECT_TRUE(IsLeadTimeOver(history, 1, start + milliseconds(500)));
   // A target that loaded version 6 became outdated 0.5 s after the start.
--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -11,6 +11,7 @@
 #include "platform/adapter.h"
 #include "testing/event_loop.h"
 #include "testing/platform_standin.h"
+#include "waxwing/agent_state.h"
 #include "waxwing/entry_state.h"
 #include "waxwing/http_client.h"
 
@@ -531,8 +532,9 @@
           return old_script(request);
         });
     Start(1);
-    RecordAnnouncement(running.state->desired_weights["m"], 2, false,
-                       std::chrono::steady_clock::now() - milliseconds(6'400));
+    const instant announced = SuspendAwareNow() - milliseconds(6'400);
+    RecordAnnouncement(running.state->desired_weights["m"], 2, announced,
+                       announced);
     RefreshTargets(*running.state, std::chrono::steady_clock::now());
   }
 };
@@ -569,6 +571,66 @@
   EXPECT_TRUE(f.new_engine->requests.empty());
 }
 
+// Returns when requests must no longer start on version 1 of model m.
+std::optional<instant> LimitOfFirstVersion(const entry_fixture& f) {
+  const auto& known = f.running.state->desired_weights;
+  const auto history = known.find("m");
+  if (history == known.end())
+    return std::nullopt;
+  return StalenessLimit(history->second, 1,
+                        {seconds(8), seconds(3), f.running.state->started});
+}
+
+TEST(Entry, VersionLearnedAfterAnOutageCountsFromTheLastReadBeforeIt) {
+  entry_fixture f;
+  f.AddTarget("e1", "llm", StreamTwoEvents);
+  f.Start(1);
+  f.store->is_down = true;
+  const instant down_at = SuspendAwareNow();
+  PutObject(*f.store, "versions", "m", R"({"model":"m","version":2})");
+  f.RunUntil([&] { return SuspendAwareNow() > down_at + milliseconds(1'500); });
+  f.store->is_down = false;
+  ASSERT_TRUE(f.RunUntil([&] { return LimitOfFirstVersion(f).has_value(); }));
+  EXPECT_LE(*LimitOfFirstVersion(f), down_at + seconds(8));
+}
+
+TEST(Entry, VersionLearnedInAWatchCountsFromItsArrival) {
+  entry_fixture f;
+  f.AddTarget("e1", "llm", StreamTwoEvents);
+  f.Start(1);
+  f.RunUntil([] { return false; });
+  const instant put_at = SuspendAwareNow();
+  PutObject(*f.store, "versions", "m", R"({"model":"m","version":2})");
+  ASSERT_TRUE(f.RunUntil([&] { return LimitOfFirstVersion(f).has_value(); }));
+  EXPECT_GE(*LimitOfFirstVersion(f), put_at + seconds(8) - milliseconds(200));
+}
+
+TEST(EntryReplication, VersionThatAPeerLearnedLateIsAsOldHere) {
+  entry_fixture f;
+  f.AddTarget("e1", "llm", StreamTwoEvents);
+  f.Start(1);
+  entry_state& state = *f.running.state;
+  watch_position& position = state.watches[object_kind::kWeights];
+  ASSERT_TRUE(f.RunUntil([&] { return position.confirmed_at.has_value(); }));
+  const instant now = SuspendAwareNow();
+  position.confirmed_at = now - seconds(10);
+  wire::shared_objectsT message;
+  message.kind = static_cast<std::uint8_t>(object_kind::kWeights);
+  message.revision = position.revision + 5;
+  message.max_age_ms = 4'000;
+  auto object = std::make_unique<wire::shared_objectT>();
+  object->name = "m";
+  object->revision = message.revision;
+  object->spec = R"({"model":"m","version":2})";
+  message.objects.push_back(std::move(object));
+  wire::messageUnion frame;
+  frame.Set(std::move(message));
+  state.membership_agent.state->on_replication_message({}, frame);
+  ASSERT_TRUE(LimitOfFirstVersion(f).has_value());
+  EXPECT_LE(*LimitOfFirstVersion(f), now + seconds(4) + milliseconds(100));
+  EXPECT_GE(*LimitOfFirstVersion(f), now + seconds(4) - milliseconds(100));
+}
+
 TEST(Entry, ServesFromPeerDataIfStoreIsUnavailableAtStart) {
   entry_fixture f;
   f.AddTarget("t1", "panel", RespondOk);
@@ -715,7 +777,8 @@
   entry_state& state = *f.running.state;
   const std::uint64_t revision =
       state.objects[object_kind::kTargets].at("t1").revision;
-  ApplyObject(state, object_kind::kTargets, {"t1", revision - 1, "null"}, true);
+  ApplyObject(state, object_kind::kTargets, {"t1", revision - 1, "null"}, true,
+              std::nullopt);
   EXPECT_TRUE(state.targets.contains("t1"));
   object_list older;
   older.revision = revision - 1;
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -102,7 +102,8 @@
     co_await Pause(state->root, kRefreshPeriod);
     const instant now = std::chrono::steady_clock::now();
     RefreshTargets(*state, now);
-    WithdrawLateStarts(*state, now);
+    RecordTick(state->stalls, SuspendAwareNow());
+    WithdrawLateStarts(*state);
     for (auto& [service, queue] : state->dispatch_queues) {
       UpdateWindowMinimum(*state, service, queue);
       DispatchQueuedRequests(*state, service);
@@ -145,7 +146,7 @@
   state->executor = executor;
   state->options = options;
   state->protocol = protocol;
-  state->started = std::chrono::steady_clock::now();
+  state->started = SuspendAwareNow();
   supervisor_limits restarts;
   restarts.healthy_after = kHealthyAfter;
   state->root = MakeSupervisor(executor, "entry", restarts);
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -127,8 +127,9 @@
   const auto history = run.state->desired_weights.find(record.model);
   if (history == run.state->desired_weights.end())
     return;
-  if (const auto since = OutdatedSince(history->second, record.weights_version))
-    run.outdated_for = attempt.started - *since;
+  if (const auto since =
+          LearnedOutdatedAt(history->second, record.weights_version))
+    run.outdated_for = SuspendAwareNow() - *since;
 }
 
 }  // namespace
@@ -153,8 +154,8 @@
   run.target_waiting = view.others_waiting;
   out.started = std::chrono::steady_clock::now();
   if (DependsOnWeights(run, out))
-    out.start_limit = StartLimit(state, out.target.record.model,
-                                 out.target.record.weights_version);
+    out.time_to_start = TimeToStart(state, out.target.record.model,
+                                    out.target.record.weights_version);
   NoteWeights(run, out);
   RecordDispatch(state.placement, out.chosen, out.uncached_tokens);
   RecordSent(view, out.started);
@@ -314,10 +315,10 @@
       std::max(milliseconds(1), TimeLeft(run) - kResponseTransitTime);
   // A request that must not be repeated is sent with the limit as its deadline:
   // the target then states that it has not run it.
-  if (attempt.start_limit && !MayRepeat(*run.matched_route))
-    out.time_left = std::clamp(std::chrono::duration_cast<milliseconds>(
-                                   *attempt.start_limit - attempt.started),
-                               milliseconds(1), out.time_left);
+  if (attempt.time_to_start && !MayRepeat(*run.matched_route))
+    out.time_left = std::clamp(
+        std::chrono::duration_cast<milliseconds>(*attempt.time_to_start),
+        milliseconds(1), out.time_left);
   if (run.matched_route->has_prompt) {
     out.priority = run.account.priority.value_or(run.matched_route->priority);
     const std::int64_t weights = attempt.target.record.weights_version;
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -42,11 +42,13 @@
     if (!DependsOnWeights(run, attempt))
       return;
     const target_record& record = attempt.target.record;
-    run.start = {
-        run.request.id,  record.id,
-        record.model,    record.weights_version,
-        attempt.started, attempt.start_limit && !MayRepeat(*run.matched_route),
-        &run.abort};
+    run.start = {run.request.id,
+                 record.id,
+                 record.model,
+                 record.weights_version,
+                 attempt.started,
+                 attempt.time_to_start && !MayRepeat(*run.matched_route),
+                 &run.abort};
     run.state->pending_starts.insert(&run.start);
   }
   ~pending_start_listing() { run.state->pending_starts.erase(&run.start); }
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -57,19 +57,16 @@
 
 // Sends for each kind of object how long ago the store last responded, and the
 // request rate of the zone.
-void SendAges(const entry_state& state, const peer_link& link, instant now) {
+void SendAges(const entry_state& state, const peer_link& link) {
   wire::shared_agesT out;
   for (const object_kind kind : kReplicatedKinds) {
     const auto found = state.watches.find(kind);
-    if (found == state.watches.end() ||
-        found->second.last_response == instant{})
+    if (found == state.watches.end() || !found->second.confirmed_at)
       continue;
     auto age = std::make_unique<wire::shared_ageT>();
     age->kind = static_cast<std::uint8_t>(kind);
-    age->age_ms =
-        static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(
-                                       now - found->second.last_response)
-                                       .count());
+    age->age_ms = static_cast<std::uint32_t>(
+        ToMs(SuspendAwareNow() - *found->second.confirmed_at));
     out.ages.push_back(std::move(age));
   }
   if (state.caller_load.requests_per_second)
@@ -97,7 +94,19 @@
   for (const object_kind kind : kReplicatedKinds)
     SendSnapshot(state, link, kind);
   if (request.follows)
-    SendAges(state, link, now);
+    SendAges(state, link);
+}
+
+// Returns the time after which the changes in a peer's message were made, if it
+// is known.
+std::optional<instant> MadeAfter(const watch_position& position,
+                                 const wire::shared_objectsT& message,
+                                 instant arrived) {
+  std::optional<instant> out = position.confirmed_at;
+  if (message.max_age_ms >= 0)
+    out = std::max(out.value_or(instant::min()),
+                   arrived - milliseconds(message.max_age_ms));
+  return out;
 }
 
 // Applies objects sent by a peer. Messages of a link arrive in order, so a
@@ -113,11 +122,13 @@
   const bool is_known = position.revision != 0;
   if (is_known ? message.revision <= position.revision : !message.is_whole)
     return;
+  const instant arrived = EarliestArrival(state.stalls, SuspendAwareNow());
+  const auto made_after = MadeAfter(position, message, arrived);
   object_list snapshot;
   snapshot.revision = message.revision;
   for (const auto& object : message.objects) {
     const stored_object stored{object->name, object->revision, object->spec};
-    ApplyObject(state, *kind, stored, object->is_removed);
+    ApplyObject(state, *kind, stored, object->is_removed, made_after);
     snapshot.objects.push_back(stored);
   }
   RefreshTargets(state, std::chrono::steady_clock::now());
@@ -144,9 +155,15 @@
   upstream->second.zone_requests_per_second.reset();
   if (message.zone_requests_per_s >= 0)
     upstream->second.zone_requests_per_second = message.zone_requests_per_s;
+  const instant arrived = EarliestArrival(state.stalls, SuspendAwareNow());
   for (const auto& age : message.ages) {
-    if (const auto kind = KindOf(age->kind))
-      upstream->second.current_at[*kind] = now - milliseconds(age->age_ms);
+    const auto kind = KindOf(age->kind);
+    if (!kind)
+      continue;
+    upstream->second.current_at[*kind] = now - milliseconds(age->age_ms);
+    watch_position& position = state.watches[*kind];
+    position.confirmed_at = std::max(position.confirmed_at.value_or(instant{}),
+                                     arrived - milliseconds(age->age_ms));
   }
 }
 
@@ -213,10 +230,14 @@
 
 void PublishChanges(entry_state& state,
                     object_kind kind,
-                    const object_changes& changes) {
+                    const object_changes& changes,
+                    std::optional<instant> made_after) {
   if (state.subscribers.empty() || changes.changes.empty())
     return;
   wire::shared_objectsT out = MakeObjectsMessage(kind, changes.revision);
+  if (made_after)
+    out.max_age_ms =
+        static_cast<std::int32_t>(ToMs(SuspendAwareNow() - *made_after));
   for (const object_change& change : changes.changes)
     AddObject(out, change.object, change.is_removed);
   wire::frameT frame;
@@ -273,7 +294,7 @@
     });
     UpdateListedVms(*state, now);
     for (const auto& [vm, subscriber] : state->subscribers)
-      SendAges(*state, subscriber.link, now);
+      SendAges(*state, subscriber.link);
   }
 }
 
--- a/waxwing/entry_rollout.cc
+++ b/waxwing/entry_rollout.cc
@@ -213,7 +213,7 @@
   while (!IsStopping(state->root)) {
     co_await Pause(state->root, kRolloutPeriod);
     const instant now = std::chrono::steady_clock::now();
-    const auto loads = FindPendingLoads(*state, now);
+    const auto loads = FindPendingLoads(*state, SuspendAwareNow());
     if (loads.empty()) {
       pending_since.reset();
       if (!WasLastHolder(*state) && CandidateRank(*state) < kReadyCandidates)
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -90,8 +90,9 @@
   std::uint32_t uncached_tokens = 0;
   std::uint32_t epoch = 0;
   instant started;
-  // The request must start at the target before this time.
-  std::optional<instant> start_limit;
+  // Time for the request to start at the target, counted from `started`, if its
+  // weights are outdated.
+  std::optional<duration> time_to_start;
   bool is_prefilled = false;
   // The target has begun to respond.
   bool has_response = false;
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -18,6 +18,7 @@
 #include "waxwing/cache_saves.h"
 #include "waxwing/engine_choice.h"
 #include "waxwing/entry.h"
+#include "waxwing/freshness.h"
 #include "waxwing/http_server.h"
 #include "waxwing/lease.h"
 #include "waxwing/metrics.h"
@@ -55,7 +56,9 @@
 struct watch_position {
   std::uint64_t revision = 0;
   bool is_listed = false;
-  instant last_response;
+  // This VM has all changes that the store made before this time. On a clock
+  // that keeps running while the VM is suspended; empty until the first list.
+  std::optional<instant> confirmed_at;
   // Since when calls to the store have failed, if they do.
   std::optional<instant> unavailable_since;
 };
@@ -160,7 +163,9 @@
   object_store store;
   metrics stats;
   std::mt19937_64 random;
+  // On a clock that keeps running while the VM is suspended.
   instant started;
+  stall_tracker stalls;
   bool is_draining = false;
   // Directory responses that list this VM have expired; new requests are
   // refused.
@@ -227,14 +232,14 @@
 // and rollouts, and drops targets whose `drop_at` has passed.
 void RefreshTargets(entry_state& state, instant now);
 
-// Returns the time until which a request may start on the target's weights, or
+// Returns the time left for a request to start on the target's weights, or
 // empty if these are the newest.
-std::optional<instant> StartLimit(const entry_state& state,
-                                  std::string_view model,
-                                  std::int64_t weights_version);
+std::optional<duration> TimeToStart(const entry_state& state,
+                                    std::string_view model,
+                                    std::int64_t weights_version);
 
 // Withdraws the requests that have not started by the limit of their weights.
-void WithdrawLateStarts(entry_state& state, instant now);
+void WithdrawLateStarts(entry_state& state);
 
 // --- entry_queue.cc
 
@@ -263,12 +268,14 @@
 
 boost::asio::awaitable<void> WatchKind(entry_ptr state, object_kind kind);
 
-// Applies an object of the store, or its removal. The caller updates the costs
-// of the targets with RefreshTargets(), once for all applied objects.
+// Applies an object of the store, or its removal, which was made after
+// `made_after`, if that is known. The caller updates the costs of the targets
+// with RefreshTargets(), once for all applied objects.
 void ApplyObject(entry_state& state,
                  object_kind kind,
                  const stored_object& object,
-                 bool is_removed);
+                 bool is_removed,
+                 std::optional<instant> made_after);
 
 // Drops the objects of a kind that are missing from a complete list.
 void DropMissing(entry_state& state,
@@ -335,9 +342,11 @@
 
 // Publish to the subscribers of this VM what the store has just returned, or
 // all known objects of a kind.
+// The changes were made after `made_after`, if that is known.
 void PublishChanges(entry_state& state,
                     object_kind kind,
-                    const object_changes& changes);
+                    const object_changes& changes,
+                    std::optional<instant> made_after);
 void PublishSnapshot(entry_state& state, object_kind kind);
 
 // True if this VM watches the store for its zone.
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -161,14 +161,14 @@
 
 staleness_bounds StalenessBounds(const entry_state& state) {
   return {state.options.bounds.outdated_weights_limit,
-          state.options.bounds.contact_time};
+          state.options.bounds.contact_time, state.started};
 }
 
 }  // namespace
 
-std::optional<instant> StartLimit(const entry_state& state,
-                                  std::string_view model,
-                                  std::int64_t weights_version) {
+std::optional<duration> TimeToStart(const entry_state& state,
+                                    std::string_view model,
+                                    std::int64_t weights_version) {
   const auto history = state.desired_weights.find(model);
   if (history == state.desired_weights.end())
     return std::nullopt;
@@ -176,16 +176,17 @@
       StalenessLimit(history->second, weights_version, StalenessBounds(state));
   if (!limit)
     return std::nullopt;
-  return *limit - kWithdrawalMargin;
+  return *limit - kWithdrawalMargin - SuspendAwareNow();
 }
 
-void WithdrawLateStarts(entry_state& state, instant now) {
+void WithdrawLateStarts(entry_state& state) {
+  const instant now = std::chrono::steady_clock::now();
   for (pending_start* pending : state.pending_starts) {
-    const auto limit =
-        StartLimit(state, pending->model, pending->weights_version);
-    const milliseconds refusal_time =
+    const auto left =
+        TimeToStart(state, pending->model, pending->weights_version);
+    const duration refusal_time =
         pending->has_target_deadline ? kRefusalTime : milliseconds(0);
-    if (pending->is_withdrawn || !limit || now < *limit + refusal_time)
+    if (pending->is_withdrawn || !left || *left + refusal_time > duration{})
       continue;
     pending->is_withdrawn = true;
     Count(state.stats, "waxwing_withdrawn_total");
@@ -219,6 +220,7 @@
         {view.name_hash, target.record.weights_version});
     views[target.record.model].push_back(&view);
   }
+  const instant weights_now = SuspendAwareNow();
   const bool is_store_unavailable =
       state.watches[object_kind::kTargets].unavailable_since.has_value();
   std::vector<std::pair<std::string, std::int64_t>> assumed_weights;
@@ -232,7 +234,7 @@
     bounds.after_start -= kContactMargin;
     for (std::size_t i = 0; i < list.size(); ++i) {
       const bool is_past_limit =
-          IsTooStale(desired->second, list[i].version, bounds, now);
+          IsTooStale(desired->second, list[i].version, bounds, weights_now);
       views[model][i]->has_outdated_weights = is_past_limit;
       // Without the store, completed loads are not reported. The target itself
       // refuses a request if the assumption is wrong.
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -85,27 +85,23 @@
   AddOrUpdateTarget(state, *parsed);
 }
 
-void ApplyWeightsObject(entry_state& state, const stored_object& object) {
+void ApplyWeightsObject(entry_state& state,
+                        const stored_object& object,
+                        std::optional<instant> made_after) {
   const auto parsed = state.protocol.read_desired_weights(object.spec);
   if (!parsed) {
     LogWarning("weights_unreadable",
                {{"name", object.name}, {"error", parsed.error()}});
     return;
   }
-  const instant now = std::chrono::steady_clock::now();
-  const watch_position& position = state.watches[object_kind::kWeights];
-  const bool is_inherited = position.revision == 0 && parsed->version > 1;
+  const instant now = SuspendAwareNow();
   if (!RecordAnnouncement(state.desired_weights[parsed->model], parsed->version,
-                          is_inherited, now))
+                          made_after, now))
     return;
   LogInfo("weights_named",
           {{"model", parsed->model},
            {"version", parsed->version},
-           {"inherited", is_inherited},
-           {"listed", position.is_listed},
-           {"read_ms", position.last_response == instant{}
-                           ? -1
-                           : ToMs(now - position.last_response)},
+           {"late_ms", made_after ? ToMs(now - *made_after) : -1},
            {"revision", object.revision}});
 }
 
@@ -117,6 +113,7 @@
 // Reads all pages of a kind. Returns false if a call failed.
 asio::awaitable<bool> ListAll(entry_ptr state, object_kind kind) {
   watch_position& position = state->watches[kind];
+  const instant began = SuspendAwareNow();
   object_list listed;
   std::string after;
   std::uint64_t revision = 0;
@@ -133,7 +130,7 @@
     if (revision == 0)
       revision = page->revision;
     for (const stored_object& object : page->objects) {
-      ApplyObject(*state, kind, object, false);
+      ApplyObject(*state, kind, object, false, position.confirmed_at);
       listed.objects.push_back(object);
       after = object.name;
     }
@@ -144,16 +141,16 @@
   DropMissing(*state, kind, listed);
   position.revision = std::max(position.revision, revision);
   position.is_listed = true;
+  position.confirmed_at = began;
   PublishSnapshot(*state, kind);
   co_return true;
 }
 
 void RecordStoreResponse(watch_position& position, object_kind kind) {
-  position.last_response = std::chrono::steady_clock::now();
   if (!position.unavailable_since)
     return;
   LogInfo("store_regained", {{"kind", NameOf(kind)},
-                             {"away_ms", ToMs(position.last_response -
+                             {"away_ms", ToMs(std::chrono::steady_clock::now() -
                                               *position.unavailable_since)}});
   position.unavailable_since.reset();
 }
@@ -178,6 +175,7 @@
 // Makes one watch call. Returns false if it failed other than by lost history.
 asio::awaitable<bool> WatchOnce(entry_ptr state, object_kind kind) {
   watch_position& position = state->watches[kind];
+  const instant began = SuspendAwareNow();
   const auto changes = co_await state->protocol.watch(
       state->store, kind, position.revision, WatchWait(kind));
   if (!changes) {
@@ -187,12 +185,16 @@
     position.is_listed = false;
     co_return changes.error().failure == store_failure::kHistoryGone;
   }
+  const instant arrived = EarliestArrival(state->stalls, SuspendAwareNow());
+  const instant made_after =
+      EarliestChange(position.confirmed_at.value_or(began), began, arrived);
   for (const object_change& change : changes->changes)
-    ApplyObject(*state, kind, change.object, change.is_removed);
+    ApplyObject(*state, kind, change.object, change.is_removed, made_after);
   if (!changes->changes.empty())
     RefreshTargets(*state, std::chrono::steady_clock::now());
   position.revision = std::max(position.revision, changes->revision);
-  PublishChanges(*state, kind, *changes);
+  position.confirmed_at = arrived;
+  PublishChanges(*state, kind, *changes, made_after);
   co_return true;
 }
 
@@ -234,7 +236,8 @@
 void ApplyObject(entry_state& state,
                  object_kind kind,
                  const stored_object& object,
-                 bool is_removed) {
+                 bool is_removed,
+                 std::optional<instant> made_after) {
   auto& known = state.objects[kind];
   // Revisions only increase, whatever source they come from.
   const auto older = known.find(object.name);
@@ -251,7 +254,7 @@
   else if (kind == object_kind::kTargets)
     ApplyTargetObject(state, object);
   else if (kind == object_kind::kWeights && !is_removed)
-    ApplyWeightsObject(state, object);
+    ApplyWeightsObject(state, object, made_after);
 }
 
 bool CanServe(const entry_state& state) {
--- a/waxwing/rollout.cc
+++ b/waxwing/rollout.cc
@@ -26,11 +26,11 @@
 
 bool RecordAnnouncement(weights_history& history,
                         std::int64_t version,
-                        bool is_inherited,
+                        std::optional<instant> announced_after,
                         instant now) {
   if (version <= DesiredVersion(history))
     return false;
-  history.announcements.push_back({version, now, is_inherited});
+  history.announcements.push_back({version, now, announced_after});
   if (history.announcements.size() > kMaxAnnouncements)
     history.announcements.erase(history.announcements.begin());
   return true;
@@ -41,8 +41,8 @@
                                        : history.announcements.back().version;
 }
 
-std::optional<instant> OutdatedSince(const weights_history& history,
-                                     std::int64_t version) {
+std::optional<instant> LearnedOutdatedAt(const weights_history& history,
+                                         std::int64_t version) {
   const auto* announcement = FirstNewer(history, version);
   if (!announcement)
     return std::nullopt;
@@ -52,7 +52,7 @@
 bool IsLeadTimeOver(const weights_history& history,
                     std::int64_t version,
                     instant now) {
-  const auto since = OutdatedSince(history, version);
+  const auto since = LearnedOutdatedAt(history, version);
   return since && now >= *since + kSteeringLeadTime;
 }
 
@@ -62,9 +62,9 @@
   const auto* announcement = FirstNewer(history, version);
   if (!announcement)
     return std::nullopt;
-  return announcement->learned_at + (announcement->is_inherited
-                                         ? bounds.after_start
-                                         : bounds.after_announcement);
+  if (!announcement->announced_after)
+    return bounds.started + bounds.after_start;
+  return *announcement->announced_after + bounds.after_announcement;
 }
 
 bool IsTooStale(const weights_history& history,
--- a/waxwing/rollout.h
+++ b/waxwing/rollout.h
@@ -24,25 +24,27 @@
     std::int64_t version = 0;
     // When this VM learned of the version.
     instant learned_at;
-    // Announced before this process started, at an unknown time.
-    bool is_inherited = false;
+    // The version was announced after this time. Empty if it may have been
+    // announced before this process started.
+    std::optional<instant> announced_after;
   };
   std::vector<announcement> announcements;
 };
 
 // Records a newly announced version. Returns false if it is not newer than all
-// recorded ones.
+// recorded ones. All times are of a clock that keeps running while the VM is
+// suspended.
 bool RecordAnnouncement(weights_history& history,
                         std::int64_t version,
-                        bool is_inherited,
+                        std::optional<instant> announced_after,
                         instant now);
 
 // The newest announced version, or 0 if there is none.
 std::int64_t DesiredVersion(const weights_history& history);
 
 // When this VM learned of the first version newer than `version`.
-std::optional<instant> OutdatedSince(const weights_history& history,
-                                     std::int64_t version);
+std::optional<instant> LearnedOutdatedAt(const weights_history& history,
+                                         std::int64_t version);
 
 // Time for the other VMs to receive a new version and to route requests away
 // from the targets that load first.
@@ -58,9 +60,10 @@
 // How long requests may still start on outdated weights.
 struct staleness_bounds {
   milliseconds after_announcement{8'000};
-  // For versions announced before this process started: the time since it
-  // learned of them.
+  // For versions that may have been announced before this process started: when
+  // that was, and the time since then.
   milliseconds after_start{3'000};
+  instant started;
 };
 
 // The time from which requests may no longer start on `version`, or empty if no
