Forget weights assumed during an outage of the store

While the store is away, a target past the limit is assumed to have loaded the new weights.

The version that the store or the target states is kept beside the assumed one. The assumption ends when the store is back, or when the target states an older version; the next one is made a second later. Two tests failed before: no order after the outage, and four requests to a target that had refuted the version.

--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -571,6 +571,60 @@
   EXPECT_TRUE(f.new_engine->requests.empty());
 }
 
+// While the store is away, a target whose weights are too old is assumed to
+// have loaded the new ones. If it has not, it must be ordered to.
+TEST(Entry, WeightsAssumedDuringAnOutageAreForgottenAfterIt) {
+  entry_fixture f;
+  int orders = 0;
+  f.AddTarget("e1", "llm", [&](const http_request& request) {
+    if (request.target == "/api/report" && !f.store->is_down)
+      return scripted_response{{PlainResponse(
+          200, "",
+          R"({"models":[{"name":"m","version":1}],"busy":false,"sequence":3})")}};
+    if (request.target != "/api/order")
+      return StreamTwoEvents(request);
+    ++orders;
+    return scripted_response{{PlainResponse(202, "", "")}};
+  });
+  f.Start(1);
+  f.running.state->options.bounds.outdated_weights_limit = milliseconds(2'000);
+  const auto version = [&] {
+    return f.running.state->targets.at("e1").record.weights_version;
+  };
+  PutObject(*f.store, "versions", "m", R"({"model":"m","version":2})");
+  ASSERT_TRUE(f.RunUntil(
+      [&] { return f.running.state->desired_weights.contains("m"); }));
+  f.store->is_down = true;
+  ASSERT_TRUE(f.RunUntil([&] { return version() == 2; }));
+  f.store->is_down = false;
+  const int orders_before = orders;
+  EXPECT_TRUE(f.RunUntil([&] { return version() == 1; }));
+  EXPECT_TRUE(f.RunUntil([&] { return orders > orders_before; }));
+}
+
+TEST(Entry, TargetThatRefutesAnAssumedVersionIsNotUsed) {
+  entry_fixture f;
+  const auto target = f.AddTarget(
+      "e1", "llm", [](const http_request& request) -> scripted_response {
+        if (request.target.starts_with("/api/"))
+          return {{PlainResponse(404, "", "{}")}};
+        return {{PlainResponse(421, "", "",
+                               "Instance-Id: e1\r\nWeight-Versions: 1\r\n")}};
+      });
+  f.Start(1);
+  entry_state& state = *f.running.state;
+  f.store->is_down = true;
+  ASSERT_TRUE(f.RunUntil([&] {
+    return state.watches[object_kind::kTargets].unavailable_since.has_value();
+  }));
+  const instant announced = SuspendAwareNow() - seconds(7);
+  RecordAnnouncement(state.desired_weights["m"], 2, announced, announced);
+  ASSERT_TRUE(f.RunUntil(
+      [&] { return state.targets.at("e1").record.weights_version == 2; }));
+  EXPECT_EQ(f.Send(kResumablePath)->status, 503u);
+  EXPECT_EQ(target->requests.size(), 1u);
+}
+
 // Returns when requests must no longer start on version 1 of model m.
 std::optional<instant> LimitOfFirstVersion(const entry_fixture& f) {
   const auto& known = f.running.state->desired_weights;
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -35,8 +35,14 @@
 
 // A target as listed in the store, and its index in the placement list.
 struct listed_target {
+  // Its weights version may be an assumption, see `reported_weights`.
   target_record record;
   std::uint32_t index = 0;
+  // The newest weights version that the store or the target itself has stated.
+  // An assumed version is newer.
+  std::int64_t reported_weights = 0;
+  // After the target has refuted an assumption, the next one is made no sooner.
+  instant next_assumption_at;
   // Set if the target is missing from the store after an outage: it is dropped
   // at this time unless it is listed again.
   std::optional<instant> drop_at;
@@ -220,7 +226,7 @@
 // caller updates the costs with RefreshTargets(), once for all changed records.
 void AddOrUpdateTarget(entry_state& state, const target_record& record);
 
-// Records that a target has newer weights than its record says.
+// Records the weights version that a target states itself.
 void RecordTargetWeights(entry_state& state,
                          std::string_view target,
                          std::int64_t version);
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -31,6 +31,9 @@
 constexpr milliseconds kWithdrawalMargin{500};
 // Time for the refusal of a target that observes the limit itself.
 constexpr milliseconds kRefusalTime{250};
+// Time until a target may have loaded the weights that it has just been found
+// to lack.
+constexpr milliseconds kAssumptionPause{1'000};
 // A process that has just started must observe the limit on outdated weights
 // once it has been in contact with the platform for `contact_time`. This margin
 // is subtracted from that time.
@@ -94,10 +97,12 @@
               {{"target", record.id}, {"version", record.weights_version}});
     if (record.weights_version > target.record.weights_version)
       ClearFailures(view);
-    const std::int64_t known_version = target.record.weights_version;
-    target.record = record;
     // The record may lag behind the version that the target itself has
     // reported.
+    const std::int64_t known_version = target.record.weights_version;
+    target.reported_weights =
+        std::max(target.reported_weights, record.weights_version);
+    target.record = record;
     target.record.weights_version =
         std::max(known_version, record.weights_version);
     return;
@@ -109,7 +114,7 @@
   const std::uint32_t epoch = view.epoch;
   view = MakeView(state, record);
   view.epoch = epoch + 1;
-  state.targets[record.id] = {record, index, {}};
+  state.targets[record.id] = {record, index, record.weights_version, {}, {}};
   LogInfo("target_listed", {{"target", record.id},
                             {"service", record.service},
                             {"address", ToText(record.address)},
@@ -119,30 +124,60 @@
 
 namespace {
 
-// Updates the weights version of a target if it is newer than the known one.
-// Returns true if it was.
-bool UpdateWeights(entry_state& state,
-                   std::string_view target,
+void SetWeights(entry_state& state,
+                listed_target& target,
+                std::int64_t version) {
+  target_view& view = state.placement.targets[target.index];
+  target.record.weights_version = version;
+  ApplyIdentity(view, view.boot_id, std::to_string(version));
+}
+
+bool IsAssumed(const listed_target& target) {
+  return target.record.weights_version > target.reported_weights;
+}
+
+// Assumes that a target has loaded `version`, which it has not reported.
+void AssumeWeights(entry_state& state,
+                   std::string_view id,
                    std::int64_t version) {
-  const auto found = state.targets.find(target);
-  if (found == state.targets.end() ||
-      version <= found->second.record.weights_version)
-    return false;
-  target_record updated = found->second.record;
-  updated.weights_version = version;
-  LogInfo("target_weights_reported",
-          {{"target", target}, {"version", version}});
-  AddOrUpdateTarget(state, updated);
-  return true;
+  LogInfo("target_weights_assumed", {{"target", id}, {"version", version}});
+  SetWeights(state, state.targets.find(id)->second, version);
+}
+
+void DropAssumedWeights(entry_state& state,
+                        std::string_view id,
+                        listed_target& target) {
+  LogInfo("target_weights_assumption_dropped",
+          {{"target", id},
+           {"assumed", target.record.weights_version},
+           {"version", target.reported_weights}});
+  SetWeights(state, target, target.reported_weights);
 }
 
 }  // namespace
 
 void RecordTargetWeights(entry_state& state,
-                         std::string_view target,
+                         std::string_view id,
                          std::int64_t version) {
-  if (UpdateWeights(state, target, version))
-    RefreshTargets(state, std::chrono::steady_clock::now());
+  const auto found = state.targets.find(id);
+  if (found == state.targets.end())
+    return;
+  listed_target& target = found->second;
+  const bool is_refuted =
+      IsAssumed(target) && version < target.record.weights_version;
+  if (version <= target.reported_weights && !is_refuted)
+    return;
+  LogInfo("target_weights_reported", {{"target", id}, {"version", version}});
+  target.reported_weights = std::max(target.reported_weights, version);
+  const instant now = std::chrono::steady_clock::now();
+  if (is_refuted) {
+    DropAssumedWeights(state, id, target);
+    target.next_assumption_at = now + kAssumptionPause;
+  }
+  target_record updated = target.record;
+  updated.weights_version = std::max(updated.weights_version, version);
+  AddOrUpdateTarget(state, updated);
+  RefreshTargets(state, now);
 }
 
 void DropTarget(entry_state& state, const std::string& id) {
@@ -200,12 +235,16 @@
 
 void RefreshTargets(entry_state& state, instant now) {
   std::vector<std::string> expired_ids;
+  const bool is_store_unavailable =
+      state.watches[object_kind::kTargets].unavailable_since.has_value();
   // By model, in the order of the map of targets.
   std::map<std::string, std::vector<rollout_target>> models;
   std::map<std::string, std::vector<target_view*>> views;
   for (auto& [id, target] : state.targets) {
     if (target.drop_at && now >= *target.drop_at)
       expired_ids.push_back(id);
+    if (IsAssumed(target) && !is_store_unavailable)
+      DropAssumedWeights(state, id, target);
     target_view& view = state.placement.targets[target.index];
     view.added_cost =
         view.zone == state.options.zone ? duration{} : kOtherZoneCost;
@@ -221,8 +260,6 @@
     views[target.record.model].push_back(&view);
   }
   const instant weights_now = SuspendAwareNow();
-  const bool is_store_unavailable =
-      state.watches[object_kind::kTargets].unavailable_since.has_value();
   std::vector<std::pair<std::string, std::int64_t>> assumed_weights;
   for (const auto& [model, list] : models) {
     const auto desired = state.desired_weights.find(model);
@@ -238,7 +275,8 @@
       views[model][i]->has_outdated_weights = is_past_limit;
       // Without the store, completed loads are not reported. The target itself
       // refuses a request if the assumption is wrong.
-      if (is_past_limit && is_store_unavailable)
+      if (is_past_limit && is_store_unavailable &&
+          now >= state.targets.at(views[model][i]->name).next_assumption_at)
         assumed_weights.emplace_back(views[model][i]->name, desired_version);
       if (list[i].version < desired_version)
         views[model][i]->added_cost += kOutdatedWeightsCost;
@@ -249,13 +287,12 @@
       views[model][i]->is_load_pending = true;
     }
   }
-  bool has_changed = false;
   for (const auto& [id, version] : assumed_weights)
-    has_changed |= UpdateWeights(state, id, version);
+    AssumeWeights(state, id, version);
   for (const std::string& id : expired_ids)
     DropTarget(state, id);
   // The assumed versions change the costs.
-  if (has_changed)
+  if (!assumed_weights.empty())
     RefreshTargets(state, now);
 }
 
