Send no prompt to an engine that states no weights version

A record that names no model or no version left the version out of the requests to that engine, and the engine was never counted as outdated, so it ran them on whatever it had. Records may come from another writer and lack fields.

Such an engine of a service that serves a model gets no requests until its record states a version. Entry.EngineThatStatesNoWeightsVersionGetsNoRequests failed before: status 200 from an engine of unknown version.

--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -625,6 +625,25 @@
   EXPECT_EQ(target->requests.size(), 1u);
 }
 
+TEST(Entry, EngineThatStatesNoWeightsVersionGetsNoRequests) {
+  entry_fixture f;
+  const auto target = StartTarget(f.context, StreamTwoEvents);
+  f.targets.push_back(target);
+  PutObject(*f.store, "servers", "e1",
+            EntryTargetRecord(target->Address(), "llm", 0));
+  f.Start(1);
+  f.RunUntil(
+      [&] { return f.running.state->placement.targets[0].name == "e1"; });
+  EXPECT_EQ(f.Send(kResumablePath)->status, 503u);
+  EXPECT_TRUE(target->requests.empty());
+  PutObject(*f.store, "servers", "e1",
+            EntryTargetRecord(target->Address(), "llm", 1));
+  ASSERT_TRUE(f.RunUntil([&] {
+    return f.running.state->targets.at("e1").record.weights_version == 1;
+  }));
+  EXPECT_EQ(f.Send(kResumablePath)->status, 200u);
+}
+
 // Returns when requests must no longer start on version 1 of model m.
 std::optional<instant> LimitOfFirstVersion(const entry_fixture& f) {
   const auto& known = f.running.state->desired_weights;
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -233,6 +233,17 @@
   }
 }
 
+namespace {
+
+// True if the target is a model engine whose record states no weights version.
+bool LacksWeights(const entry_state& state, const target_record& record) {
+  const auto service = state.table->services.find(record.service);
+  return service != state.table->services.end() &&
+         !service->second.model.empty() && record.weights_version == 0;
+}
+
+}  // namespace
+
 void RefreshTargets(entry_state& state, instant now) {
   std::vector<std::string> expired_ids;
   const bool is_store_unavailable =
@@ -249,7 +260,9 @@
     view.added_cost =
         view.zone == state.options.zone ? duration{} : kOtherZoneCost;
     view.is_load_pending = false;
-    view.has_outdated_weights = false;
+    // No version can be expected of an engine that states none, so it might run
+    // a request on any weights.
+    view.has_outdated_weights = LacksWeights(state, target.record);
     view.added_cost += ErrorPenalty(view);
     if (IsUnresponsive(view, now))
       view.added_cost += kUnresponsiveCost;
