Follow the store into a new era when it returns from an older copy

The entry's revisions only rose, so after such a return its watches stood at revisions of another history and it learned of nothing until these were passed.

The adapter reads the era of every response; results and errors carry it. A higher one, from the store or from a peer, makes everything listed again with revisions from zero, while configuration, weights, keys and departures that are known stay in force and are what peers are given. Targets missing from the copy have the time in which records are written again; those that had left do not come back with it. Messages of an older era are ignored. A lease of the lost history gives no right to orders: its holder takes it again at once, all others wait as for a holder that has fallen silent. Fencing tokens count from the era, so that they rise over all eras whatever the copy holds.

--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -2612,6 +2612,7 @@
   bool is_whole = false;
   std::vector<std::unique_ptr<waxwing::wire::shared_objectT>> objects{};
   int32_t max_age_ms = -1;
+  uint64_t era = 0;
   shared_objectsT() = default;
   shared_objectsT(const shared_objectsT &o);
   shared_objectsT(shared_objectsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2627,7 +2628,8 @@
     VT_REVISION = 6,
     VT_IS_WHOLE = 8,
     VT_OBJECTS = 10,
-    VT_MAX_AGE_MS = 12
+    VT_MAX_AGE_MS = 12,
+    VT_ERA = 14
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -2644,6 +2646,9 @@
   int32_t max_age_ms() const {
     return GetField<int32_t>(VT_MAX_AGE_MS, -1);
   }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -2653,6 +2658,7 @@
            verifier.VerifyVector(objects()) &&
            verifier.VerifyVectorOfTables(objects()) &&
            VerifyField<int32_t>(verifier, VT_MAX_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
   shared_objectsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2679,6 +2685,9 @@
   void add_max_age_ms(int32_t max_age_ms) {
     fbb_.AddElement<int32_t>(shared_objects::VT_MAX_AGE_MS, max_age_ms, -1);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(shared_objects::VT_ERA, era, 0);
+  }
   explicit shared_objectsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2696,8 +2705,10 @@
     uint64_t revision = 0,
     bool is_whole = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_object>>> objects = 0,
-    int32_t max_age_ms = -1) {
+    int32_t max_age_ms = -1,
+    uint64_t era = 0) {
   shared_objectsBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_revision(revision);
   builder_.add_max_age_ms(max_age_ms);
   builder_.add_objects(objects);
@@ -2717,7 +2728,8 @@
     uint64_t revision = 0,
     bool is_whole = false,
     const std::vector<flatbuffers::Offset<waxwing::wire::shared_object>> *objects = nullptr,
-    int32_t max_age_ms = -1) {
+    int32_t max_age_ms = -1,
+    uint64_t era = 0) {
   auto objects__ = objects ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_object>>(*objects) : 0;
   return waxwing::wire::Createshared_objects(
       _fbb,
@@ -2725,7 +2737,8 @@
       revision,
       is_whole,
       objects__,
-      max_age_ms);
+      max_age_ms,
+      era);
 }
 
 flatbuffers::Offset<shared_objects> Createshared_objects(flatbuffers::FlatBufferBuilder &_fbb, const shared_objectsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2803,6 +2816,7 @@
   typedef shared_ages TableType;
   std::vector<std::unique_ptr<waxwing::wire::shared_ageT>> ages{};
   float zone_requests_per_s = -1.0f;
+  uint64_t era = 0;
   shared_agesT() = default;
   shared_agesT(const shared_agesT &o);
   shared_agesT(shared_agesT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2815,7 +2829,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_AGES = 4,
-    VT_ZONE_REQUESTS_PER_S = 6
+    VT_ZONE_REQUESTS_PER_S = 6,
+    VT_ERA = 8
   };
   const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>> *ages() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>> *>(VT_AGES);
@@ -2823,12 +2838,16 @@
   float zone_requests_per_s() const {
     return GetField<float>(VT_ZONE_REQUESTS_PER_S, -1.0f);
   }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_AGES) &&
            verifier.VerifyVector(ages()) &&
            verifier.VerifyVectorOfTables(ages()) &&
            VerifyField<float>(verifier, VT_ZONE_REQUESTS_PER_S, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
   shared_agesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2846,6 +2865,9 @@
   void add_zone_requests_per_s(float zone_requests_per_s) {
     fbb_.AddElement<float>(shared_ages::VT_ZONE_REQUESTS_PER_S, zone_requests_per_s, -1.0f);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(shared_ages::VT_ERA, era, 0);
+  }
   explicit shared_agesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2860,8 +2882,10 @@
 inline flatbuffers::Offset<shared_ages> Createshared_ages(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>>> ages = 0,
-    float zone_requests_per_s = -1.0f) {
+    float zone_requests_per_s = -1.0f,
+    uint64_t era = 0) {
   shared_agesBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_zone_requests_per_s(zone_requests_per_s);
   builder_.add_ages(ages);
   return builder_.Finish();
@@ -2875,12 +2899,14 @@
 inline flatbuffers::Offset<shared_ages> Createshared_agesDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<waxwing::wire::shared_age>> *ages = nullptr,
-    float zone_requests_per_s = -1.0f) {
+    float zone_requests_per_s = -1.0f,
+    uint64_t era = 0) {
   auto ages__ = ages ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_age>>(*ages) : 0;
   return waxwing::wire::Createshared_ages(
       _fbb,
       ages__,
-      zone_requests_per_s);
+      zone_requests_per_s,
+      era);
 }
 
 flatbuffers::Offset<shared_ages> Createshared_ages(flatbuffers::FlatBufferBuilder &_fbb, const shared_agesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3965,7 +3991,8 @@
       : kind(o.kind),
         revision(o.revision),
         is_whole(o.is_whole),
-        max_age_ms(o.max_age_ms) {
+        max_age_ms(o.max_age_ms),
+        era(o.era) {
   objects.reserve(o.objects.size());
   for (const auto &objects_ : o.objects) { objects.emplace_back((objects_) ? new waxwing::wire::shared_objectT(*objects_) : nullptr); }
 }
@@ -3976,6 +4003,7 @@
   std::swap(is_whole, o.is_whole);
   std::swap(objects, o.objects);
   std::swap(max_age_ms, o.max_age_ms);
+  std::swap(era, o.era);
   return *this;
 }
 
@@ -3993,6 +4021,7 @@
   { auto _e = is_whole(); _o->is_whole = _e; }
   { auto _e = objects(); if (_e) { _o->objects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->objects[_i] = std::unique_ptr<waxwing::wire::shared_objectT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = max_age_ms(); _o->max_age_ms = _e; }
+  { auto _e = era(); _o->era = _e; }
 }
 
 inline flatbuffers::Offset<shared_objects> shared_objects::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_objectsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4008,13 +4037,15 @@
   auto _is_whole = _o->is_whole;
   auto _objects = _o->objects.size() ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_object>> (_o->objects.size(), [](size_t i, _VectorArgs *__va) { return Createshared_object(*__va->__fbb, __va->__o->objects[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _max_age_ms = _o->max_age_ms;
+  auto _era = _o->era;
   return waxwing::wire::Createshared_objects(
       _fbb,
       _kind,
       _revision,
       _is_whole,
       _objects,
-      _max_age_ms);
+      _max_age_ms,
+      _era);
 }
 
 inline shared_ageT *shared_age::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4047,7 +4078,8 @@
 }
 
 inline shared_agesT::shared_agesT(const shared_agesT &o)
-      : zone_requests_per_s(o.zone_requests_per_s) {
+      : zone_requests_per_s(o.zone_requests_per_s),
+        era(o.era) {
   ages.reserve(o.ages.size());
   for (const auto &ages_ : o.ages) { ages.emplace_back((ages_) ? new waxwing::wire::shared_ageT(*ages_) : nullptr); }
 }
@@ -4055,6 +4087,7 @@
 inline shared_agesT &shared_agesT::operator=(shared_agesT o) FLATBUFFERS_NOEXCEPT {
   std::swap(ages, o.ages);
   std::swap(zone_requests_per_s, o.zone_requests_per_s);
+  std::swap(era, o.era);
   return *this;
 }
 
@@ -4069,6 +4102,7 @@
   (void)_resolver;
   { auto _e = ages(); if (_e) { _o->ages.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ages[_i] = std::unique_ptr<waxwing::wire::shared_ageT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = zone_requests_per_s(); _o->zone_requests_per_s = _e; }
+  { auto _e = era(); _o->era = _e; }
 }
 
 inline flatbuffers::Offset<shared_ages> shared_ages::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_agesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4081,10 +4115,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const shared_agesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _ages = _o->ages.size() ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_age>> (_o->ages.size(), [](size_t i, _VectorArgs *__va) { return Createshared_age(*__va->__fbb, __va->__o->ages[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _zone_requests_per_s = _o->zone_requests_per_s;
+  auto _era = _o->era;
   return waxwing::wire::Createshared_ages(
       _fbb,
       _ages,
-      _zone_requests_per_s);
+      _zone_requests_per_s,
+      _era);
 }
 
 inline cache_changesT *cache_changes::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -63,6 +63,14 @@
   return out;
 }
 
+asio::awaitable<void> Reply(object_store_standin& store,
+                            http_exchange& exchange,
+                            waxwing::http_response response) {
+  if (store.era > 0)
+    response.headers.push_back({"Store-Era", std::to_string(store.era)});
+  co_await waxwing::Respond(exchange, std::move(response));
+}
+
 asio::awaitable<void> Watch(object_store_standin& store,
                             http_exchange& exchange,
                             const std::string& kind) {
@@ -70,21 +78,22 @@
   const std::uint64_t revision = std::stoull(watch_text);
   asio::steady_timer timer(*store.context);
   for (int i = 0; i < kMaxPolls; ++i) {
-    if (store.is_down || revision < store.oldest_revision)
+    if (store.is_down || revision < store.oldest_revision ||
+        revision > store.revision)
       break;
     json::array events = EventsSince(store, kind, revision);
     if (!events.empty() || i + 1 == kMaxPolls) {
       auto response = JsonResponse(
           200, json::serialize(json::object{{"events", std::move(events)},
                                             {"current_rev", store.revision}}));
-      co_await waxwing::Respond(exchange, response);
+      co_await Reply(store, exchange, response);
       co_return;
     }
     timer.expires_after(kPollInterval);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   auto response = JsonResponse(store.is_down ? 503 : 410, "{}");
-  co_await waxwing::Respond(exchange, response);
+  co_await Reply(store, exchange, response);
 }
 
 waxwing::http_response Write(object_store_standin& store,
@@ -135,7 +144,7 @@
   } else if (!store.is_down) {
     response = Write(store, exchange.request, kind);
   }
-  co_await waxwing::Respond(exchange, response);
+  co_await Reply(store, exchange, response);
 }
 
 asio::awaitable<void> ServeConnection(std::shared_ptr<scripted_target> target,
@@ -199,6 +208,17 @@
   return store;
 }
 
+store_copy CopyStore(const object_store_standin& store) {
+  return {store.revision, store.objects_by_kind, store.changes};
+}
+
+void RestoreStore(object_store_standin& store, const store_copy& copy) {
+  store.revision = copy.revision;
+  store.objects_by_kind = copy.objects_by_kind;
+  store.changes = copy.changes;
+  ++store.era;
+}
+
 void PutObject(object_store_standin& store,
                const std::string& kind,
                const std::string& name,
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -38,6 +38,8 @@
   std::vector<change> changes;
   // All calls fail with status 503.
   bool is_down = false;
+  // Stated in each response unless it is 0.
+  std::uint64_t era = 0;
   // Calls received so far.
   std::uint64_t calls = 0;
   // Watches that start before this revision fail with status 410.
@@ -55,6 +57,19 @@
                   const std::string& kind,
                   const std::string& name);
 
+// What a store held at some time.
+struct store_copy {
+  std::uint64_t revision = 0;
+  std::map<std::string, std::map<std::string, object_store_standin::object>>
+      objects_by_kind;
+  std::vector<object_store_standin::change> changes;
+};
+
+store_copy CopyStore(const object_store_standin& store);
+
+// Replaces the content of the store by the copy, in the next era.
+void RestoreStore(object_store_standin& store, const store_copy& copy);
+
 // A target's response to one request: bytes that are written piece by piece,
 // after which the connection is kept open or closed.
 struct scripted_response {
--- a/waxwing/adapter.h
+++ b/waxwing/adapter.h
@@ -210,9 +210,11 @@
   kMalformed,    // the response could not be parsed
 };
 
+// Each response states the era of the store (store_era.h); 0 if it does not.
 struct store_error {
   store_failure failure = store_failure::kUnavailable;
   std::string detail;
+  std::uint64_t era = 0;
 };
 
 struct stored_object {
@@ -222,11 +224,24 @@
   std::string spec;
 };
 
+// An object in the store's response to a call for it alone.
+struct read_object {
+  stored_object object;
+  std::uint64_t era = 0;
+};
+
+// The result of a write.
+struct written_object {
+  std::uint64_t revision = 0;
+  std::uint64_t era = 0;
+};
+
 // Objects of one kind: one page of a list, or a snapshot joined from all pages.
 struct object_list {
   std::vector<stored_object> objects;
   bool has_more = false;
   std::uint64_t revision = 0;
+  std::uint64_t era = 0;
 };
 
 struct object_change {
@@ -238,6 +253,7 @@
 struct object_changes {
   std::vector<object_change> changes;
   std::uint64_t revision = 0;
+  std::uint64_t era = 0;
 };
 
 // The kinds of objects that the entry reads and writes.
@@ -315,16 +331,16 @@
                                       object_kind,
                                       std::uint64_t revision,
                                       milliseconds wait) = nullptr;
-  store_task<stored_object> (*get)(object_store&,
-                                   object_kind,
-                                   std::string name) = nullptr;
+  store_task<read_object> (*get)(object_store&,
+                                 object_kind,
+                                 std::string name) = nullptr;
   // Creates the object if its revision is 0, else replaces the stored object of
   // that revision. Fails with kConflict if the object exists already or has
-  // another revision. Returns the new revision.
-  store_task<std::uint64_t> (*put)(object_store&,
-                                   object_kind,
-                                   stored_object,
-                                   milliseconds timeout) = nullptr;
+  // another revision.
+  store_task<written_object> (*put)(object_store&,
+                                    object_kind,
+                                    stored_object,
+                                    milliseconds timeout) = nullptr;
   tl::expected<route_table, std::string> (*read_config)(std::string_view) =
       nullptr;
   tl::expected<target_record, std::string> (
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -23,9 +23,11 @@
 constexpr object_kind kReplicatedKinds[] = {
     object_kind::kConfig, object_kind::kTargets, object_kind::kWeights};
 
-wire::shared_objectsT MakeObjectsMessage(object_kind kind,
+wire::shared_objectsT MakeObjectsMessage(const entry_state& state,
+                                         object_kind kind,
                                          std::uint64_t revision) {
   wire::shared_objectsT out;
+  out.era = state.store_era;
   out.kind = static_cast<std::uint8_t>(kind);
   out.revision = revision;
   return out;
@@ -48,7 +50,7 @@
   const auto& known = state.objects[kind];
   if (revision == 0 && known.empty())
     return;
-  wire::shared_objectsT out = MakeObjectsMessage(kind, revision);
+  wire::shared_objectsT out = MakeObjectsMessage(state, kind, revision);
   out.is_whole = true;
   for (const auto& [name, object] : known)
     AddObject(out, object, false);
@@ -59,9 +61,11 @@
 // request rate of the zone.
 void SendAges(const entry_state& state, const peer_link& link) {
   wire::shared_agesT out;
+  out.era = state.store_era;
   for (const object_kind kind : kReplicatedKinds) {
     const auto found = state.watches.find(kind);
-    if (found == state.watches.end() || !found->second.confirmed_at)
+    if (found == state.watches.end() || !found->second.is_listed ||
+        !found->second.confirmed_at)
       continue;
     auto age = std::make_unique<wire::shared_ageT>();
     age->kind = static_cast<std::uint8_t>(kind);
@@ -116,7 +120,7 @@
                    std::string_view peer,
                    const wire::shared_objectsT& message) {
   const auto kind = KindOf(message.kind);
-  if (!kind)
+  if (!kind || !ObserveEra(state, message.era))
     return;
   watch_position& position = state.watches[*kind];
   const bool is_known = position.revision != 0;
@@ -135,6 +139,7 @@
   if (message.is_whole && message.revision != 0) {
     DropMissing(state, *kind, snapshot);
     position.is_listed = true;
+    position.has_lost_changes = false;
   }
   position.revision = std::max(position.revision, message.revision);
   LogDebug("objects_from_peer", {{"peer", peer},
@@ -150,6 +155,8 @@
   const auto upstream = state.upstreams.find(link.peer.vm);
   if (upstream == state.upstreams.end())
     return;
+  if (!ObserveEra(state, message.era))
+    return;
   const instant now = std::chrono::steady_clock::now();
   upstream->second.last_contact = now;
   upstream->second.zone_requests_per_second.reset();
@@ -234,7 +241,7 @@
                     std::optional<instant> made_after) {
   if (state.subscribers.empty() || changes.changes.empty())
     return;
-  wire::shared_objectsT out = MakeObjectsMessage(kind, changes.revision);
+  wire::shared_objectsT out = MakeObjectsMessage(state, kind, changes.revision);
   if (made_after)
     out.max_age_ms =
         static_cast<std::int32_t>(ToMs(SuspendAwareNow() - *made_after));
--- a/waxwing/entry_rollout.cc
+++ b/waxwing/entry_rollout.cc
@@ -42,12 +42,6 @@
 constexpr std::string_view kLeaseName = "weights";
 constexpr std::string_view kRole = "weights";
 
-lease_timing RolloutLeaseTerms(const entry_state& state) {
-  return {
-      kRolloutLeaseTerm, kRolloutLeaseRenewal, kRolloutLeaseMargin,
-      kRolloutLeaseTerm + state.options.bounds.order_handover + kOrderTimeout};
-}
-
 struct pending_load {
   std::string target;
   endpoint address;
@@ -82,37 +76,45 @@
 asio::awaitable<void> RefreshLease(entry_ptr state) {
   const auto object = co_await state->protocol.get(
       state->store, object_kind::kLease, std::string(kLeaseName));
+  if (!ObserveEra(*state, object))
+    co_return;
   if (!object) {
     if (object.error().failure == store_failure::kAbsent)
       state->lease.version = 0;
     co_return;
   }
-  const auto record = ReadLease(object->spec);
+  const auto record = ReadLease(object->object.spec);
   if (!record) {
     LogError("lease_unreadable", {{"error", ToText(record.error())}});
     co_return;
   }
-  ObserveLease(state->lease, *record, object->revision, SuspendAwareNow(), {});
+  ObserveLease(state->lease, *record, object->object.revision,
+               SuspendAwareNow(), {});
 }
 
 // Takes or renews the lease if that is due.
 asio::awaitable<void> AdvanceLease(entry_ptr state) {
-  state->lease.timing = RolloutLeaseTerms(*state);
+  state->lease.timing = RolloutLeaseTiming(*state);
   const lease_action action = NextLeaseAction(state->lease, SuspendAwareNow());
   if (action == lease_action::kWait)
     co_return;
   const lease_record next = NextLeaseRecord(state->lease, action);
   const instant sent = SuspendAwareNow();
+  const std::uint64_t era = state->store_era;
   const stored_object object{std::string(kLeaseName), state->lease.version,
                              WriteLease(next)};
   const auto put = co_await state->protocol.put(
       state->store, object_kind::kLease, object, kStoreTimeout);
+  // A record of an earlier era is void, whether the store has it or not.
+  if (!ObserveEra(*state, put) || state->store_era != era)
+    co_return;
   if (put) {
-    ObserveLease(state->lease, next, *put, SuspendAwareNow(),
+    ObserveLease(state->lease, next, put->revision, SuspendAwareNow(),
                  lease_put{next, sent});
     if (action == lease_action::kAcquire)
-      LogInfo("lease_taken",
-              {{"fence", next.fencing_token}, {"revision", *put}});
+      LogInfo("lease_taken", {{"fence", next.fencing_token},
+                              {"revision", put->revision},
+                              {"era", era}});
     co_return;
   }
   if (put.error().failure == store_failure::kConflict ||
@@ -206,6 +208,12 @@
 
 }  // namespace
 
+lease_timing RolloutLeaseTiming(const entry_state& state) {
+  return {
+      kRolloutLeaseTerm, kRolloutLeaseRenewal, kRolloutLeaseMargin,
+      kRolloutLeaseTerm + state.options.bounds.order_handover + kOrderTimeout};
+}
+
 asio::awaitable<void> RunRollout(entry_ptr state) {
   std::optional<instant> pending_since;
   std::size_t last_count = 0;
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -28,6 +28,7 @@
 #include "waxwing/replication.h"
 #include "waxwing/retry.h"
 #include "waxwing/rollout.h"
+#include "waxwing/store_era.h"
 #include "waxwing/supervisor.h"
 #include "waxwing/vm_selection.h"
 
@@ -48,6 +49,12 @@
   std::optional<instant> drop_at;
 };
 
+// A target that was removed from the list.
+struct removed_target {
+  std::int64_t incarnation = 0;
+  instant removed_at;
+};
+
 // A coroutine that waits in a dispatch queue. Owned by the coroutine frame.
 struct dispatch_waiter {
   boost::asio::steady_timer wakeup;
@@ -62,6 +69,9 @@
 struct watch_position {
   std::uint64_t revision = 0;
   bool is_listed = false;
+  // The store has lost changes of which this VM knew, and has not been listed
+  // since.
+  bool has_lost_changes = false;
   // This VM has all changes that the store made before this time. On a clock
   // that keeps running while the VM is suspended; empty until the first list.
   std::optional<instant> confirmed_at;
@@ -167,6 +177,8 @@
   http_pool pool;
   agent membership_agent;
   object_store store;
+  // Highest era that the store or a peer has stated.
+  std::uint64_t store_era = 0;
   metrics stats;
   std::mt19937_64 random;
   // On a clock that keeps running while the VM is suspended.
@@ -202,6 +214,7 @@
   std::map<endpoint, cache_store> cache_stores;
   std::uint32_t next_cache_store = kFirstCacheStore;
   std::map<std::string, listed_target, std::less<>> targets;
+  std::map<std::string, removed_target, std::less<>> removed_targets;
   // By model.
   std::map<std::string, weights_history, std::less<>> desired_weights;
   std::set<pending_start*> pending_starts;
@@ -231,6 +244,9 @@
                          std::string_view target,
                          std::int64_t version);
 
+// True if this incarnation of the target was removed recently.
+bool WasRemoved(const entry_state& state, const target_record& record);
+
 // Removes a target from the list; it gets no new requests.
 void DropTarget(entry_state& state, const std::string& id);
 
@@ -291,6 +307,19 @@
 // True if the entry can serve, that is, if it has a configuration.
 bool CanServe(const entry_state& state);
 
+// --- entry_era.cc
+
+// Records the era that a response of the store, or a peer's message, states.
+// Returns false if the message is of an older era and must be ignored.
+bool ObserveEra(entry_state& state, std::uint64_t era);
+
+// The same for the result of a call to the store.
+template <typename T>
+bool ObserveEra(entry_state& state,
+                const tl::expected<T, store_error>& result) {
+  return ObserveEra(state, result ? result->era : result.error().era);
+}
+
 // --- entry_caches.cc
 
 // Keeps this VM subscribed to the cache events of the targets and cache stores
@@ -388,6 +417,8 @@
 
 boost::asio::awaitable<void> RunRollout(entry_ptr state);
 
+lease_timing RolloutLeaseTiming(const entry_state& state);
+
 // Returns the number of VMs that accept callers, at least 1.
 std::size_t CountServingVms(const entry_state& state);
 
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -34,6 +34,10 @@
 // Time until a target may have loaded the weights that it has just been found
 // to lack.
 constexpr milliseconds kAssumptionPause{1'000};
+// How long a removed target is remembered, so that an older copy of its record
+// does not bring it back. Stores return from copies some seconds old, and the
+// records of targets that are gone expire within seconds.
+constexpr seconds kRemovalMemory{30};
 // A process that has just started must observe the limit on outdated weights
 // once it has been in contact with the platform for `contact_time`. This margin
 // is subtracted from that time.
@@ -89,7 +93,10 @@
     ApplyIdentity(view, view.boot_id,
                   std::to_string(std::max(target.record.weights_version,
                                           record.weights_version)));
-    view.is_in_service = !record.is_draining;
+    // A target that is leaving does not return to service, whatever an older
+    // copy of its record says.
+    const bool is_draining = record.is_draining || target.record.is_draining;
+    view.is_in_service = !is_draining;
     if (record.is_draining && !target.record.is_draining)
       LogInfo("target_leaving", {{"target", record.id}});
     if (record.weights_version != target.record.weights_version)
@@ -103,6 +110,7 @@
     target.reported_weights =
         std::max(target.reported_weights, record.weights_version);
     target.record = record;
+    target.record.is_draining = is_draining;
     target.record.weights_version =
         std::max(known_version, record.weights_version);
     return;
@@ -115,6 +123,7 @@
   view = MakeView(state, record);
   view.epoch = epoch + 1;
   state.targets[record.id] = {record, index, record.weights_version, {}, {}};
+  state.removed_targets.erase(record.id);
   LogInfo("target_listed", {{"target", record.id},
                             {"service", record.service},
                             {"address", ToText(record.address)},
@@ -189,6 +198,8 @@
   view.name.clear();
   ++view.epoch;
   LogInfo("target_gone", {{"target", id}});
+  state.removed_targets[id] = {found->second.record.incarnation,
+                               std::chrono::steady_clock::now()};
   state.targets.erase(found);
 }
 
@@ -233,6 +244,12 @@
   }
 }
 
+bool WasRemoved(const entry_state& state, const target_record& record) {
+  const auto found = state.removed_targets.find(record.id);
+  return found != state.removed_targets.end() &&
+         found->second.incarnation == record.incarnation;
+}
+
 namespace {
 
 // True if the target is a model engine whose record states no weights version.
@@ -304,6 +321,9 @@
     AssumeWeights(state, id, version);
   for (const std::string& id : expired_ids)
     DropTarget(state, id);
+  std::erase_if(state.removed_targets, [&](const auto& entry) {
+    return now > entry.second.removed_at + kRemovalMemory;
+  });
   // The assumed versions change the costs.
   if (!assumed_weights.empty())
     RefreshTargets(state, now);
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -47,17 +47,18 @@
   return "unknown";
 }
 
-void ApplyConfigObject(entry_state& state, const stored_object& object) {
+// Applies a configuration object. Returns false if a newer one is in force.
+bool ApplyConfigObject(entry_state& state, const stored_object& object) {
   if (object.name != kConfigName)
-    return;
+    return true;
   auto parsed = state.protocol.read_config(object.spec);
   if (!parsed) {
     LogError("config_unreadable",
              {{"revision", object.revision}, {"error", parsed.error()}});
-    return;
+    return true;
   }
   if (parsed->version <= state.table->version)
-    return;
+    return parsed->version == state.table->version;
   state.table = std::make_shared<const route_table>(std::move(*parsed));
   http_limits limits;
   limits.max_header_bytes = state.table->limits.header_bytes;
@@ -70,6 +71,7 @@
                               {"revision", object.revision},
                               {"services", state.table->services.size()},
                               {"keys", state.table->account_of_key.size()}});
+  return true;
 }
 
 void ApplyTargetObject(entry_state& state, const stored_object& object) {
@@ -82,27 +84,37 @@
     DropTarget(state, object.name);
     return;
   }
+  // The copy from which the store returned may still list a target that has
+  // left. A live one writes its record again, which is a change.
+  if (state.watches[object_kind::kTargets].has_lost_changes &&
+      WasRemoved(state, *parsed)) {
+    LogInfo("target_record_outdated",
+            {{"target", object.name}, {"revision", object.revision}});
+    return;
+  }
   AddOrUpdateTarget(state, *parsed);
 }
 
-void ApplyWeightsObject(entry_state& state,
+// Applies an announcement of weights. Returns false if a newer one is known.
+bool ApplyWeightsObject(entry_state& state,
                         const stored_object& object,
                         std::optional<instant> made_after) {
   const auto parsed = state.protocol.read_desired_weights(object.spec);
   if (!parsed) {
     LogWarning("weights_unreadable",
                {{"name", object.name}, {"error", parsed.error()}});
-    return;
+    return true;
   }
   const instant now = SuspendAwareNow();
-  if (!RecordAnnouncement(state.desired_weights[parsed->model], parsed->version,
-                          made_after, now))
-    return;
+  weights_history& history = state.desired_weights[parsed->model];
+  if (!RecordAnnouncement(history, parsed->version, made_after, now))
+    return parsed->version == DesiredVersion(history);
   LogInfo("weights_named",
           {{"model", parsed->model},
            {"version", parsed->version},
            {"late_ms", made_after ? ToMs(now - *made_after) : -1},
            {"revision", object.revision}});
+  return true;
 }
 
 milliseconds WatchWait(object_kind kind) {
@@ -119,7 +131,13 @@
   std::uint64_t revision = 0;
   bool more = true;
   while (more) {
+    const std::uint64_t era = state->store_era;
     const auto page = co_await state->protocol.list(state->store, kind, after);
+    if (!ObserveEra(*state, page))
+      co_return false;
+    // Pages of two eras make no list.
+    if (state->store_era != era && !after.empty())
+      co_return false;
     if (!page) {
       LogDebug("list_failed",
                {{"kind", NameOf(kind)}, {"error", page.error().detail}});
@@ -141,6 +159,7 @@
   DropMissing(*state, kind, listed);
   position.revision = std::max(position.revision, revision);
   position.is_listed = true;
+  position.has_lost_changes = false;
   position.confirmed_at = began;
   PublishSnapshot(*state, kind);
   co_return true;
@@ -176,8 +195,15 @@
 asio::awaitable<bool> WatchOnce(entry_ptr state, object_kind kind) {
   watch_position& position = state->watches[kind];
   const instant began = SuspendAwareNow();
+  const std::uint64_t era = state->store_era;
   const auto changes = co_await state->protocol.watch(
       state->store, kind, position.revision, WatchWait(kind));
+  if (!ObserveEra(*state, changes))
+    co_return false;
+  // The watched revision was of an earlier era; the list that is due now has
+  // all changes since.
+  if (state->store_era != era)
+    co_return true;
   if (!changes) {
     if (changes.error().failure == store_failure::kHistoryGone)
       LogInfo("history_gone", {{"kind", NameOf(kind)}});
@@ -200,8 +226,8 @@
 
 }  // namespace
 
-// Targets are dropped at once if the store was available all along, otherwise
-// after the time in which expired records may be listed again.
+// Targets are dropped at once if the store was available all along and has lost
+// nothing, otherwise after the time in which records may be listed again.
 void DropMissing(entry_state& state,
                  object_kind kind,
                  const object_list& listed) {
@@ -218,7 +244,9 @@
       known, [&](const auto& entry) { return !names.contains(entry.first); });
   if (kind != object_kind::kTargets)
     return;
-  const bool after_outage = state.watches[kind].unavailable_since.has_value();
+  const watch_position& position = state.watches[kind];
+  const bool after_outage =
+      position.unavailable_since.has_value() || position.has_lost_changes;
   const instant now = std::chrono::steady_clock::now();
   std::vector<std::string> gone;
   for (auto& [id, target] : state.targets) {
@@ -243,18 +271,23 @@
   const auto older = known.find(object.name);
   if (older != known.end() && older->second.revision > object.revision)
     return;
-  if (is_removed)
-    known.erase(object.name);
-  else
-    known[object.name] = object;
+  // A configuration or an announcement that is older than the one in force is
+  // not passed on to peers, since they may have only this copy of it.
+  bool is_newest = true;
   if (kind == object_kind::kConfig && !is_removed)
-    ApplyConfigObject(state, object);
+    is_newest = ApplyConfigObject(state, object);
   else if (kind == object_kind::kTargets && is_removed)
     DropTarget(state, object.name);
   else if (kind == object_kind::kTargets)
     ApplyTargetObject(state, object);
   else if (kind == object_kind::kWeights && !is_removed)
-    ApplyWeightsObject(state, object, made_after);
+    is_newest = ApplyWeightsObject(state, object, made_after);
+  if (is_removed)
+    known.erase(object.name);
+  else if (is_newest || older == known.end())
+    known[object.name] = object;
+  else
+    older->second.revision = object.revision;
 }
 
 bool CanServe(const entry_state& state) {
--- a/waxwing/lease.cc
+++ b/waxwing/lease.cc
@@ -1,5 +1,6 @@
 #include "waxwing/lease.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace waxwing {
@@ -11,6 +12,12 @@
 // Largest integer that a JSON number carries exactly.
 constexpr std::int64_t kLargestNumber = std::int64_t{1} << 53;
 
+// Fencing tokens of one era, so that tokens of all eras that a JSON number can
+// carry stay in order.
+constexpr std::uint64_t kFencingTokensPerEra = std::uint64_t{1} << 20;
+constexpr std::uint64_t kLargestEra =
+    static_cast<std::uint64_t>(kLargestNumber) / kFencingTokensPerEra - 1;
+
 bool IsHeldBySelf(const lease_view& view) {
   return view.version != 0 && view.record.holder == view.self &&
          view.record.incarnation == view.incarnation;
@@ -65,14 +72,29 @@
     view.renewal_sent_at = put->sent_at;
 }
 
+void StartLeaseEra(lease_view& view, std::uint64_t era, instant now) {
+  view.reacquire_until =
+      HoldsLease(view, now)
+          ? *view.renewal_sent_at + view.timing.term - view.timing.margin
+          : instant{};
+  view.create_at = now + view.timing.takeover_timeout;
+  view.era = era;
+  view.record = {};
+  view.version = 0;
+  view.version_seen_at = now;
+  view.renewal_sent_at.reset();
+}
+
 lease_action NextLeaseAction(const lease_view& view, instant now) {
   if (IsHeldBySelf(view) && view.renewal_sent_at) {
     return now >= *view.renewal_sent_at + view.timing.renewal_interval
                ? lease_action::kRenew
                : lease_action::kWait;
   }
-  if (view.version == 0)
+  if (now < view.reacquire_until)
     return lease_action::kAcquire;
+  if (view.version == 0)
+    return now >= view.create_at ? lease_action::kAcquire : lease_action::kWait;
   return now >= view.version_seen_at + view.timing.takeover_timeout
              ? lease_action::kAcquire
              : lease_action::kWait;
@@ -82,7 +104,10 @@
   lease_record out{view.self, view.incarnation, view.record.fencing_token,
                    view.record.renewals + 1};
   if (action == lease_action::kAcquire)
-    ++out.fencing_token;
+    out.fencing_token =
+        std::max(out.fencing_token,
+                 std::min(view.era, kLargestEra) * kFencingTokensPerEra) +
+        1;
   return out;
 }
 
--- a/waxwing/lease.h
+++ b/waxwing/lease.h
@@ -70,8 +70,21 @@
   instant version_seen_at;
   // When the last successful acquisition or renewal was sent.
   std::optional<instant> renewal_sent_at;
+  // The store's era, 0 if it states none. The fencing tokens of an era are
+  // larger than those of all earlier ones.
+  std::uint64_t era = 0;
+  // An object that does not exist in this era is created after this time: the
+  // holder of an earlier era may not have learned of the loss.
+  instant create_at;
+  // The holder at the end of the last era may acquire the lease again until
+  // then, as nobody else can have held it.
+  instant reacquire_until;
 };
 
+// Forgets the lease of an earlier era of the store. `timing` must be up to
+// date.
+void StartLeaseEra(lease_view& view, std::uint64_t era, instant now);
+
 // What this VM should do next about the lease.
 enum class lease_action {
   kWait,     // nothing for now
