Observe departures and pauses that targets state in their responses

Neither was read: a leaving target got requests until the store said so, also at VMs that could not reach the store, and a paused one got up to four sends a request.

A response that states the departure takes the target out of service until its incarnation changes, whatever the store lists; the VM tells its linked peers, and each VM to which it is news passes it on. Responses under way are finished. A pause excludes the target at this VM, for first choices and last resorts alike; peers see it as a higher cost. If all targets of a service are paused, queued and new requests are refused at once with the shortest remaining time and a spread.

--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -118,6 +118,10 @@
 struct cache_changesBuilder;
 struct cache_changesT;
 
+struct target_notice;
+struct target_noticeBuilder;
+struct target_noticeT;
+
 struct frame;
 struct frameBuilder;
 struct frameT;
@@ -143,11 +147,12 @@
   shared_objects = 17,
   shared_ages = 18,
   cache_changes = 19,
+  target_notice = 20,
   MIN = NONE,
-  MAX = cache_changes
+  MAX = target_notice
 };
 
-inline const message (&EnumValuesmessage())[20] {
+inline const message (&EnumValuesmessage())[21] {
   static const message values[] = {
     message::NONE,
     message::challenge,
@@ -168,13 +173,14 @@
     message::shared_request,
     message::shared_objects,
     message::shared_ages,
-    message::cache_changes
+    message::cache_changes,
+    message::target_notice
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[21] = {
+  static const char * const names[22] = {
     "NONE",
     "challenge",
     "hello",
@@ -195,13 +201,14 @@
     "shared_objects",
     "shared_ages",
     "cache_changes",
+    "target_notice",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::cache_changes)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::target_notice)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -286,6 +293,10 @@
   static const message enum_value = message::cache_changes;
 };
 
+template<> struct messageTraits<waxwing::wire::target_notice> {
+  static const message enum_value = message::target_notice;
+};
+
 template<typename T> struct messageUnionTraits {
   static const message enum_value = message::NONE;
 };
@@ -366,6 +377,10 @@
   static const message enum_value = message::cache_changes;
 };
 
+template<> struct messageUnionTraits<waxwing::wire::target_noticeT> {
+  static const message enum_value = message::target_notice;
+};
+
 struct messageUnion {
   message type;
   void *value;
@@ -548,6 +563,14 @@
     return type == message::cache_changes ?
       reinterpret_cast<const waxwing::wire::cache_changesT *>(value) : nullptr;
   }
+  waxwing::wire::target_noticeT *Astarget_notice() {
+    return type == message::target_notice ?
+      reinterpret_cast<waxwing::wire::target_noticeT *>(value) : nullptr;
+  }
+  const waxwing::wire::target_noticeT *Astarget_notice() const {
+    return type == message::target_notice ?
+      reinterpret_cast<const waxwing::wire::target_noticeT *>(value) : nullptr;
+  }
 };
 
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
@@ -3020,6 +3043,113 @@
 
 flatbuffers::Offset<cache_changes> Createcache_changes(flatbuffers::FlatBufferBuilder &_fbb, const cache_changesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct target_noticeT : public flatbuffers::NativeTable {
+  typedef target_notice TableType;
+  std::string target{};
+  int64_t incarnation = 0;
+  bool is_leaving = false;
+  uint32_t pause_ms = 0;
+};
+
+struct target_notice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef target_noticeT NativeTableType;
+  typedef target_noticeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TARGET = 4,
+    VT_INCARNATION = 6,
+    VT_IS_LEAVING = 8,
+    VT_PAUSE_MS = 10
+  };
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  int64_t incarnation() const {
+    return GetField<int64_t>(VT_INCARNATION, 0);
+  }
+  bool is_leaving() const {
+    return GetField<uint8_t>(VT_IS_LEAVING, 0) != 0;
+  }
+  uint32_t pause_ms() const {
+    return GetField<uint32_t>(VT_PAUSE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyField<int64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_LEAVING, 1) &&
+           VerifyField<uint32_t>(verifier, VT_PAUSE_MS, 4) &&
+           verifier.EndTable();
+  }
+  target_noticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(target_noticeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<target_notice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const target_noticeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct target_noticeBuilder {
+  typedef target_notice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(target_notice::VT_TARGET, target);
+  }
+  void add_incarnation(int64_t incarnation) {
+    fbb_.AddElement<int64_t>(target_notice::VT_INCARNATION, incarnation, 0);
+  }
+  void add_is_leaving(bool is_leaving) {
+    fbb_.AddElement<uint8_t>(target_notice::VT_IS_LEAVING, static_cast<uint8_t>(is_leaving), 0);
+  }
+  void add_pause_ms(uint32_t pause_ms) {
+    fbb_.AddElement<uint32_t>(target_notice::VT_PAUSE_MS, pause_ms, 0);
+  }
+  explicit target_noticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<target_notice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<target_notice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<target_notice> Createtarget_notice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    int64_t incarnation = 0,
+    bool is_leaving = false,
+    uint32_t pause_ms = 0) {
+  target_noticeBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
+  builder_.add_pause_ms(pause_ms);
+  builder_.add_target(target);
+  builder_.add_is_leaving(is_leaving);
+  return builder_.Finish();
+}
+
+struct target_notice::Traits {
+  using type = target_notice;
+  static auto constexpr Create = Createtarget_notice;
+};
+
+inline flatbuffers::Offset<target_notice> Createtarget_noticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *target = nullptr,
+    int64_t incarnation = 0,
+    bool is_leaving = false,
+    uint32_t pause_ms = 0) {
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  return waxwing::wire::Createtarget_notice(
+      _fbb,
+      target__,
+      incarnation,
+      is_leaving,
+      pause_ms);
+}
+
+flatbuffers::Offset<target_notice> Createtarget_notice(flatbuffers::FlatBufferBuilder &_fbb, const target_noticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct frameT : public flatbuffers::NativeTable {
   typedef frame TableType;
   waxwing::wire::messageUnion message{};
@@ -3097,6 +3227,9 @@
   const waxwing::wire::cache_changes *message_as_cache_changes() const {
     return message_type() == waxwing::wire::message::cache_changes ? static_cast<const waxwing::wire::cache_changes *>(message()) : nullptr;
   }
+  const waxwing::wire::target_notice *message_as_target_notice() const {
+    return message_type() == waxwing::wire::message::target_notice ? static_cast<const waxwing::wire::target_notice *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -3185,6 +3318,10 @@
   return message_as_cache_changes();
 }
 
+template<> inline const waxwing::wire::target_notice *frame::message_as<waxwing::wire::target_notice>() const {
+  return message_as_target_notice();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4158,6 +4295,41 @@
       _is_lost);
 }
 
+inline target_noticeT *target_notice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<target_noticeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void target_notice::UnPackTo(target_noticeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = is_leaving(); _o->is_leaving = _e; }
+  { auto _e = pause_ms(); _o->pause_ms = _e; }
+}
+
+inline flatbuffers::Offset<target_notice> target_notice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const target_noticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createtarget_notice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<target_notice> Createtarget_notice(flatbuffers::FlatBufferBuilder &_fbb, const target_noticeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const target_noticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  auto _incarnation = _o->incarnation;
+  auto _is_leaving = _o->is_leaving;
+  auto _pause_ms = _o->pause_ms;
+  return waxwing::wire::Createtarget_notice(
+      _fbb,
+      _target,
+      _incarnation,
+      _is_leaving,
+      _pause_ms);
+}
+
 inline frameT *frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<frameT>();
   UnPackTo(_o.get(), _resolver);
@@ -4268,6 +4440,10 @@
       auto ptr = reinterpret_cast<const waxwing::wire::cache_changes *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::target_notice: {
+      auto ptr = reinterpret_cast<const waxwing::wire::target_notice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4363,6 +4539,10 @@
       auto ptr = reinterpret_cast<const waxwing::wire::cache_changes *>(obj);
       return ptr->UnPack(resolver);
     }
+    case message::target_notice: {
+      auto ptr = reinterpret_cast<const waxwing::wire::target_notice *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4446,6 +4626,10 @@
       auto ptr = reinterpret_cast<const waxwing::wire::cache_changesT *>(value);
       return Createcache_changes(_fbb, ptr, _rehasher).Union();
     }
+    case message::target_notice: {
+      auto ptr = reinterpret_cast<const waxwing::wire::target_noticeT *>(value);
+      return Createtarget_notice(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4528,6 +4712,10 @@
       value = new waxwing::wire::cache_changesT(*reinterpret_cast<waxwing::wire::cache_changesT *>(u.value));
       break;
     }
+    case message::target_notice: {
+      value = new waxwing::wire::target_noticeT(*reinterpret_cast<waxwing::wire::target_noticeT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4630,6 +4818,11 @@
       delete ptr;
       break;
     }
+    case message::target_notice: {
+      auto ptr = reinterpret_cast<waxwing::wire::target_noticeT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/waxwing/adapter.h
+++ b/waxwing/adapter.h
@@ -117,7 +117,11 @@
   // The response carries the stamp of a target that runs requests, so it does
   // not come from a faulty peer.
   bool has_server_stamp = false;
-  bool is_draining = false;
+  // The target states that it is leaving.
+  bool is_leaving = false;
+  // For how long the target wants no further requests of this VM. Zero if it
+  // states no valid time.
+  milliseconds pause{0};
   // Requests that are running or queued at the target, and its capacity for
   // concurrent ones.
   struct load {
--- a/waxwing/agent_links.cc
+++ b/waxwing/agent_links.cc
@@ -119,7 +119,8 @@
   return type == wire::message::shared_request ||
          type == wire::message::shared_objects ||
          type == wire::message::shared_ages ||
-         type == wire::message::cache_changes;
+         type == wire::message::cache_changes ||
+         type == wire::message::target_notice;
 }
 
 void HandleAgentFrame(agent_state& state,
--- a/waxwing/engine_choice.cc
+++ b/waxwing/engine_choice.cc
@@ -196,7 +196,7 @@
   std::vector<std::uint32_t> usable;
   for (std::uint32_t i = 0; i < targets.size(); ++i) {
     const bool is_usable = request.ignore_backoff
-                               ? IsUsableIgnoringBackoff(targets[i])
+                               ? IsUsableIgnoringBackoff(targets[i], now)
                                : IsUsable(targets[i], now);
     if (is_usable && targets[i].serves == request.service)
       usable.push_back(i);
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -260,7 +260,8 @@
   } else if (outcome == forward_outcome::kFailed) {
     // The target is working; errors that it returns count in its error rate.
     ClearFailures(view);
-  } else if ((!was_aborted || was_unresponsive) && !view.is_load_pending) {
+  } else if ((!was_aborted || was_unresponsive) && !view.is_load_pending &&
+             !IsPaused(view, now)) {
     RecordFailure(view, attempt.started, now);
   }
 }
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -49,8 +49,8 @@
 }
 
 // Returns the delay after which the caller should retry: the time until the
-// queued requests have been sent, plus a random time so that callers refused
-// together do not retry together.
+// queued requests have been sent, or until a target wants requests again, plus
+// a random time so that callers refused together do not retry together.
 duration RetryAfter(forward_run& run) {
   entry_state& state = *run.state;
   const auto queue = state.dispatch_queues.find(run.service);
@@ -59,7 +59,10 @@
           ? duration{}
           : EstimateDispatchDelay(queue->second.flow_control,
                                   QueuedTokens(queue->second));
-  return kMinRetryAfter + backlog +
+  const duration pause = ShortestPause(state.placement.targets, run.service,
+                                       std::chrono::steady_clock::now())
+                             .value_or(duration{});
+  return kMinRetryAfter + std::max(backlog, pause) +
          milliseconds(static_cast<std::int64_t>(
              state.random() %
              static_cast<std::uint64_t>(kRetryAfterSpread.count())));
--- /dev/null
+++ b/waxwing/entry_notices.cc
@@ -0,0 +1,95 @@
+// What targets say about themselves in their responses: that they are leaving,
+// or that they want no requests for some time.
+//
+// A departure holds until the target's incarnation changes, whatever the store
+// says. A pause binds this VM alone; to others it is a sign of load.
+
+#include "waxwing/agent_state.h"
+#include "waxwing/entry_state.h"
+#include "waxwing/log.h"
+
+namespace waxwing {
+namespace {
+
+// Sends a notice on all links except the one to VM `except`.
+void SendNotice(const entry_state& state,
+                const wire::target_noticeT& notice,
+                std::string_view except) {
+  wire::frameT frame;
+  frame.message.Set(wire::target_noticeT(notice));
+  for (const auto& [vm, link] : state.membership_agent.state->links) {
+    if (vm != except && IsOpen(link.connection))
+      SendFrame(link.connection, frame);
+  }
+}
+
+// Takes the target out of service and passes the news on. Has no effect if its
+// departure is known.
+void RecordLeaving(entry_state& state,
+                   listed_target& target,
+                   std::string_view peer,
+                   std::string_view request_id) {
+  if (target.record.is_draining)
+    return;
+  target.record.is_draining = true;
+  state.placement.targets[target.index].is_in_service = false;
+  Count(state.stats, "waxwing_targets_leaving_total");
+  LogInfo(
+      "target_leaving",
+      {{"target", target.record.id}, {"request", request_id}, {"peer", peer}});
+  wire::target_noticeT notice;
+  notice.target = target.record.id;
+  notice.incarnation = target.record.incarnation;
+  notice.is_leaving = true;
+  SendNotice(state, notice, peer);
+}
+
+void RecordTargetPause(entry_state& state,
+                       listed_target& target,
+                       std::string_view request_id,
+                       milliseconds pause) {
+  const instant now = std::chrono::steady_clock::now();
+  RecordPause(state.placement.targets[target.index], pause, now);
+  Observe(state.stats, "waxwing_target_pause_seconds", pause);
+  LogInfo("target_paused", {{"target", target.record.id},
+                            {"request", request_id},
+                            {"pause_ms", pause.count()}});
+  wire::target_noticeT notice;
+  notice.target = target.record.id;
+  notice.incarnation = target.record.incarnation;
+  notice.pause_ms = static_cast<std::uint32_t>(pause.count());
+  SendNotice(state, notice, "");
+}
+
+}  // namespace
+
+void ObserveResponse(entry_state& state,
+                     std::string_view target,
+                     std::string_view request_id,
+                     const response_info& facts) {
+  const auto found = state.targets.find(target);
+  const bool is_other = !facts.target.empty() && facts.target != target;
+  if (found == state.targets.end() || is_other)
+    return;
+  if (facts.is_leaving)
+    RecordLeaving(state, found->second, "", request_id);
+  if (facts.pause > milliseconds(0))
+    RecordTargetPause(state, found->second, request_id, facts.pause);
+}
+
+void HandleTargetNotice(entry_state& state,
+                        std::string_view peer,
+                        const wire::target_noticeT& notice) {
+  const auto found = state.targets.find(notice.target);
+  if (found == state.targets.end() ||
+      found->second.record.incarnation != notice.incarnation)
+    return;
+  if (notice.is_leaving)
+    RecordLeaving(state, found->second, peer, "");
+  target_view& view = state.placement.targets[found->second.index];
+  view.others_paused_until =
+      std::max(view.others_paused_until, std::chrono::steady_clock::now() +
+                                             milliseconds(notice.pause_ms));
+}
+
+}  // namespace waxwing
--- a/waxwing/entry_queue.cc
+++ b/waxwing/entry_queue.cc
@@ -27,15 +27,18 @@
   }
 }
 
+void RefuseAt(dispatch_queue& queue, std::size_t index) {
+  queue.waiters[index]->is_refused = true;
+  queue.waiters[index]->wakeup.cancel();
+  RemoveAt(queue, index);
+}
+
 void RefuseHopelessRequests(dispatch_queue& queue, instant now) {
   std::vector<std::size_t> hopeless =
       FindUndispatchable(queue.flow_control, queue.requests, now);
   std::sort(hopeless.begin(), hopeless.end(), std::greater<>());
-  for (const std::size_t i : hopeless) {
-    queue.waiters[i]->is_refused = true;
-    queue.waiters[i]->wakeup.cancel();
-    RemoveAt(queue, i);
-  }
+  for (const std::size_t i : hopeless)
+    RefuseAt(queue, i);
 }
 
 }  // namespace
@@ -44,8 +47,9 @@
                          std::string_view service,
                          dispatch_queue& queue) {
   double rate = 0;
+  const instant now = std::chrono::steady_clock::now();
   for (const target_view& view : state.placement.targets) {
-    if (view.serves == service && IsUsableIgnoringBackoff(view))
+    if (view.serves == service && IsUsableIgnoringBackoff(view, now))
       rate += view.prefill_tokens_per_second;
   }
   queue.flow_control.min_size =
@@ -65,6 +69,10 @@
     return;
   dispatch_queue& queue = found->second;
   const instant now = std::chrono::steady_clock::now();
+  if (ShortestPause(state.placement.targets, service, now)) {
+    while (!queue.requests.empty())
+      RefuseAt(queue, queue.requests.size() - 1);
+  }
   while (const auto next =
              PickNextRequest(queue.flow_control, queue.requests, now)) {
     const double tokens = queue.requests[*next].tokens;
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -158,11 +158,13 @@
 }
 
 // Reads responses from the connection up to the one to this request.
-asio::awaitable<tl::expected<response_info, http_error>> FindOwnResponse(
-    forward_run& run,
-    http_call& call) {
+asio::awaitable<tl::expected<response_info, http_error>>
+FindOwnResponse(forward_run& run, const dispatch& attempt, http_call& call) {
   for (int skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
     response_info facts = run.state->protocol.read_response_head(call.head);
+    if (IsCurrent(*run.state, attempt))
+      ObserveResponse(*run.state, attempt.target.record.id, run.request.id,
+                      facts);
     const bool is_unshared = facts.request_id == run.request.id ||
                              (facts.request_id.empty() && facts.not_run);
     if (is_unshared)
@@ -202,7 +204,7 @@
     }
     co_return FailureOutcome(run, call.error());
   }
-  const auto facts = co_await FindOwnResponse(run, *call);
+  const auto facts = co_await FindOwnResponse(run, attempt, *call);
   if (!facts) {
     ++run.possible_runs;
     CancelCall(*call);
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -234,6 +234,8 @@
           HandleAges(*locked, link, *ages);
         else if (const auto* caches = message.Ascache_changes())
           HandleCacheChanges(*locked, *caches);
+        else if (const auto* notice = message.Astarget_notice())
+          HandleTargetNotice(*locked, link.peer.vm, *notice);
       };
 }
 
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -307,6 +307,20 @@
 // True if the entry can serve, that is, if it has a configuration.
 bool CanServe(const entry_state& state);
 
+// --- entry_notices.cc
+
+// Records what a response of the target says about its departure or a pause,
+// and tells other VMs. `request_id` is for the log.
+void ObserveResponse(entry_state& state,
+                     std::string_view target,
+                     std::string_view request_id,
+                     const response_info& facts);
+
+// Applies what a target has told the VM `peer`.
+void HandleTargetNotice(entry_state& state,
+                        std::string_view peer,
+                        const wire::target_noticeT& notice);
+
 // --- entry_era.cc
 
 // Records the era that a response of the store, or a peer's message, states.
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -16,6 +16,8 @@
 constexpr double kEnginePrefillRate = 60'000;
 // Cost of an unresponsive target.
 constexpr milliseconds kUnresponsiveCost{5'000};
+// Cost of a target that has asked another VM for a pause.
+constexpr milliseconds kOthersPausedCost{200};
 // Cost of a target that is about to load new weights.
 constexpr milliseconds kLoadingCost{1'000};
 // Rounds of loads whose targets get a higher cost: the one in progress and the
@@ -283,6 +285,8 @@
     view.added_cost += ErrorPenalty(view);
     if (IsUnresponsive(view, now))
       view.added_cost += kUnresponsiveCost;
+    if (now < view.others_paused_until)
+      view.added_cost += kOthersPausedCost;
     if (target.record.model.empty() || target.record.is_draining)
       continue;
     models[target.record.model].push_back(
--- a/waxwing/placement.cc
+++ b/waxwing/placement.cc
@@ -28,8 +28,9 @@
 bool CanServe(const target_view& view,
               const placement_request& request,
               instant now) {
-  const bool is_usable = request.ignore_backoff ? IsUsableIgnoringBackoff(view)
-                                                : IsUsable(view, now);
+  const bool is_usable = request.ignore_backoff
+                             ? IsUsableIgnoringBackoff(view, now)
+                             : IsUsable(view, now);
   return is_usable && view.serves == request.serves &&
          (request.version.empty() || view.version == request.version);
 }
--- a/waxwing/target_view.cc
+++ b/waxwing/target_view.cc
@@ -73,8 +73,32 @@
   return std::chrono::duration_cast<duration>(kFullErrorPenalty * excess);
 }
 
-bool IsUsableIgnoringBackoff(const target_view& view) {
-  return view.is_in_service && !view.has_outdated_weights;
+void RecordPause(target_view& view, duration pause, instant now) {
+  view.paused_until = std::max(view.paused_until, now + pause);
+}
+
+bool IsPaused(const target_view& view, instant now) {
+  return now < view.paused_until;
+}
+
+std::optional<duration> ShortestPause(std::span<const target_view> targets,
+                                      std::string_view service,
+                                      instant now) {
+  std::optional<duration> shortest;
+  for (const target_view& view : targets) {
+    if (!view.is_in_service || view.serves != service)
+      continue;
+    if (!IsPaused(view, now))
+      return std::nullopt;
+    const duration left = view.paused_until - now;
+    shortest = std::min(shortest.value_or(left), left);
+  }
+  return shortest;
+}
+
+bool IsUsableIgnoringBackoff(const target_view& view, instant now) {
+  return view.is_in_service && !view.has_outdated_weights &&
+         !IsPaused(view, now);
 }
 
 void ClearFailures(target_view& view) {
@@ -123,8 +147,7 @@
 }
 
 bool IsUsable(const target_view& view, instant now) {
-  if (!view.is_in_service || view.has_outdated_weights ||
-      now < view.backoff_until)
+  if (!IsUsableIgnoringBackoff(view, now) || now < view.backoff_until)
     return false;
   const bool is_half_open =
       view.consecutive_failures >= kFailuresBeforeHalfOpen;
--- a/waxwing/target_view.h
+++ b/waxwing/target_view.h
@@ -8,7 +8,10 @@
 #define WAXWING_TARGET_VIEW_H_
 
 #include <cstdint>
+#include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 
 #include "waxwing/types.h"
 
@@ -60,6 +63,10 @@
   // Moving average of the share of responses that are the target's own
   // failures.
   double error_rate = 0;
+  // The target wants no requests of this VM before this time, and has asked
+  // another VM to send it none.
+  instant paused_until;
+  instant others_paused_until;
   // Its weights are too old for any new request.
   bool has_outdated_weights = false;
   // About to load other weights, which aborts its running requests.
@@ -118,9 +125,23 @@
 // Placement cost of a target whose error rate is above the expected one.
 duration ErrorPenalty(const target_view& view);
 
+// Records that the target wants no requests of this VM for `pause`. A shorter
+// pause does not end a longer one.
+void RecordPause(target_view& view, duration pause, instant now);
+
+// True if the target wants no requests of this VM at `now`.
+bool IsPaused(const target_view& view, instant now);
+
+// Returns the time until the first pause ends, if all targets in service of
+// `service` want no requests of this VM.
+std::optional<duration> ShortestPause(std::span<const target_view> targets,
+                                      std::string_view service,
+                                      instant now);
+
 // True if the target may get requests when no target is usable: it is in
-// service and its weights are not outdated, whatever its recent failures.
-bool IsUsableIgnoringBackoff(const target_view& view);
+// service, not paused, and its weights are not outdated, whatever its recent
+// failures.
+bool IsUsableIgnoringBackoff(const target_view& view, instant now);
 
 // Ends the backoff and resets the count of failures, because the target has
 // restarted or is known to work.
