Soak: weights, returns from a copy, departures and pauses

The soak could not have found the incident: its targets answered at once and had no weights. It now has engines whose first token takes up to 2.5 s and that ignore orders while new weights are announced, and checks on which weights each request starts; the store returns from a copy, targets leave by their responses and come back as another incarnation, and others ask for pauses. A kill that overlaps the kill of all VMs no longer starts a VM twice.

--- a/testing/entry_soak_test.cc
+++ b/testing/entry_soak_test.cc
@@ -28,9 +28,16 @@
 
 constexpr int kVms = 3;
 constexpr int kTargets = 4;
+constexpr int kEngines = 3;
 constexpr int kCallers = 12;
+constexpr int kPromptCallers = 9;
 // Faults injected per seed.
 constexpr int kFaults = 10;
+// Bound on starts of requests on replaced weights, and the time without
+// disruption from which it counts.
+constexpr milliseconds kWeightsLimit{3'000};
+// Pause that targets ask for in their refusals, in seconds.
+constexpr std::string_view kPauseSeconds = "1.5";
 // Time within which the system must serve again after all faults have ended.
 constexpr milliseconds kRecovery{10'000};
 
@@ -47,6 +54,17 @@
   double refuse = 0;
   double drop = 0;
   double fail = 0;
+  // Share of refusals that ask for a pause.
+  double pause = 0;
+  // Longest time to the first token of engines; orders are not carried out.
+  std::size_t start_delay_ms = 0;
+  bool ignore_orders = false;
+};
+
+// A model engine: its weights version, and the one that it is loading.
+struct soak_engine {
+  int version = 1;
+  int orders = 0;
 };
 
 struct caller_result {
@@ -73,12 +91,26 @@
   std::map<std::string, int> runs;
   std::map<std::string, caller_result> results;
   std::string fault_log;
+  std::vector<soak_engine> engines{kEngines};
+  // Engine service. Its requests start on the version that is stated.
+  std::vector<std::shared_ptr<scripted_target>> engine_targets;
+  int weights = 1;
+  // When each version of the weights was announced, and when the last fault of
+  // the store or of a VM ended or will end at the latest.
+  std::map<int, clock::time_point> announced_at;
+  clock::time_point calm_since;
+  int late_starts = 0;
+  // Index of a target that states its departure, or -1, and its incarnations.
+  int leaving_target = -1;
+  std::int64_t born = 1;
 
   ~soak_run() {
     for (entry_vm& vm : vms)
       KillProcess(vm.process);
     for (const auto& target : targets)
       target->acceptor.close();
+    for (const auto& target : engine_targets)
+      target->acceptor.close();
     waxwing::CloseServer(store->server);
   }
 };
@@ -100,10 +132,103 @@
   s.context.run_for(time);
 }
 
-scripted_response RespondAsTarget(soak_run& s, const http_request& request) {
+// The configuration, with a route whose requests may wait long for an engine.
+std::string SoakConfig(int version) {
+  json::object patient =
+      EntryRoute("long", "/long/", "streaming", "llm", 2, true);
+  patient["timeout_ms"] = 6'000;
+  return EntryConfig(version, json::array{std::move(patient)});
+}
+
+// Returns the record of target or engine `index`.
+std::string SoakRecord(const soak_run& s, std::size_t index, bool is_engine) {
+  json::object record =
+      json::parse(EntryTargetRecord(is_engine
+                                        ? s.engine_targets[index]->Address()
+                                        : s.targets[index]->Address(),
+                                    is_engine ? "llm" : "panel",
+                                    is_engine ? s.engines[index].version : 0))
+          .as_object();
+  record["born"] = s.born;
+  return json::serialize(record);
+}
+
+// Writes what the operator and the targets have written, as they do after a
+// loss.
+void WriteAgain(soak_run& s) {
+  PutObject(*s.store, "config", "main", SoakConfig(s.config_version));
+  if (s.weights > 1)
+    PutObject(
+        *s.store, "versions", "m",
+        json::serialize(json::object{{"model", "m"}, {"version", s.weights}}));
+  for (std::size_t i = 0; i < s.targets.size(); ++i)
+    PutObject(*s.store, "servers", "t" + std::to_string(i),
+              SoakRecord(s, i, false));
+  for (std::size_t i = 0; i < s.engine_targets.size(); ++i)
+    PutObject(*s.store, "servers", "e" + std::to_string(i),
+              SoakRecord(s, i, true));
+}
+
+// Counts a request that starts on weights that were replaced too long ago.
+void CheckStart(soak_run& s, int version) {
+  const auto newer = s.announced_at.upper_bound(version);
+  if (newer != s.announced_at.end() &&
+      clock::now() > std::max(newer->second, s.calm_since) + kWeightsLimit)
+    ++s.late_starts;
+}
+
+scripted_response RespondAsEngine(soak_run& s,
+                                  std::size_t index,
+                                  const http_request& request) {
   const std::string id(waxwing::FindHeader(request.headers, "Request-Id"));
+  soak_engine& engine = s.engines[index];
+  if (request.target == "/api/report")
+    return {{PlainResponse(
+        200, id,
+        json::serialize(json::object{
+            {"models", json::array{json::object{{"name", "m"},
+                                                {"version", engine.version}}}},
+            {"busy", false},
+            {"sequence", engine.orders}}))}};
+  if (request.target == "/api/order") {
+    if (s.faults.ignore_orders)
+      return {{PlainResponse(409, id, "{}")}};
+    ++engine.orders;
+    engine.version = static_cast<int>(json::parse(request.body)
+                                          .as_object()
+                                          .at("version")
+                                          .to_number<std::int64_t>());
+    PutObject(*s.store, "servers", "e" + std::to_string(index),
+              SoakRecord(s, index, true));
+    return {{PlainResponse(202, id, "{}")}};
+  }
   if (request.target.starts_with("/api/"))
     return {{PlainResponse(404, id, "{}")}};
+  const std::string expected(
+      waxwing::FindHeader(request.headers, "Expect-Version"));
+  if (expected != std::to_string(engine.version))
+    return {{PlainResponse(421, id, "", "Not-Executed: 1\r\n")}};
+  scripted_response out{{StreamHead(id), StreamEvent(1, id), StreamEnd()}};
+  out.delay = milliseconds(1 + PickIndex(s, s.faults.start_delay_ms + 20));
+  out.on_start = [&s, version = engine.version] { CheckStart(s, version); };
+  return out;
+}
+
+scripted_response RespondAsTarget(soak_run& s,
+                                  std::size_t index,
+                                  const http_request& request) {
+  const std::string id(waxwing::FindHeader(request.headers, "Request-Id"));
+  if (request.target.starts_with("/api/"))
+    return {{PlainResponse(404, id, "{}")}};
+  if (static_cast<int>(index) == s.leaving_target) {
+    ++s.runs[id];
+    return {
+        {PlainResponse(200, id, "answer to " + id, "Server-Leaving: 1\r\n")}};
+  }
+  if (Chance(s, s.faults.pause))
+    return {{PlainResponse(503, id, "",
+                           "Not-Executed: 1\r\nRetry-After: " +
+                               std::string(kPauseSeconds) + "\r\n")}};
   if (Chance(s, s.faults.refuse))
     return {{PlainResponse(503, id, "", "Not-Executed: 1\r\n")}};
   ++s.runs[id];
@@ -115,6 +240,8 @@
 }
 
 void StartVm(entry_vm& vm) {
+  if (vm.process != 0)
+    return;
   vm.process = Spawn("waxwing-entry", {},
                      {"WAXWINGPASS_SETTINGS=" + vm.settings, "WAXWING_KEY=soak",
                       "WAXWING_LOG_LEVEL=info"},
@@ -122,16 +249,19 @@
 }
 
 void StartAll(soak_run& s) {
-  PutObject(*s.store, "config", "main", EntryConfig(s.config_version));
+  s.store->era = 1;
   s.targets.reserve(kTargets);
-  for (int i = 0; i < kTargets; ++i) {
+  for (std::size_t i = 0; i < kTargets; ++i)
     s.targets.push_back(
-        StartTarget(s.context, [&s](const http_request& request) {
-          return RespondAsTarget(s, request);
+        StartTarget(s.context, [&s, i](const http_request& request) {
+          return RespondAsTarget(s, i, request);
         }));
-    PutObject(*s.store, "servers", "t" + std::to_string(i),
-              EntryTargetRecord(s.targets.back()->Address(), "panel", 0));
-  }
+  for (std::size_t i = 0; i < kEngines; ++i)
+    s.engine_targets.push_back(
+        StartTarget(s.context, [&s, i](const http_request& request) {
+          return RespondAsEngine(s, i, request);
+        }));
+  WriteAgain(s);
   std::vector<endpoint> peers;
   peers.reserve(kVms);
   for (int i = 0; i < kVms; ++i)
@@ -155,7 +285,10 @@
                       {"directory", ToText(FindFreeAddress(s.context))}}},
         {"seeds", std::move(seeds)},
         {"limits", json::object{{"max_fds", 4'096}}},
-        {"bounds", json::object{{"grace_s", 5}, {"retry_slack", 50}}},
+        {"bounds", json::object{{"grace_s", 5},
+                                {"retry_slack", 50},
+                                {"contact_ms", 1'000},
+                                {"version_ms", kWeightsLimit.count()}}},
         {"platform",
          json::object{{"address", ToText(s.store->server.address)}}}});
     StartVm(vm);
@@ -199,10 +332,73 @@
   }
 }
 
+asio::awaitable<void> RunPromptCaller(soak_run& s) {
+  asio::steady_timer timer(s.context);
+  while (!s.is_finished) {
+    http_request request;
+    request.method = "POST";
+    request.target = "/long/x";
+    request.headers = {{"Host", "calls.example"},
+                       {"Request-Id", "p" + std::to_string(s.next_id++)},
+                       {"Deadline-Ms", "5000"},
+                       {"Model", "m"},
+                       {"Token-Count", "100,10"},
+                       {"Authorization", "Token key-1"}};
+    const endpoint address = s.vms[PickIndex(s, kVms)].callers;
+    const waxwing::http_call_options options{milliseconds(6'000), false};
+    co_await waxwing::Fetch(s.pool, address, request, options);
+    timer.expires_after(milliseconds(5 + PickIndex(s, 20)));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
+// Announces new weights while engines are slow to start and to load.
+std::function<void()> AnnounceWeights(soak_run& s) {
+  s.faults.start_delay_ms = 2'500;
+  s.faults.ignore_orders = true;
+  ++s.weights;
+  PutObject(
+      *s.store, "versions", "m",
+      json::serialize(json::object{{"model", "m"}, {"version", s.weights}}));
+  s.announced_at[s.weights] = clock::now();
+  return [&s] {
+    s.faults.start_delay_ms = 0;
+    s.faults.ignore_orders = false;
+  };
+}
+
+// A target states its departure; another incarnation follows it.
+std::function<void()> LetTargetLeave(soak_run& s) {
+  const std::size_t index = PickFaultValue(s, kTargets);
+  s.leaving_target = static_cast<int>(index);
+  return [&s, index] {
+    s.leaving_target = -1;
+    ++s.born;
+    PutObject(*s.store, "servers", "t" + std::to_string(index),
+              SoakRecord(s, index, false));
+  };
+}
+
 // Injects one fault and returns what ends it.
 std::function<void()> InjectFault(soak_run& s) {
   entry_vm& vm = s.vms[PickFaultValue(s, kVms)];
-  switch (PickFaultValue(s, 9)) {
+  switch (PickFaultValue(s, 13)) {
+    case 9:
+      s.fault_log += " weights";
+      return AnnounceWeights(s);
+    case 10:
+      s.fault_log += " copy";
+      return [&s, copy = CopyStore(*s.store)] {
+        RestoreStore(*s.store, copy);
+        WriteAgain(s);
+      };
+    case 11:
+      s.fault_log += " leave";
+      return LetTargetLeave(s);
+    case 12:
+      s.fault_log += " pause";
+      s.faults.pause = 0.2;
+      return [&s] { s.faults.pause = 0; };
     case 0:
       s.fault_log += " kill";
       KillProcess(vm.process);
@@ -225,7 +421,7 @@
       return [] {};
     case 4:
       s.fault_log += " config";
-      PutObject(*s.store, "config", "main", EntryConfig(++s.config_version));
+      PutObject(*s.store, "config", "main", SoakConfig(++s.config_version));
       return [] {};
     case 5:
       s.fault_log += " refuse";
@@ -244,10 +440,8 @@
       for (entry_vm& each : s.vms)
         KillProcess(each.process);
       return [&s] {
-        for (entry_vm& each : s.vms) {
-          if (each.process == 0)
-            StartVm(each);
-        }
+        for (entry_vm& each : s.vms)
+          StartVm(each);
       };
   }
 }
@@ -264,6 +458,9 @@
     const milliseconds length(200 + PickFaultValue(s, 1'000));
     std::function<void()> heal = InjectFault(s);
     active.push_back({clock::now() + length, std::move(heal)});
+    // Faults end with the check after their time, at the latest.
+    s.calm_since =
+        std::max(s.calm_since, clock::now() + length + milliseconds(800));
     RunFor(s, milliseconds(200 + PickFaultValue(s, 600)));
     std::erase_if(active, [&](const active_fault& each) {
       if (each.heal_at > clock::now())
@@ -274,10 +471,8 @@
   }
   for (const active_fault& each : active)
     each.heal();
-  for (entry_vm& vm : s.vms) {
-    if (vm.process == 0)
-      StartVm(vm);
-  }
+  for (entry_vm& vm : s.vms)
+    StartVm(vm);
 }
 
 // True if every VM serves a non-idempotent request within the recovery time.
@@ -296,6 +491,38 @@
   return true;
 }
 
+// Engines that stay slow and ignore orders must not start requests on replaced
+// weights.
+void CheckWeightsLimit(soak_run& s) {
+  const std::function<void()> heal = AnnounceWeights(s);
+  s.calm_since = clock::now();
+  RunFor(s, kWeightsLimit + milliseconds(2'500));
+  heal();
+  EXPECT_EQ(s.late_starts, 0);
+}
+
+// A paused target and one that has stated its departure get no new requests.
+void CheckNotices(soak_run& s) {
+  s.faults.pause = 1;
+  RunFor(s, milliseconds(600));
+  const auto requests = [&s] {
+    std::size_t count = 0;
+    for (const auto& target : s.targets)
+      count += target->requests.size();
+    return count;
+  };
+  const std::size_t before = requests();
+  RunFor(s, milliseconds(700));
+  EXPECT_LE(requests() - before, 2u * kVms * kTargets);
+  s.faults.pause = 0;
+  RunFor(s, milliseconds(1'500));
+  s.leaving_target = 0;
+  RunFor(s, milliseconds(2'000));
+  const std::size_t at_departure = s.targets[0]->requests.size();
+  RunFor(s, milliseconds(1'000));
+  EXPECT_EQ(s.targets[0]->requests.size(), at_departure);
+}
+
 void CheckGuarantees(const soak_run& s) {
   int complete = 0;
   for (const auto& [id, result] : s.results) {
@@ -334,8 +561,12 @@
     RunFor(s, milliseconds(1'000));
     for (int i = 0; i < kCallers; ++i)
       asio::co_spawn(s.context, RunCaller(s), asio::detached);
+    for (int i = 0; i < kPromptCallers; ++i)
+      asio::co_spawn(s.context, RunPromptCaller(s), asio::detached);
     RunFaults(s);
     EXPECT_TRUE(EveryVmServes(s));
+    CheckWeightsLimit(s);
+    CheckNotices(s);
     s.is_finished = true;
     RunFor(s, milliseconds(2'000));
     CheckGuarantees(s);
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -148,6 +148,18 @@
   co_await Reply(store, exchange, response);
 }
 
+// Waits for the delay of a response. Returns false if the client has closed the
+// connection by then.
+asio::awaitable<bool> WaitToStart(asio::ip::tcp::socket& socket,
+                                  std::chrono::milliseconds delay) {
+  asio::steady_timer timer(socket.get_executor(), delay);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  char byte = 0;
+  const auto received =
+      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  co_return received < 0 && errno == EAGAIN;
+}
+
 asio::awaitable<void> ServeConnection(std::shared_ptr<scripted_target> target,
                                       asio::ip::tcp::socket socket) {
   boost::beast::flat_buffer buffer;
@@ -167,6 +179,11 @@
     if (!request.target.starts_with("/api/"))
       target->requests.push_back(request);
     const scripted_response response = target->script(request);
+    if (response.delay.count() > 0 &&
+        !co_await WaitToStart(socket, response.delay))
+      co_return;
+    if (response.on_start)
+      response.on_start();
     for (const std::string& piece : response.pieces) {
       auto [write_error, written] = co_await asio::async_write(
           socket, asio::buffer(piece), asio::as_tuple(asio::use_awaitable));
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -75,6 +75,11 @@
 struct scripted_response {
   std::vector<std::string> pieces;
   bool closes_connection = false;
+  // Time before the first piece. If the client closes the connection meanwhile,
+  // the target drops the request.
+  std::chrono::milliseconds delay{0};
+  // Called before the first piece, unless null.
+  std::function<void()> on_start;
 };
 
 // A target whose responses a function produces.
