--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -654,7 +654,7 @@
   f.RunUntil([&] { return false; });
   const std::uint64_t before = f.store->calls;
   f.RunUntil([&] { return false; });
-  // In three seconds a watcher makes 2 + 2 + 1 calls, and candidates for the
+  // In three seconds a watcher makes 2 + 2 + 2 calls, and candidates for the
   // rollout role read the lease.
   EXPECT_LE(f.store->calls - before, 2 * (3 + 3 + 2) + 4);
   PutObject(*f.store, "config", "main", EntryConfig(2));
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -21,10 +21,10 @@
 
 // Maximum wait of one watch call. A watch may miss a change while the store
 // drops history, and its connection may become unresponsive: the next call
-// detects both, within the time limit for configuration changes.
+// detects both, within the time limit for configuration changes. A version of
+// weights that is found after a gap counts as announced at its beginning, so
+// the wait also bounds by how much too early requests to old weights end.
 constexpr milliseconds kWatchWait{1'500};
-// Loading weights takes seconds, so new versions may be noticed later.
-constexpr int kWeightsWaitFactor = 2;
 // Time between two checks whether a zone watcher still keeps this VM synced.
 constexpr milliseconds kSyncedPause{50};
 constexpr milliseconds kMinRetryPause{50};
@@ -115,11 +115,6 @@
   return true;
 }
 
-milliseconds WatchWait(object_kind kind) {
-  return kind == object_kind::kWeights ? kWatchWait * kWeightsWaitFactor
-                                       : kWatchWait;
-}
-
 // Reads all pages of a kind. Returns false if a call failed.
 asio::awaitable<bool> ListAll(entry_ptr state, object_kind kind) {
   watch_position& position = state->watches[kind];
@@ -195,7 +190,7 @@
   const instant began = SuspendAwareNow();
   const std::uint64_t era = state->store_era;
   const auto changes = co_await state->protocol.watch(
-      state->store, kind, position.revision, WatchWait(kind));
+      state->store, kind, position.revision, kWatchWait);
   if (!ObserveEra(*state, changes))
     co_return false;
   // The watched revision was of an earlier era; the list that is due now has
@@ -295,8 +290,7 @@
 asio::awaitable<void> WatchKind(entry_ptr state, object_kind kind) {
   milliseconds pause = kMinRetryPause;
   while (!IsStopping(state->root)) {
-    if (IsSynced(*state, kind, WatchWait(kind),
-                 std::chrono::steady_clock::now())) {
+    if (IsSynced(*state, kind, kWatchWait, std::chrono::steady_clock::now())) {
       RecordSynced(state->watches[kind], kind);
       co_await Pause(state->root, kSyncedPause);
       continue;
