Tell a silent connection from a store that is out of reach

Two failed calls in a row mean that the store itself is out of reach, since the second one uses a new connection; the limit then counts from the last of them. A single failure, a stall and a lagging zone watcher still count from the last read.

--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -77,8 +77,14 @@
   const std::string wait_text(QueryValue(exchange.request.target, "wait_ms"));
   const auto wait_end = std::chrono::steady_clock::now() +
                         std::chrono::milliseconds(std::stoi(wait_text));
+  const std::uint64_t call = store.calls;
   asio::steady_timer timer(*store.context);
   while (true) {
+    if (call <= store.muted_calls) {
+      timer.expires_after(kPollInterval);
+      co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+      continue;
+    }
     if (store.is_down || revision < store.oldest_revision ||
         revision > store.revision)
       break;
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -42,6 +42,8 @@
   std::uint64_t era = 0;
   // Calls received so far.
   std::uint64_t calls = 0;
+  // Watches among the first calls get no response.
+  std::uint64_t muted_calls = 0;
   // Watches that start before this revision fail with status 410.
   std::uint64_t oldest_revision = 0;
 };
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -107,6 +107,8 @@
                                  const wire::shared_objectsT& message,
                                  instant arrived) {
   std::optional<instant> out = position.confirmed_at;
+  if (out)
+    out = std::max(*out, position.unreachable_at);
   if (message.max_age_ms >= 0)
     out = std::max(out.value_or(instant::min()),
                    arrived - milliseconds(message.max_age_ms));
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -115,6 +115,15 @@
   return true;
 }
 
+// Returns the time after which changes were made that a list returns, if it is
+// known. Limits on their application do not count the time in which the store
+// is out of reach.
+std::optional<instant> ListedChangesMadeAfter(const watch_position& position) {
+  if (!position.confirmed_at)
+    return std::nullopt;
+  return std::max(*position.confirmed_at, position.unreachable_at);
+}
+
 // Reads all pages of a kind. Returns false if a call failed.
 asio::awaitable<bool> ListAll(entry_ptr state, object_kind kind) {
   watch_position& position = state->watches[kind];
@@ -141,7 +150,8 @@
     if (revision == 0)
       revision = page->revision;
     for (const stored_object& object : page->objects) {
-      ApplyObject(*state, kind, object, false, position.confirmed_at);
+      ApplyObject(*state, kind, object, false,
+                  ListedChangesMadeAfter(position));
       listed.objects.push_back(object);
       after = object.name;
     }
@@ -167,9 +177,14 @@
   position.unavailable_since.reset();
 }
 
-void RecordStoreFailure(watch_position& position, object_kind kind) {
-  if (position.unavailable_since)
+// Records that a call failed that began at `began`.
+void RecordStoreFailure(watch_position& position,
+                        object_kind kind,
+                        instant began) {
+  if (position.unavailable_since) {
+    position.unreachable_at = began;
     return;
+  }
   position.unavailable_since = std::chrono::steady_clock::now();
   LogWarning("store_lost",
              {{"kind", NameOf(kind)}, {"revision", position.revision}});
@@ -295,6 +310,7 @@
       co_await Pause(state->root, kSyncedPause);
       continue;
     }
+    const instant began = SuspendAwareNow();
     bool succeeded = false;
     if (!state->watches[kind].is_listed)
       succeeded = co_await ListAll(state, kind);
@@ -306,7 +322,7 @@
       pause = kMinRetryPause;
       continue;
     }
-    RecordStoreFailure(position, kind);
+    RecordStoreFailure(position, kind, began);
     co_await Pause(state->root, pause);
     pause = std::min(pause * 2, kMaxRetryPause);
   }
