--- a/testing/entry_soak_test.cc
+++ b/testing/entry_soak_test.cc
@@ -3,7 +3,7 @@
 // callers and targets have seen.
 //
 // WAXWING_SOAK_SEEDS=N runs N seeds from WAXWING_SOAK_FIRST on; the default is
-// the two seeds of CI.
+// the two seeds of CI. WAXWING_SOAK_VMS=N runs N VMs.
 
 #include <gtest/gtest.h>
 #include <signal.h>
@@ -26,7 +26,7 @@
 using waxwing::http_request;
 using waxwing::milliseconds;
 
-constexpr int kVms = 3;
+constexpr std::size_t kVms = 3;
 constexpr int kTargets = 4;
 constexpr int kEngines = 3;
 constexpr int kCallers = 12;
@@ -43,6 +43,11 @@
 
 using clock = std::chrono::steady_clock;
 
+std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
 struct entry_vm {
   pid_t process = 0;
   endpoint callers;
@@ -81,7 +86,8 @@
   std::mt19937_64 timing_random;
   std::unique_ptr<object_store_standin> store = StartObjectStore(context);
   std::vector<std::shared_ptr<scripted_target>> targets;
-  std::vector<entry_vm> vms{kVms};
+  std::vector<entry_vm> vms =
+      std::vector<entry_vm>(FromEnvironment("WAXWING_SOAK_VMS", kVms));
   waxwing::http_pool pool = waxwing::MakeHttpPool(context.get_executor(), {});
   target_faults faults;
   int config_version = 1;
@@ -263,10 +269,10 @@
         }));
   WriteAgain(s);
   std::vector<endpoint> peers;
-  peers.reserve(kVms);
-  for (int i = 0; i < kVms; ++i)
+  peers.reserve(s.vms.size());
+  for (std::size_t i = 0; i < s.vms.size(); ++i)
     peers.push_back(FindFreeAddress(s.context));
-  for (std::size_t i = 0; i < kVms; ++i) {
+  for (std::size_t i = 0; i < s.vms.size(); ++i) {
     entry_vm& vm = s.vms[i];
     vm.callers = FindFreeAddress(s.context);
     vm.settings = ::testing::TempDir() + "waxwing-soak-" +
@@ -322,7 +328,7 @@
   asio::steady_timer timer(s.context);
   while (!s.is_finished) {
     const std::string id = "r" + std::to_string(s.next_id++);
-    const endpoint address = s.vms[PickIndex(s, kVms)].callers;
+    const endpoint address = s.vms[PickIndex(s, s.vms.size())].callers;
     const bool is_non_idempotent = Chance(s, 0.5);
     const caller_result result =
         co_await SendRequest(s, address, id, is_non_idempotent);
@@ -344,7 +350,7 @@
                        {"Model", "m"},
                        {"Token-Count", "100,10"},
                        {"Authorization", "Token key-1"}};
-    const endpoint address = s.vms[PickIndex(s, kVms)].callers;
+    const endpoint address = s.vms[PickIndex(s, s.vms.size())].callers;
     const waxwing::http_call_options options{milliseconds(6'000), false};
     co_await waxwing::Fetch(s.pool, address, request, options);
     timer.expires_after(milliseconds(5 + PickIndex(s, 20)));
@@ -381,7 +387,7 @@
 
 // Injects one fault and returns what ends it.
 std::function<void()> InjectFault(soak_run& s) {
-  entry_vm& vm = s.vms[PickFaultValue(s, kVms)];
+  entry_vm& vm = s.vms[PickFaultValue(s, s.vms.size())];
   switch (PickFaultValue(s, 13)) {
     case 9:
       s.fault_log += " weights";
@@ -513,7 +519,7 @@
   };
   const std::size_t before = requests();
   RunFor(s, milliseconds(700));
-  EXPECT_LE(requests() - before, 2u * kVms * kTargets);
+  EXPECT_LE(requests() - before, 2 * s.vms.size() * kTargets);
   s.faults.pause = 0;
   RunFor(s, milliseconds(1'500));
   s.leaving_target = 0;
@@ -545,11 +551,6 @@
   EXPECT_GT(complete, 0);
 }
 
-std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
-  const char* text = std::getenv(name);
-  return text ? std::strtoull(text, nullptr, 10) : fallback;
-}
-
 TEST(EntrySoak, GuaranteesHoldUnderOverlappingFaults) {
   const std::uint64_t first = FromEnvironment("WAXWING_SOAK_FIRST", 1);
   const std::uint64_t count = FromEnvironment("WAXWING_SOAK_SEEDS", 2);
--- a/testing/freshness_test.cc
+++ b/testing/freshness_test.cc
@@ -5,7 +5,7 @@
 namespace waxwing {
 namespace {
 
-const instant kStart = instant{} + seconds(100);
+constexpr instant kStart = instant{} + seconds(100);
 
 TEST(Freshness, ChangeInAnUninterruptedWatchIsAsOldAsItsArrival) {
   const instant arrived = kStart + seconds(3);
--- a/testing/store_era_test.cc
+++ b/testing/store_era_test.cc
@@ -30,7 +30,7 @@
   return view;
 }
 
-const instant kStart = instant{} + seconds(100);
+constexpr instant kStart = instant{} + seconds(100);
 
 void Acquire(lease_view& view, std::uint64_t version, instant now) {
   ASSERT_EQ(NextLeaseAction(view, now), lease_action::kAcquire);
