Confirm to subscribers only what this VM has read and published itself

VMs whose member tables differ may take for a zone watcher one that only follows another; it confirmed what it never published, and they did not read the store.

What a VM has read and published is kept apart again (published_at). EntryReplication.DataConfirmedByAWatcherIsNotConfirmedToSubscribers tests it.

--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -715,6 +715,29 @@
   }));
 }
 
+// A VM that is kept up to date by a zone watcher does not publish the changes
+// itself, so it must not confirm them to VMs that take it for a zone watcher.
+TEST(EntryReplication, DataConfirmedByAWatcherIsNotConfirmedToSubscribers) {
+  entry_fixture f;
+  f.AddTarget("t1", "panel", RespondOk);
+  f.Start(1);
+  entry_state& state = *f.running.state;
+  const watch_position& position = state.watches[object_kind::kConfig];
+  const auto published_at = position.published_at;
+  ASSERT_TRUE(published_at.has_value());
+  state.upstreams[""];
+  wire::shared_agesT ages;
+  auto age = std::make_unique<wire::shared_ageT>();
+  age->kind = static_cast<std::uint8_t>(object_kind::kConfig);
+  ages.ages.push_back(std::move(age));
+  wire::messageUnion message;
+  message.Set(std::move(ages));
+  const instant now = SuspendAwareNow();
+  state.membership_agent.state->on_replication_message({}, message);
+  EXPECT_GE(*position.confirmed_at, now);
+  EXPECT_EQ(position.published_at, published_at);
+}
+
 // A configuration must be in force 2 s after its acknowledgement, also at a VM
 // whose zone watchers are refused by the store just before.
 TEST(EntryReplication, WatchersThatTheStoreRefusesDoNotDelayTheirZone) {
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -65,12 +65,12 @@
   for (const object_kind kind : kReplicatedKinds) {
     const auto found = state.watches.find(kind);
     if (found == state.watches.end() || !found->second.is_listed ||
-        !found->second.confirmed_at)
+        !found->second.published_at)
       continue;
     auto age = std::make_unique<wire::shared_ageT>();
     age->kind = static_cast<std::uint8_t>(kind);
     age->age_ms = static_cast<std::uint32_t>(
-        ToMs(SuspendAwareNow() - *found->second.confirmed_at));
+        ToMs(SuspendAwareNow() - *found->second.published_at));
     out.ages.push_back(std::move(age));
   }
   if (state.caller_load.requests_per_second)
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -75,6 +75,9 @@
   // This VM has all changes that the store made before this time. On a clock
   // that keeps running while the VM is suspended; empty until the first list.
   std::optional<instant> confirmed_at;
+  // The same, as far as this VM has read the store itself and so has published
+  // the changes to its subscribers.
+  std::optional<instant> published_at;
   // On the same clock: when the last call began that failed right after another
   // one. It used a new connection, so the store itself was out of reach, while
   // a single failure may be that of a connection alone.
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -164,6 +164,7 @@
   position.is_listed = true;
   position.has_lost_changes = false;
   position.confirmed_at = began;
+  position.published_at = began;
   PublishSnapshot(*state, kind);
   co_return true;
 }
@@ -228,6 +229,7 @@
     RefreshTargets(*state, std::chrono::steady_clock::now());
   position.revision = std::max(position.revision, changes->revision);
   position.confirmed_at = arrived;
+  position.published_at = arrived;
   PublishChanges(*state, kind, *changes, made_after);
   co_return true;
 }
