--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -65,8 +65,8 @@
   int target_waiting = 0;
   std::string cache_source;
   // For the log, of the last attempt: the weights version that the target was
-  // expected to have, the time since a newer one was announced (empty if none
-  // was), and the time from sending to the first byte of the response.
+  // expected to have, the time since this VM learned of a newer one (empty if
+  // it knew none), and the time from sending to the first byte of the response.
   std::int64_t weights_version = 0;
   std::optional<duration> outdated_for;
   std::optional<duration> time_to_start;
