--- a/testing/processes.cc
+++ b/testing/processes.cc
@@ -22,8 +22,8 @@
 // running in parallel rarely collide.
 endpoint FindFreeAddress(asio::io_context& context) {
   constexpr int kFirstPort = 12'000;
-  constexpr int kPortsPerProcess = 200;
-  constexpr int kProcesses = 100;
+  constexpr int kPortsPerProcess = 400;
+  constexpr int kProcesses = 50;
   static int next = 0;
   const int base = kFirstPort + (getpid() % kProcesses) * kPortsPerProcess;
   while (true) {
