Log the request rates that targets state

The adapter reads the rate; the entry keeps it with the target and logs each change (target_rate_stated), and request_ended and attempt_ended say which rate was known when the target was chosen. No decision depends on it yet. A response without a rate ends it only if its request was sent after the rate was heard of; a rate that can't be read changes nothing.

--- a/waxwing/adapter.h
+++ b/waxwing/adapter.h
@@ -122,6 +122,10 @@
   // For how long the target wants no further requests of this VM. Zero if it
   // states no valid time.
   milliseconds pause{0};
+  // The rate of requests that the target takes from all VMs together. Empty if
+  // it states none, or none that is valid.
+  std::optional<double> rate_limit;
+  bool has_invalid_rate_limit = false;
   // Requests that are running or queued at the target, and its capacity for
   // concurrent ones.
   struct load {
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -152,6 +152,7 @@
   run.cached_tokens = chosen->cached_tokens;
   run.target_in_flight = InFlight(view);
   run.target_waiting = view.others_waiting;
+  run.target_rate = view.rate.per_second;
   out.started = std::chrono::steady_clock::now();
   if (DependsOnWeights(run, out))
     out.time_to_start = TimeToStart(state, out.target.record.model,
--- a/waxwing/entry_notices.cc
+++ b/waxwing/entry_notices.cc
@@ -4,6 +4,8 @@
 // A departure holds until the target's incarnation changes, whatever the store
 // says. A pause binds this VM alone; to others it is a sign of load.
 
+#include <utility>
+
 #include "waxwing/agent_state.h"
 #include "waxwing/entry_state.h"
 #include "waxwing/log.h"
@@ -77,6 +79,33 @@
     RecordTargetPause(state, found->second, request_id, facts.pause);
 }
 
+void ObserveStatedRate(entry_state& state,
+                       std::string_view target,
+                       std::string_view request_id,
+                       const response_info& facts,
+                       instant sent) {
+  const auto found = state.targets.find(target);
+  // A response without the target's own marks may be another target's.
+  const bool is_own = facts.has_server_stamp || facts.target == target;
+  if (found == state.targets.end() || !is_own)
+    return;
+  target_view& view = state.placement.targets[found->second.index];
+  if (facts.has_invalid_rate_limit) {
+    if (!std::exchange(view.has_stated_invalid_rate, true))
+      LogWarning("target_rate_invalid",
+                 {{"target", target}, {"request", request_id}});
+    return;
+  }
+  if (!RecordStatement(view.rate, facts.rate_limit, sent,
+                       std::chrono::steady_clock::now()))
+    return;
+  Count(state.stats, "waxwing_target_rates_total");
+  LogInfo("target_rate_stated",
+          {{"target", target},
+           {"request", request_id},
+           {"per_second", facts.rate_limit.value_or(-1)}});
+}
+
 void HandleTargetNotice(entry_state& state,
                         std::string_view peer,
                         const wire::target_noticeT& notice) {
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -211,6 +211,9 @@
     co_return FailureOutcome(run, facts.error());
   }
   MarkResponding(run, attempt);
+  if (IsCurrent(*run.state, attempt))
+    ObserveStatedRate(*run.state, attempt.target.record.id, run.request.id,
+                      *facts, attempt.started);
   UpdateTargetLoad(*run.state, attempt, *facts);
   if (facts->weights_version && IsCurrent(*run.state, attempt))
     RecordTargetWeights(*run.state, attempt.target.record.id,
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -64,6 +64,7 @@
   int target_in_flight = 0;
   int target_waiting = 0;
   std::string cache_source;
+  std::optional<double> target_rate;
   // For the log, of the last attempt: the weights version that the target was
   // expected to have, the time since this VM learned of a newer one (empty if
   // it knew none), and the time from sending to the first byte of the response.
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -323,6 +323,14 @@
                      std::string_view request_id,
                      const response_info& facts);
 
+// Records the rate of requests that the target states in its response to a
+// request that was sent to it at `sent`.
+void ObserveStatedRate(entry_state& state,
+                       std::string_view target,
+                       std::string_view request_id,
+                       const response_info& facts,
+                       instant sent);
+
 // Applies what a target has told the VM `peer`.
 void HandleTargetNotice(entry_state& state,
                         std::string_view peer,
--- /dev/null
+++ b/waxwing/target_rate.cc
@@ -0,0 +1,31 @@
+#include "waxwing/target_rate.h"
+
+namespace waxwing {
+
+bool RecordStatement(stated_rate& known,
+                     std::optional<double> per_second,
+                     instant sent,
+                     instant now) {
+  if (!per_second && (!known.per_second || sent < known.heard_at))
+    return false;
+  known.heard_at = now;
+  if (per_second == known.per_second)
+    return false;
+  known.per_second = per_second;
+  ++known.sequence;
+  return true;
+}
+
+bool MergeStatement(stated_rate& known, const stated_rate& other, instant now) {
+  // Of two statements with the same number the lower rate counts.
+  const bool is_newer =
+      other.sequence > known.sequence ||
+      (other.sequence == known.sequence && other.per_second &&
+       (!known.per_second || *other.per_second < *known.per_second));
+  if (!is_newer)
+    return false;
+  known = {other.per_second, other.sequence, now};
+  return true;
+}
+
+}  // namespace waxwing
--- a/waxwing/target_view.h
+++ b/waxwing/target_view.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <string_view>
 
+#include "waxwing/target_rate.h"
 #include "waxwing/types.h"
 
 namespace waxwing {
@@ -67,6 +68,9 @@
   // another VM to send it none.
   instant paused_until;
   instant others_paused_until;
+  // The rate of requests that it takes from all VMs together.
+  stated_rate rate;
+  bool has_stated_invalid_rate = false;
   // Its weights are too old for any new request.
   bool has_outdated_weights = false;
   // About to load other weights, which aborts its running requests.
