Share the rate that a target states among all VMs by permits

Reading it at each VM would not do, since the rate is one for all VMs and no VM sees what the others send: a limit that belongs to all, kept by each for itself.

A VM that hears of a rate, or of its end, tells its peers, and each one to which it is news passes it on; statements are numbered, so that all VMs end with the same. One VM for each such target, chosen by rendezvous, hands out a permit a request over the existing links; without one nothing is sent, and another target is chosen, or the request refused at once as not run, with the time after which a permit can be had. A permit allows one arrival, so the request is not sent on a kept connection, where the HTTP client may repeat it. A rate of zero leaves a trial every 4 s, which is the only way to learn of its end.

--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -122,6 +122,14 @@
 struct target_noticeBuilder;
 struct target_noticeT;
 
+struct permit_request;
+struct permit_requestBuilder;
+struct permit_requestT;
+
+struct permit_response;
+struct permit_responseBuilder;
+struct permit_responseT;
+
 struct frame;
 struct frameBuilder;
 struct frameT;
@@ -148,11 +156,13 @@
   shared_ages = 18,
   cache_changes = 19,
   target_notice = 20,
+  permit_request = 21,
+  permit_response = 22,
   MIN = NONE,
-  MAX = target_notice
+  MAX = permit_response
 };
 
-inline const message (&EnumValuesmessage())[21] {
+inline const message (&EnumValuesmessage())[23] {
   static const message values[] = {
     message::NONE,
     message::challenge,
@@ -174,13 +184,15 @@
     message::shared_objects,
     message::shared_ages,
     message::cache_changes,
-    message::target_notice
+    message::target_notice,
+    message::permit_request,
+    message::permit_response
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[22] = {
+  static const char * const names[24] = {
     "NONE",
     "challenge",
     "hello",
@@ -202,13 +214,15 @@
     "shared_ages",
     "cache_changes",
     "target_notice",
+    "permit_request",
+    "permit_response",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::target_notice)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::permit_response)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -297,6 +311,14 @@
   static const message enum_value = message::target_notice;
 };
 
+template<> struct messageTraits<waxwing::wire::permit_request> {
+  static const message enum_value = message::permit_request;
+};
+
+template<> struct messageTraits<waxwing::wire::permit_response> {
+  static const message enum_value = message::permit_response;
+};
+
 template<typename T> struct messageUnionTraits {
   static const message enum_value = message::NONE;
 };
@@ -381,6 +403,14 @@
   static const message enum_value = message::target_notice;
 };
 
+template<> struct messageUnionTraits<waxwing::wire::permit_requestT> {
+  static const message enum_value = message::permit_request;
+};
+
+template<> struct messageUnionTraits<waxwing::wire::permit_responseT> {
+  static const message enum_value = message::permit_response;
+};
+
 struct messageUnion {
   message type;
   void *value;
@@ -571,6 +601,22 @@
     return type == message::target_notice ?
       reinterpret_cast<const waxwing::wire::target_noticeT *>(value) : nullptr;
   }
+  waxwing::wire::permit_requestT *Aspermit_request() {
+    return type == message::permit_request ?
+      reinterpret_cast<waxwing::wire::permit_requestT *>(value) : nullptr;
+  }
+  const waxwing::wire::permit_requestT *Aspermit_request() const {
+    return type == message::permit_request ?
+      reinterpret_cast<const waxwing::wire::permit_requestT *>(value) : nullptr;
+  }
+  waxwing::wire::permit_responseT *Aspermit_response() {
+    return type == message::permit_response ?
+      reinterpret_cast<waxwing::wire::permit_responseT *>(value) : nullptr;
+  }
+  const waxwing::wire::permit_responseT *Aspermit_response() const {
+    return type == message::permit_response ?
+      reinterpret_cast<const waxwing::wire::permit_responseT *>(value) : nullptr;
+  }
 };
 
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
@@ -3049,6 +3095,8 @@
   int64_t incarnation = 0;
   bool is_leaving = false;
   uint32_t pause_ms = 0;
+  double rate = -1.0;
+  uint64_t rate_sequence = 0;
 };
 
 struct target_notice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3059,7 +3107,9 @@
     VT_TARGET = 4,
     VT_INCARNATION = 6,
     VT_IS_LEAVING = 8,
-    VT_PAUSE_MS = 10
+    VT_PAUSE_MS = 10,
+    VT_RATE = 12,
+    VT_RATE_SEQUENCE = 14
   };
   const flatbuffers::String *target() const {
     return GetPointer<const flatbuffers::String *>(VT_TARGET);
@@ -3073,6 +3123,12 @@
   uint32_t pause_ms() const {
     return GetField<uint32_t>(VT_PAUSE_MS, 0);
   }
+  double rate() const {
+    return GetField<double>(VT_RATE, -1.0);
+  }
+  uint64_t rate_sequence() const {
+    return GetField<uint64_t>(VT_RATE_SEQUENCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TARGET) &&
@@ -3080,6 +3136,8 @@
            VerifyField<int64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_IS_LEAVING, 1) &&
            VerifyField<uint32_t>(verifier, VT_PAUSE_MS, 4) &&
+           VerifyField<double>(verifier, VT_RATE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_RATE_SEQUENCE, 8) &&
            verifier.EndTable();
   }
   target_noticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3103,6 +3161,12 @@
   void add_pause_ms(uint32_t pause_ms) {
     fbb_.AddElement<uint32_t>(target_notice::VT_PAUSE_MS, pause_ms, 0);
   }
+  void add_rate(double rate) {
+    fbb_.AddElement<double>(target_notice::VT_RATE, rate, -1.0);
+  }
+  void add_rate_sequence(uint64_t rate_sequence) {
+    fbb_.AddElement<uint64_t>(target_notice::VT_RATE_SEQUENCE, rate_sequence, 0);
+  }
   explicit target_noticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3119,8 +3183,12 @@
     flatbuffers::Offset<flatbuffers::String> target = 0,
     int64_t incarnation = 0,
     bool is_leaving = false,
-    uint32_t pause_ms = 0) {
+    uint32_t pause_ms = 0,
+    double rate = -1.0,
+    uint64_t rate_sequence = 0) {
   target_noticeBuilder builder_(_fbb);
+  builder_.add_rate_sequence(rate_sequence);
+  builder_.add_rate(rate);
   builder_.add_incarnation(incarnation);
   builder_.add_pause_ms(pause_ms);
   builder_.add_target(target);
@@ -3138,18 +3206,211 @@
     const char *target = nullptr,
     int64_t incarnation = 0,
     bool is_leaving = false,
-    uint32_t pause_ms = 0) {
+    uint32_t pause_ms = 0,
+    double rate = -1.0,
+    uint64_t rate_sequence = 0) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   return waxwing::wire::Createtarget_notice(
       _fbb,
       target__,
       incarnation,
       is_leaving,
-      pause_ms);
+      pause_ms,
+      rate,
+      rate_sequence);
 }
 
 flatbuffers::Offset<target_notice> Createtarget_notice(flatbuffers::FlatBufferBuilder &_fbb, const target_noticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct permit_requestT : public flatbuffers::NativeTable {
+  typedef permit_request TableType;
+  uint64_t number = 0;
+  std::string target{};
+  int64_t incarnation = 0;
+  double rate = -1.0;
+  uint64_t rate_sequence = 0;
+};
+
+struct permit_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef permit_requestT NativeTableType;
+  typedef permit_requestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_TARGET = 6,
+    VT_INCARNATION = 8,
+    VT_RATE = 10,
+    VT_RATE_SEQUENCE = 12
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  int64_t incarnation() const {
+    return GetField<int64_t>(VT_INCARNATION, 0);
+  }
+  double rate() const {
+    return GetField<double>(VT_RATE, -1.0);
+  }
+  uint64_t rate_sequence() const {
+    return GetField<uint64_t>(VT_RATE_SEQUENCE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyField<int64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<double>(verifier, VT_RATE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_RATE_SEQUENCE, 8) &&
+           verifier.EndTable();
+  }
+  permit_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(permit_requestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<permit_request> Pack(flatbuffers::FlatBufferBuilder &_fbb, const permit_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct permit_requestBuilder {
+  typedef permit_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(permit_request::VT_NUMBER, number, 0);
+  }
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(permit_request::VT_TARGET, target);
+  }
+  void add_incarnation(int64_t incarnation) {
+    fbb_.AddElement<int64_t>(permit_request::VT_INCARNATION, incarnation, 0);
+  }
+  void add_rate(double rate) {
+    fbb_.AddElement<double>(permit_request::VT_RATE, rate, -1.0);
+  }
+  void add_rate_sequence(uint64_t rate_sequence) {
+    fbb_.AddElement<uint64_t>(permit_request::VT_RATE_SEQUENCE, rate_sequence, 0);
+  }
+  explicit permit_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<permit_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<permit_request>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<permit_request> Createpermit_request(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    int64_t incarnation = 0,
+    double rate = -1.0,
+    uint64_t rate_sequence = 0) {
+  permit_requestBuilder builder_(_fbb);
+  builder_.add_rate_sequence(rate_sequence);
+  builder_.add_rate(rate);
+  builder_.add_incarnation(incarnation);
+  builder_.add_number(number);
+  builder_.add_target(target);
+  return builder_.Finish();
+}
+
+struct permit_request::Traits {
+  using type = permit_request;
+  static auto constexpr Create = Createpermit_request;
+};
+
+inline flatbuffers::Offset<permit_request> Createpermit_requestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *target = nullptr,
+    int64_t incarnation = 0,
+    double rate = -1.0,
+    uint64_t rate_sequence = 0) {
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  return waxwing::wire::Createpermit_request(
+      _fbb,
+      number,
+      target__,
+      incarnation,
+      rate,
+      rate_sequence);
+}
+
+flatbuffers::Offset<permit_request> Createpermit_request(flatbuffers::FlatBufferBuilder &_fbb, const permit_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct permit_responseT : public flatbuffers::NativeTable {
+  typedef permit_response TableType;
+  uint64_t number = 0;
+  int32_t wait_ms = -1;
+};
+
+struct permit_response FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef permit_responseT NativeTableType;
+  typedef permit_responseBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_WAIT_MS = 6
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  int32_t wait_ms() const {
+    return GetField<int32_t>(VT_WAIT_MS, -1);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<int32_t>(verifier, VT_WAIT_MS, 4) &&
+           verifier.EndTable();
+  }
+  permit_responseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(permit_responseT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<permit_response> Pack(flatbuffers::FlatBufferBuilder &_fbb, const permit_responseT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct permit_responseBuilder {
+  typedef permit_response Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(permit_response::VT_NUMBER, number, 0);
+  }
+  void add_wait_ms(int32_t wait_ms) {
+    fbb_.AddElement<int32_t>(permit_response::VT_WAIT_MS, wait_ms, -1);
+  }
+  explicit permit_responseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<permit_response> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<permit_response>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<permit_response> Createpermit_response(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    int32_t wait_ms = -1) {
+  permit_responseBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_wait_ms(wait_ms);
+  return builder_.Finish();
+}
+
+struct permit_response::Traits {
+  using type = permit_response;
+  static auto constexpr Create = Createpermit_response;
+};
+
+flatbuffers::Offset<permit_response> Createpermit_response(flatbuffers::FlatBufferBuilder &_fbb, const permit_responseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct frameT : public flatbuffers::NativeTable {
   typedef frame TableType;
   waxwing::wire::messageUnion message{};
@@ -3230,6 +3491,12 @@
   const waxwing::wire::target_notice *message_as_target_notice() const {
     return message_type() == waxwing::wire::message::target_notice ? static_cast<const waxwing::wire::target_notice *>(message()) : nullptr;
   }
+  const waxwing::wire::permit_request *message_as_permit_request() const {
+    return message_type() == waxwing::wire::message::permit_request ? static_cast<const waxwing::wire::permit_request *>(message()) : nullptr;
+  }
+  const waxwing::wire::permit_response *message_as_permit_response() const {
+    return message_type() == waxwing::wire::message::permit_response ? static_cast<const waxwing::wire::permit_response *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -3322,6 +3589,14 @@
   return message_as_target_notice();
 }
 
+template<> inline const waxwing::wire::permit_request *frame::message_as<waxwing::wire::permit_request>() const {
+  return message_as_permit_request();
+}
+
+template<> inline const waxwing::wire::permit_response *frame::message_as<waxwing::wire::permit_response>() const {
+  return message_as_permit_response();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4308,6 +4583,8 @@
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = is_leaving(); _o->is_leaving = _e; }
   { auto _e = pause_ms(); _o->pause_ms = _e; }
+  { auto _e = rate(); _o->rate = _e; }
+  { auto _e = rate_sequence(); _o->rate_sequence = _e; }
 }
 
 inline flatbuffers::Offset<target_notice> target_notice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const target_noticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4322,12 +4599,83 @@
   auto _incarnation = _o->incarnation;
   auto _is_leaving = _o->is_leaving;
   auto _pause_ms = _o->pause_ms;
+  auto _rate = _o->rate;
+  auto _rate_sequence = _o->rate_sequence;
   return waxwing::wire::Createtarget_notice(
       _fbb,
       _target,
       _incarnation,
       _is_leaving,
-      _pause_ms);
+      _pause_ms,
+      _rate,
+      _rate_sequence);
+}
+
+inline permit_requestT *permit_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<permit_requestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void permit_request::UnPackTo(permit_requestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = rate(); _o->rate = _e; }
+  { auto _e = rate_sequence(); _o->rate_sequence = _e; }
+}
+
+inline flatbuffers::Offset<permit_request> permit_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const permit_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createpermit_request(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<permit_request> Createpermit_request(flatbuffers::FlatBufferBuilder &_fbb, const permit_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const permit_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  auto _incarnation = _o->incarnation;
+  auto _rate = _o->rate;
+  auto _rate_sequence = _o->rate_sequence;
+  return waxwing::wire::Createpermit_request(
+      _fbb,
+      _number,
+      _target,
+      _incarnation,
+      _rate,
+      _rate_sequence);
+}
+
+inline permit_responseT *permit_response::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<permit_responseT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void permit_response::UnPackTo(permit_responseT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = wait_ms(); _o->wait_ms = _e; }
+}
+
+inline flatbuffers::Offset<permit_response> permit_response::Pack(flatbuffers::FlatBufferBuilder &_fbb, const permit_responseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createpermit_response(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<permit_response> Createpermit_response(flatbuffers::FlatBufferBuilder &_fbb, const permit_responseT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const permit_responseT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _wait_ms = _o->wait_ms;
+  return waxwing::wire::Createpermit_response(
+      _fbb,
+      _number,
+      _wait_ms);
 }
 
 inline frameT *frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4444,6 +4792,14 @@
       auto ptr = reinterpret_cast<const waxwing::wire::target_notice *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::permit_request: {
+      auto ptr = reinterpret_cast<const waxwing::wire::permit_request *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::permit_response: {
+      auto ptr = reinterpret_cast<const waxwing::wire::permit_response *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4543,6 +4899,14 @@
       auto ptr = reinterpret_cast<const waxwing::wire::target_notice *>(obj);
       return ptr->UnPack(resolver);
     }
+    case message::permit_request: {
+      auto ptr = reinterpret_cast<const waxwing::wire::permit_request *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::permit_response: {
+      auto ptr = reinterpret_cast<const waxwing::wire::permit_response *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4630,6 +4994,14 @@
       auto ptr = reinterpret_cast<const waxwing::wire::target_noticeT *>(value);
       return Createtarget_notice(_fbb, ptr, _rehasher).Union();
     }
+    case message::permit_request: {
+      auto ptr = reinterpret_cast<const waxwing::wire::permit_requestT *>(value);
+      return Createpermit_request(_fbb, ptr, _rehasher).Union();
+    }
+    case message::permit_response: {
+      auto ptr = reinterpret_cast<const waxwing::wire::permit_responseT *>(value);
+      return Createpermit_response(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4716,6 +5088,14 @@
       value = new waxwing::wire::target_noticeT(*reinterpret_cast<waxwing::wire::target_noticeT *>(u.value));
       break;
     }
+    case message::permit_request: {
+      value = new waxwing::wire::permit_requestT(*reinterpret_cast<waxwing::wire::permit_requestT *>(u.value));
+      break;
+    }
+    case message::permit_response: {
+      value = new waxwing::wire::permit_responseT(*reinterpret_cast<waxwing::wire::permit_responseT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4823,6 +5203,16 @@
       delete ptr;
       break;
     }
+    case message::permit_request: {
+      auto ptr = reinterpret_cast<waxwing::wire::permit_requestT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::permit_response: {
+      auto ptr = reinterpret_cast<waxwing::wire::permit_responseT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/testing/target_rate_test.cc
+++ b/testing/target_rate_test.cc
@@ -59,11 +59,110 @@
   return static_cast<std::size_t>(1.5 * rate * kWindow.count() + 5);
 }
 
+scripted_response StateRate(const http_request& request,
+                            std::string_view rate) {
+  return {{PlainResponse(
+      200, IdOf(request), "body",
+      rate.empty() ? "" : "Server-Limit: " + std::string(rate) + "\r\n")}};
+}
+
+struct rate_fixture : zone_fixture {
+  explicit rate_fixture(std::size_t count) : zone_fixture(count) {}
+  ~rate_fixture() { running = {}; }
+
+  bool Settle(std::size_t target_count) {
+    return WaitUntilSettled() && RunUntil([&] {
+             return std::all_of(vms.begin(), vms.end(), [&](const entry& vm) {
+               return vm.state->targets.size() == target_count;
+             });
+           });
+  }
+  tl::expected<http_response, http_error> SendTo(std::size_t vm) {
+    running = vms[vm];
+    return Send(kIdempotentPath);
+  }
+  // Sends requests until one is served, for 8 s at most.
+  bool SendUntilServed(std::size_t vm) {
+    const instant limit = std::chrono::steady_clock::now() + seconds(8);
+    while (SendTo(vm)->status != 200) {
+      if (std::chrono::steady_clock::now() > limit)
+        return false;
+      context.run_for(milliseconds(50));
+    }
+    return true;
+  }
+  bool AllKnowRate(std::optional<double> rate) {
+    return RunUntil([&] {
+      return std::all_of(vms.begin(), vms.end(), [&](const entry& vm) {
+        const auto& state = *vm.state;
+        return state.placement.targets[state.targets.at("t1").index]
+                   .rate.per_second == rate;
+      });
+    });
+  }
+};
+
+TEST(TargetRate, RateAndItsEndReachAllVms) {
+  rate_fixture f(5);
+  std::string rate = "50";
+  f.AddTarget("t1", "panel", [&](const http_request& request) {
+    return StateRate(request, rate);
+  });
+  ASSERT_TRUE(f.Settle(1));
+  ASSERT_EQ(f.SendTo(0)->status, 200u);
+  EXPECT_TRUE(f.AllKnowRate(50));
+  rate = "20";
+  ASSERT_TRUE(f.SendUntilServed(1));
+  EXPECT_TRUE(f.AllKnowRate(20));
+  rate = "";
+  ASSERT_TRUE(f.SendUntilServed(2));
+  EXPECT_TRUE(f.AllKnowRate({}));
+}
+
+TEST(TargetRate, RequestsBeyondTheRatesOfAllTargetsAreRefusedAtOnceAsNotRun) {
+  rate_fixture f(3);
+  f.AddTarget("t1", "panel",
+              [](const http_request& r) { return StateRate(r, "1"); });
+  ASSERT_TRUE(f.Settle(1));
+  ASSERT_EQ(f.SendTo(0)->status, 200u);
+  ASSERT_TRUE(f.AllKnowRate(1));
+  int refused = 0;
+  for (std::size_t i = 0; i < 30; ++i) {
+    const instant sent = std::chrono::steady_clock::now();
+    const auto response = f.SendTo(i % 3);
+    EXPECT_LT(std::chrono::steady_clock::now() - sent, milliseconds(200));
+    if (response->status != 503)
+      continue;
+    ++refused;
+    const double retry_after =
+        std::stod(std::string(FindHeader(response->headers, "Retry-After")));
+    EXPECT_GT(retry_after, 0.1);
+    EXPECT_LT(retry_after, 2.5);
+  }
+  EXPECT_GE(refused, 28);
+  EXPECT_EQ(f.targets[0]->requests.size() + static_cast<std::size_t>(refused),
+            31u);
+}
+
+TEST(TargetRate, TargetThatTakesNothingIsTriedUntilItsRateEnds) {
+  rate_fixture f(3);
+  std::string rate = "0";
+  f.AddTarget("t1", "panel", [&](const http_request& request) {
+    return StateRate(request, rate);
+  });
+  ASSERT_TRUE(f.Settle(1));
+  ASSERT_EQ(f.SendTo(0)->status, 200u);
+  ASSERT_TRUE(f.AllKnowRate(0));
+  rate = "";
+  EXPECT_TRUE(f.SendUntilServed(1));
+  EXPECT_TRUE(f.AllKnowRate({}));
+}
+
 TEST(TargetRate, StatedRateHoldsForTheSumOfAllVms) {
   constexpr double kRate = 2;
   constexpr std::size_t kVms = 6;
   constexpr milliseconds kSendPeriod{12};
-  zone_fixture f(kVms);
+  rate_fixture f(kVms);
   std::vector<instant> arrivals;
   instant stated_at;
   f.AddTarget("t1", "panel", [&](const http_request& request) {
@@ -72,31 +171,23 @@
       stated_at = now;
     if (now > stated_at + milliseconds(500))
       arrivals.push_back(now);
-    return scripted_response{
-        {PlainResponse(200, IdOf(request), "body", "Server-Limit: 2\r\n")}};
+    return StateRate(request, "2");
   });
   f.AddTarget("t2", "panel", RespondOk);
-  ASSERT_TRUE(f.WaitUntilSettled());
-  ASSERT_TRUE(f.RunUntil([&] {
-    return std::all_of(f.vms.begin(), f.vms.end(), [](const entry& vm) {
-      return vm.state->targets.size() == 2;
-    });
-  }));
+  ASSERT_TRUE(f.Settle(2));
   const instant end = std::chrono::steady_clock::now() + seconds(6);
   int served = 0;
   int sent = 0;
   while (std::chrono::steady_clock::now() < end) {
-    f.running = f.vms[static_cast<std::size_t>(sent++) % kVms];
     for (const entry& vm : f.vms) {
       placement_state& placement = vm.state->placement;
       placement.targets[vm.state->targets.at("t2").index].added_cost =
           milliseconds(100);
     }
-    const auto response = f.Send(kIdempotentPath);
+    const auto response = f.SendTo(static_cast<std::size_t>(sent++) % kVms);
     served += response && response->status == 200 ? 1 : 0;
     f.context.run_for(kSendPeriod);
   }
-  f.running = {};
   EXPECT_LE(BusiestWindow(arrivals), AllowedInWindow(kRate));
   EXPECT_GE(BusiestWindow(arrivals), 4u);
   EXPECT_EQ(served, sent);
--- a/waxwing/agent_links.cc
+++ b/waxwing/agent_links.cc
@@ -120,7 +120,9 @@
          type == wire::message::shared_objects ||
          type == wire::message::shared_ages ||
          type == wire::message::cache_changes ||
-         type == wire::message::target_notice;
+         type == wire::message::target_notice ||
+         type == wire::message::permit_request ||
+         type == wire::message::permit_response;
 }
 
 void HandleAgentFrame(agent_state& state,
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -134,22 +134,30 @@
 
 }  // namespace
 
-std::optional<dispatch> ChooseTarget(forward_run& run) {
-  entry_state& state = *run.state;
-  dispatch out;
+std::optional<target_choice> ChooseTarget(forward_run& run) {
+  target_choice out;
   auto chosen = ChoosePlacement(run, out.engine, false);
   if (!chosen)
     chosen = ChoosePlacement(run, out.engine, true);
   if (!chosen)
     return std::nullopt;
-  target_view& view = state.placement.targets[chosen->target];
   out.chosen = *chosen;
+  return out;
+}
+
+dispatch BeginDispatch(forward_run& run, const target_choice& choice) {
+  entry_state& state = *run.state;
+  dispatch out;
+  out.chosen = choice.chosen;
+  out.engine = choice.engine;
+  out.has_permit = choice.has_permit;
+  target_view& view = state.placement.targets[choice.chosen.target];
   out.target = state.targets.at(view.name);
-  out.uncached_tokens =
-      run.chain.tokens - std::min(run.chain.tokens, chosen->cached_tokens);
+  out.uncached_tokens = run.chain.tokens -
+                        std::min(run.chain.tokens, choice.chosen.cached_tokens);
   out.epoch = view.epoch;
   run.target_id = view.name;
-  run.cached_tokens = chosen->cached_tokens;
+  run.cached_tokens = choice.chosen.cached_tokens;
   run.target_in_flight = InFlight(view);
   run.target_waiting = view.others_waiting;
   run.target_rate = view.rate.per_second;
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -59,8 +59,8 @@
           ? duration{}
           : EstimateDispatchDelay(queue->second.flow_control,
                                   QueuedTokens(queue->second));
-  const duration pause = ShortestPause(state.placement.targets, run.service,
-                                       std::chrono::steady_clock::now())
+  const duration pause = ShortestSendDelay(state.placement.targets, run.service,
+                                           std::chrono::steady_clock::now())
                              .value_or(duration{});
   return kMinRetryAfter + std::max(backlog, pause) +
          milliseconds(static_cast<std::int64_t>(
@@ -206,19 +206,20 @@
   while (true) {
     if (!co_await WaitForDispatchSlot(run))
       co_return run.caller_gone ? forward_outcome::kCallerGone : outcome;
-    auto attempt = ChooseTarget(run);
-    if (!attempt) {
+    const auto choice = co_await ChoosePermittedTarget(run);
+    if (!choice) {
       LogInfo("no_target",
               {{"request", run.request.id}, {"service", run.service}});
       ReleaseWindowTokens(run, std::nullopt);
-      co_return outcome;
+      co_return run.caller_gone ? forward_outcome::kCallerGone : outcome;
     }
-    outcome = co_await RunAtTarget(run, *attempt);
-    FinishDispatch(run, *attempt, outcome);
+    dispatch attempt = BeginDispatch(run, *choice);
+    outcome = co_await RunAtTarget(run, attempt);
+    FinishDispatch(run, attempt, outcome);
     if (outcome != forward_outcome::kDone)
       LogInfo("attempt_ended",
               {{"request", run.request.id},
-               {"target", attempt->target.record.id},
+               {"target", attempt.target.record.id},
                {"end", NameOf(outcome)},
                {"sends", run.sends},
                {"rate", run.target_rate.value_or(-1)},
@@ -227,12 +228,12 @@
                {"outdated_ms", ToMsOrNone(run.outdated_for)},
                {"start_ms", ToMsOrNone(run.time_to_start)},
                {"took_ms",
-                ToMs(std::chrono::steady_clock::now() - attempt->started)}});
+                ToMs(std::chrono::steady_clock::now() - attempt.started)}});
     if (outcome == forward_outcome::kDone ||
         outcome == forward_outcome::kCallerGone ||
         !MayRetryElsewhere(run, outcome))
       co_return outcome;
-    run.failed_target = static_cast<int>(attempt->chosen.target);
+    run.failed_target = static_cast<int>(attempt.chosen.target);
     Count(run.state->stats, "waxwing_retries_total");
   }
 }
--- a/waxwing/entry_notices.cc
+++ b/waxwing/entry_notices.cc
@@ -1,8 +1,9 @@
 // What targets say about themselves in their responses: that they are leaving,
-// or that they want no requests for some time.
+// that they want no requests for some time, or how many requests they take.
 //
 // A departure holds until the target's incarnation changes, whatever the store
-// says. A pause binds this VM alone; to others it is a sign of load.
+// says. A pause binds this VM alone; to others it is a sign of load. A rate
+// binds all VMs together (entry_permits.cc).
 
 #include <utility>
 
@@ -63,8 +64,48 @@
   SendNotice(state, notice, "");
 }
 
+wire::target_noticeT MakeRateNotice(const listed_target& target,
+                                    const stated_rate& rate) {
+  wire::target_noticeT notice;
+  notice.target = target.record.id;
+  notice.incarnation = target.record.incarnation;
+  notice.rate = rate.per_second.value_or(-1);
+  notice.rate_sequence = rate.sequence;
+  return notice;
+}
+
+void AnnounceRate(entry_state& state,
+                  const listed_target& target,
+                  std::string_view request_id,
+                  std::string_view peer) {
+  const stated_rate& rate = state.placement.targets[target.index].rate;
+  Count(state.stats, "waxwing_target_rates_total");
+  LogInfo("target_rate_stated", {{"target", target.record.id},
+                                 {"request", request_id},
+                                 {"peer", peer},
+                                 {"per_second", rate.per_second.value_or(-1)}});
+  SendNotice(state, MakeRateNotice(target, rate), peer);
+}
+
 }  // namespace
 
+void LearnRate(entry_state& state,
+               const listed_target& target,
+               std::string_view peer,
+               const stated_rate& rate) {
+  if (MergeStatement(state.placement.targets[target.index].rate, rate,
+                     std::chrono::steady_clock::now()))
+    AnnounceRate(state, target, "", peer);
+}
+
+void SendKnownNotices(const entry_state& state, const peer_link& link) {
+  for (const auto& [id, target] : state.targets) {
+    const stated_rate& rate = state.placement.targets[target.index].rate;
+    if (rate.per_second)
+      SendMessage(link, MakeRateNotice(target, rate));
+  }
+}
+
 void ObserveResponse(entry_state& state,
                      std::string_view target,
                      std::string_view request_id,
@@ -96,14 +137,9 @@
                  {{"target", target}, {"request", request_id}});
     return;
   }
-  if (!RecordStatement(view.rate, facts.rate_limit, sent,
-                       std::chrono::steady_clock::now()))
-    return;
-  Count(state.stats, "waxwing_target_rates_total");
-  LogInfo("target_rate_stated",
-          {{"target", target},
-           {"request", request_id},
-           {"per_second", facts.rate_limit.value_or(-1)}});
+  if (RecordStatement(view.rate, facts.rate_limit, sent,
+                      std::chrono::steady_clock::now()))
+    AnnounceRate(state, found->second, request_id, "");
 }
 
 void HandleTargetNotice(entry_state& state,
@@ -115,6 +151,8 @@
     return;
   if (notice.is_leaving)
     RecordLeaving(state, found->second, peer, "");
+  LearnRate(state, found->second, peer,
+            {ReadPeerRate(notice.rate), notice.rate_sequence, {}});
   target_view& view = state.placement.targets[found->second.index];
   view.others_paused_until =
       std::max(view.others_paused_until, std::chrono::steady_clock::now() +
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -189,7 +189,8 @@
       run.exchange.request, run.request, MakeRunOrder(run, attempt));
   http_call_options options;
   options.header_timeout = TimeLeft(run);
-  options.reuse = MayRepeat(*run.matched_route);
+  // On a new connection the request is sent once, as a permit allows.
+  options.reuse = MayRepeat(*run.matched_route) && !attempt.has_permit;
   options.max_resend_delay = kMaxResendDelay;
   options.abort = &run.abort;
   const pending_start_listing listing(run, attempt);
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -97,6 +97,7 @@
     return;
   for (const object_kind kind : kReplicatedKinds)
     SendSnapshot(state, link, kind);
+  SendKnownNotices(state, link);
   if (request.follows)
     SendAges(state, link);
 }
@@ -238,6 +239,10 @@
           HandleCacheChanges(*locked, *caches);
         else if (const auto* notice = message.Astarget_notice())
           HandleTargetNotice(*locked, link.peer.vm, *notice);
+        else if (const auto* ask = message.Aspermit_request())
+          HandlePermitRequest(*locked, link, *ask);
+        else if (const auto* permit = message.Aspermit_response())
+          HandlePermitResponse(*locked, *permit);
       };
 }
 
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -83,6 +83,15 @@
   std::optional<http_response> failure_response;
 };
 
+// The target chosen for an attempt.
+struct target_choice {
+  placement chosen;
+  engine_choice engine;
+  // The target has stated a request rate, and this VM has a permit to send it
+  // one request.
+  bool has_permit = false;
+};
+
 // One attempt at a target.
 struct dispatch {
   placement chosen;
@@ -91,6 +100,7 @@
   std::uint32_t uncached_tokens = 0;
   std::uint32_t epoch = 0;
   instant started;
+  bool has_permit = false;
   // Time for the request to start at the target, counted from `started`, if its
   // weights are outdated.
   std::optional<duration> time_to_start;
@@ -115,9 +125,11 @@
 std::optional<engine_choice> ChooseEngineFor(forward_run& run,
                                              bool is_last_resort);
 
-// Chooses a target and counts the request as in flight there until
-// FinishDispatch(). Returns std::nullopt if no target can serve the request.
-std::optional<dispatch> ChooseTarget(forward_run& run);
+// Chooses a target. Returns std::nullopt if none can serve the request.
+std::optional<target_choice> ChooseTarget(forward_run& run);
+
+// Counts the request as in flight at the target until FinishDispatch().
+dispatch BeginDispatch(forward_run& run, const target_choice& choice);
 
 // Returns what is sent to the target in addition to the caller's request.
 attempt_parameters MakeRunOrder(forward_run& run, const dispatch& attempt);
@@ -152,6 +164,13 @@
 // True if the request has a prompt and the weights of its target are known.
 bool DependsOnWeights(const forward_run& run, const dispatch& attempt);
 
+// --- entry_permits.cc
+
+// Chooses a target, and obtains a permit if that has stated a request rate.
+// Returns std::nullopt if no target can serve the request now.
+boost::asio::awaitable<std::optional<target_choice>> ChoosePermittedTarget(
+    forward_run& run);
+
 // --- entry_relay.cc
 
 // Sends the request to the target and relays its response.
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -28,6 +28,7 @@
 #include "waxwing/replication.h"
 #include "waxwing/retry.h"
 #include "waxwing/rollout.h"
+#include "waxwing/send_permits.h"
 #include "waxwing/store_era.h"
 #include "waxwing/supervisor.h"
 #include "waxwing/vm_selection.h"
@@ -173,6 +174,17 @@
   bool is_withdrawn = false;
 };
 
+// A coroutine that waits for a permit. Owned by the coroutine frame.
+struct permit_waiter {
+  boost::asio::steady_timer wakeup;
+  bool has_response = false;
+  // Time after which to ask again; empty if the permit is granted.
+  std::optional<duration> wait;
+
+  explicit permit_waiter(boost::asio::any_io_executor executor)
+      : wakeup(executor) {}
+};
+
 struct entry_state {
   boost::asio::any_io_executor executor;
   entry_options options;
@@ -225,6 +237,11 @@
   // By model.
   std::map<std::string, weights_history, std::less<>> desired_weights;
   std::set<pending_start*> pending_starts;
+  // By target, at its permit issuer.
+  std::map<std::string, permit_bucket, std::less<>> permit_buckets;
+  // By number of the request for the permit.
+  std::map<std::uint64_t, permit_waiter*> permit_waiters;
+  std::uint64_t next_permit_number = 1;
   // By service.
   std::map<std::string, retry_budget, std::less<>> retry_budgets;
   // By service.
@@ -336,6 +353,25 @@
                         std::string_view peer,
                         const wire::target_noticeT& notice);
 
+// Applies what another VM knows of the rate that a target states, and passes it
+// on if it is news.
+void LearnRate(entry_state& state,
+               const listed_target& target,
+               std::string_view peer,
+               const stated_rate& rate);
+
+// Sends a VM that has just connected what targets have stated.
+void SendKnownNotices(const entry_state& state, const peer_link& link);
+
+// --- entry_permits.cc
+
+// Handle a peer's request for a permit, and the response to one of this VM.
+void HandlePermitRequest(entry_state& state,
+                         const peer_link& link,
+                         const wire::permit_requestT& request);
+void HandlePermitResponse(entry_state& state,
+                          const wire::permit_responseT& response);
+
 // --- entry_era.cc
 
 // Records the era that a response of the store, or a peer's message, states.
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -202,6 +202,7 @@
   LogInfo("target_gone", {{"target", id}});
   state.removed_targets[id] = {found->second.record.incarnation,
                                std::chrono::steady_clock::now()};
+  state.permit_buckets.erase(id);
   state.targets.erase(found);
 }
 
--- a/waxwing/target_rate.cc
+++ b/waxwing/target_rate.cc
@@ -1,7 +1,15 @@
 #include "waxwing/target_rate.h"
 
+#include <cmath>
+
 namespace waxwing {
 
+std::optional<double> ReadPeerRate(double per_second) {
+  return std::isfinite(per_second) && per_second >= 0
+             ? std::optional(per_second)
+             : std::nullopt;
+}
+
 bool RecordStatement(stated_rate& known,
                      std::optional<double> per_second,
                      instant sent,
--- a/waxwing/target_rate.h
+++ b/waxwing/target_rate.h
@@ -22,6 +22,10 @@
   instant heard_at;
 };
 
+// Returns the rate of a peer's message, where a negative one means any number
+// of requests.
+std::optional<double> ReadPeerRate(double per_second);
+
 // Records what a response of the target says; `per_second` is empty if it
 // states no rate. A response to a request that was sent before this VM heard of
 // the rate may be older than the statement and does not end it. Returns true if
--- a/waxwing/target_view.cc
+++ b/waxwing/target_view.cc
@@ -81,24 +81,48 @@
   return now < view.paused_until;
 }
 
-std::optional<duration> ShortestPause(std::span<const target_view> targets,
+namespace {
+
+// Returns the time until the first of the times that `end` returns for the
+// targets in service of `service`, or std::nullopt if one has passed.
+template <typename End>
+std::optional<duration> ShortestUntil(std::span<const target_view> targets,
                                       std::string_view service,
-                                      instant now) {
+                                      instant now,
+                                      const End& end) {
   std::optional<duration> shortest;
   for (const target_view& view : targets) {
     if (!view.is_in_service || view.serves != service)
       continue;
-    if (!IsPaused(view, now))
+    const duration left = end(view) - now;
+    if (left <= duration::zero())
       return std::nullopt;
-    const duration left = view.paused_until - now;
     shortest = std::min(shortest.value_or(left), left);
   }
   return shortest;
 }
 
+}  // namespace
+
+std::optional<duration> ShortestPause(std::span<const target_view> targets,
+                                      std::string_view service,
+                                      instant now) {
+  return ShortestUntil(targets, service, now, [](const target_view& view) {
+    return view.paused_until;
+  });
+}
+
+std::optional<duration> ShortestSendDelay(std::span<const target_view> targets,
+                                          std::string_view service,
+                                          instant now) {
+  return ShortestUntil(targets, service, now, [](const target_view& view) {
+    return std::max(view.paused_until, view.no_permit_until);
+  });
+}
+
 bool IsUsableIgnoringBackoff(const target_view& view, instant now) {
   return view.is_in_service && !view.has_outdated_weights &&
-         !IsPaused(view, now);
+         !IsPaused(view, now) && now >= view.no_permit_until;
 }
 
 void ClearFailures(target_view& view) {
--- a/waxwing/target_view.h
+++ b/waxwing/target_view.h
@@ -71,6 +71,8 @@
   // The rate of requests that it takes from all VMs together.
   stated_rate rate;
   bool has_stated_invalid_rate = false;
+  // This VM gets no permit for it before this time.
+  instant no_permit_until;
   // Its weights are too old for any new request.
   bool has_outdated_weights = false;
   // About to load other weights, which aborts its running requests.
@@ -142,9 +144,15 @@
                                       std::string_view service,
                                       instant now);
 
+// The same for the time until this VM may send to a target again, or ask for a
+// permit to.
+std::optional<duration> ShortestSendDelay(std::span<const target_view> targets,
+                                          std::string_view service,
+                                          instant now);
+
 // True if the target may get requests when no target is usable: it is in
-// service, not paused, and its weights are not outdated, whatever its recent
-// failures.
+// service, not paused, this VM has not been refused a permit for it, and its
+// weights are not outdated, whatever its recent failures.
 bool IsUsableIgnoringBackoff(const target_view& view, instant now);
 
 // Ends the backoff and resets the count of failures, because the target has
