Bound what is read of a response that does not end

The HTTP client buffered a chunk header or a trailer without limit (589 MB in 3 s from 20 calls), read a body for as long as a byte came within each step's timeout, so that a call for a target's state or cache events never ended, and skipped a response to another request in the same way, past the deadline. The entry held up to 16 MB of each response, with all requests 555 MB from 40 of them, and went on past the deadline while bytes came fast enough.

The parser's buffer has a limit; Fetch() and SkipResponse() have a time limit in all, and Fetch() one for the body by kind of call; responses share 16 MB beyond 16 KB each, and the one that exceeds that ends as broken and counts against its target; relays stop at the deadline. Idle connections with unsolicited data, or too old to be used again, are closed within a second, and a connection on which an interim response was read is not used again.

Evidence: testing/endless_response_test.cc, eleven shapes at full speed and slowly, many at once, with the memory watched.

--- /dev/null
+++ b/testing/endless_response_test.cc
@@ -0,0 +1,239 @@
+// Tests with targets that send bytes without end where a response is due.
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+
+#include "testing/entry_fixture.h"
+
+namespace waxwing {
+namespace {
+
+using namespace testing_support;  // NOLINT(google-build-using-namespace)
+
+// Resident memory of this process in bytes.
+std::size_t ResidentBytes() {
+  std::ifstream statm("/proc/self/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  statm >> total >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+// What a target sends: a beginning, then the same bytes again and again.
+struct endless_script {
+  std::string name;
+  std::string beginning;
+  std::string repeated;
+};
+
+constexpr std::size_t kFillerBytes = 16 * 1024;
+
+std::vector<endless_script> EndlessScripts() {
+  const std::string filler(kFillerBytes, 'x');
+  const std::string chunk = "4000\r\n" + filler + "\r\n";
+  const std::string ok = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n";
+  const std::string events = ok + "Content-Type: text/event-stream\r\n";
+  return {
+      {"no protocol", "", filler},
+      {"head", ok, "X-Filler: " + std::string(100, 'x') + "\r\n"},
+      {"header value", ok + "X-Filler: ", filler},
+      {"chunk header", ok + "Transfer-Encoding: chunked\r\n\r\n1;", filler},
+      {"trailer",
+       ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Filler: ", filler},
+      {"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", chunk},
+      {"huge length", ok + "Content-Length: 60000000\r\n\r\n", filler},
+      {"no length", ok + "\r\n", filler},
+      {"event", events + "Transfer-Encoding: chunked\r\n\r\n", chunk},
+      {"comments", events + "\r\n", ": x\n\n"},
+      {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+  };
+}
+
+// Listens until destroyed; each connection gets the bytes of `script`. If
+// `is_slow`, a few bytes at a time.
+struct endless_target {
+  asio::ip::tcp::acceptor acceptor;
+  endless_script script;
+  bool is_slow = false;
+  int open = 0;
+  int accepted = 0;
+
+  endless_target(asio::io_context& context, endless_script s)
+      : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}),
+        script(std::move(s)) {
+    asio::co_spawn(context, Accept(), asio::detached);
+  }
+  endpoint Address() const {
+    return {"127.0.0.1", acceptor.local_endpoint().port()};
+  }
+
+  asio::awaitable<void> Accept() {
+    while (true) {
+      auto [error, socket] =
+          co_await acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
+      if (error)
+        co_return;
+      ++accepted;
+      asio::co_spawn(acceptor.get_executor(), Serve(std::move(socket)),
+                     asio::detached);
+    }
+  }
+  asio::awaitable<void> Serve(asio::ip::tcp::socket socket) {
+    ++open;
+    std::string bytes(4096, '\0');
+    co_await socket.async_read_some(asio::buffer(bytes),
+                                    asio::as_tuple(asio::use_awaitable));
+    std::string next = script.beginning;
+    asio::steady_timer timer(socket.get_executor());
+    boost::system::error_code error;
+    while (!error) {
+      if (!next.empty())
+        std::tie(error, std::ignore) = co_await asio::async_write(
+            socket, asio::buffer(next), asio::as_tuple(asio::use_awaitable));
+      next = script.repeated;
+      if (is_slow) {
+        next.resize(std::min<std::size_t>(next.size(), 4));
+        timer.expires_after(milliseconds(20));
+        co_await timer.async_wait(asio::use_awaitable);
+      }
+    }
+    --open;
+  }
+};
+
+constexpr std::size_t kMaxGrowth = 48 * 1024 * 1024;
+
+TEST(EndlessResponse, CallEndsInTimeAndKeepsLittleInMemory) {
+  for (const bool is_slow : {false, true}) {
+    for (const endless_script& script : EndlessScripts()) {
+      SCOPED_TRACE(script.name + (is_slow ? ", slowly" : ""));
+      asio::io_context context;
+      endless_target target(context, script);
+      target.is_slow = is_slow;
+      const http_pool pool = MakeHttpPool(context.get_executor(), {});
+      http_call_options options{milliseconds(400), true};
+      options.max_body_bytes = 1024 * 1024;
+      const http_request request;
+      const std::size_t before = ResidentBytes();
+      std::size_t peak = before;
+      bool is_done = false;
+      const instant start = std::chrono::steady_clock::now();
+      constexpr int kCalls = 20;
+      int done = 0;
+      const endpoint address = target.Address();
+      for (int i = 0; i < kCalls; ++i) {
+        asio::co_spawn(context, Fetch(pool, address, request, options),
+                       [&](const std::exception_ptr&, const auto& response) {
+                         EXPECT_TRUE(!response || response->status == 100);
+                         is_done = ++done == kCalls;
+                       });
+      }
+      while (!is_done &&
+             std::chrono::steady_clock::now() < start + seconds(3)) {
+        context.run_for(milliseconds(5));
+        peak = std::max(peak, ResidentBytes());
+      }
+      EXPECT_TRUE(is_done);
+      EXPECT_LT(std::chrono::steady_clock::now() - start, milliseconds(1'500));
+      EXPECT_LT(peak - before, kMaxGrowth);
+      target.acceptor.close();
+      context.run_for(milliseconds(100));
+      EXPECT_EQ(target.open, 0) << "connections left open";
+    }
+  }
+}
+
+struct endless_fixture : entry_fixture {
+  std::unique_ptr<endless_target> target;
+
+  void StartWith(const endless_script& script, bool is_slow) {
+    target = std::make_unique<endless_target>(context, script);
+    target->is_slow = is_slow;
+    PutObject(*store, "servers", "e1",
+              EntryTargetRecord(target->Address(), "llm", 1));
+    PutObject(*store, "servers", "p1",
+              EntryTargetRecord(target->Address(), "panel", 0));
+    Start(2);
+  }
+  ~endless_fixture() { target->acceptor.close(); }
+};
+
+// Sends `count` requests at once; returns the statuses, 0 for none.
+std::vector<unsigned> SendAtOnce(endless_fixture& f,
+                                 std::string_view path,
+                                 int count,
+                                 std::size_t& peak) {
+  std::vector<unsigned> out;
+  std::vector<http_request> requests(static_cast<std::size_t>(count));
+  const http_call_options options{milliseconds(3'000), false};
+  int done = 0;
+  for (http_request& request : requests) {
+    request.method = "POST";
+    request.target = std::string(path);
+    request.headers = {{"Host", "calls.example"},
+                       {"Request-Id", "r" + std::to_string(f.next_id++)},
+                       {"Deadline-Ms", "500"},
+                       {"Authorization", "Token key-1"}};
+    asio::co_spawn(
+        f.context,
+        Fetch(f.pool, f.running.state->caller_server.address, request, options),
+        [&](const std::exception_ptr&, const auto& response) {
+          ++done;
+          out.push_back(response ? response->status : 0);
+        });
+  }
+  const instant limit = std::chrono::steady_clock::now() + seconds(4);
+  while (done < count && std::chrono::steady_clock::now() < limit) {
+    f.context.restart();
+    f.context.run_for(milliseconds(5));
+    peak = std::max(peak, ResidentBytes());
+  }
+  return out;
+}
+
+TEST(EndlessResponse, RequestsEndByTheirDeadlineAndNoAnswerLooksComplete) {
+  constexpr int kRequests = 40;
+  for (const std::string_view path :
+       {kNonIdempotentPath, kIdempotentPath, kStreamPath}) {
+    for (const bool is_slow : {false, true}) {
+      for (const endless_script& script : EndlessScripts()) {
+        SCOPED_TRACE(std::string(path) + ", " + script.name +
+                     (is_slow ? ", slowly" : ""));
+        endless_fixture f;
+        f.StartWith(script, is_slow);
+        const std::size_t before = ResidentBytes();
+        std::size_t peak = before;
+        const instant start = std::chrono::steady_clock::now();
+        const auto statuses = SendAtOnce(f, path, kRequests, peak);
+        EXPECT_LT(std::chrono::steady_clock::now() - start,
+                  milliseconds(1'000));
+        EXPECT_EQ(statuses.size(), static_cast<std::size_t>(kRequests));
+        for (const unsigned status : statuses)
+          EXPECT_TRUE(status == 0 || status == 502 || status == 504 ||
+                      status == 503)
+              << status;
+        EXPECT_LT(peak - before, kMaxGrowth);
+      }
+    }
+  }
+}
+
+// A complete response, then bytes without end on the kept connection.
+TEST(EndlessResponse, BytesAfterAResponseBelongToNoRequest) {
+  entry_fixture f;
+  endless_script script{"after", "", std::string(kFillerBytes, 'x')};
+  script.beginning =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n"
+      "Content-Length: 4\r\n\r\nbody";
+  endless_target target(f.context, script);
+  PutObject(*f.store, "servers", "p1",
+            EntryTargetRecord(target.Address(), "panel", 0));
+  f.Start(1);
+  EXPECT_EQ(f.Send(kIdempotentPath)->body, "body");
+  EXPECT_TRUE(f.RunUntil([&] { return target.open == 0; }));
+  target.acceptor.close();
+}
+
+}  // namespace
+}  // namespace waxwing
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -20,6 +20,8 @@
 // Reserved at the end of the shutdown for the process to exit by itself.
 constexpr milliseconds kStopReserve{300};
 constexpr milliseconds kRefreshPeriod{100};
+// Period in which idle connections that cannot be reused are closed.
+constexpr milliseconds kPrunePeriod{1'000};
 // File descriptors reserved for targets, the store, peers and files.
 constexpr std::size_t kReservedDescriptors = 1'000;
 constexpr milliseconds kHealthyAfter{5'000};
@@ -98,9 +100,14 @@
 }
 
 asio::awaitable<void> RefreshLoop(entry_ptr state) {
+  instant next_prune;
   while (!IsStopping(state->root)) {
     co_await Pause(state->root, kRefreshPeriod);
     const instant now = std::chrono::steady_clock::now();
+    if (now >= next_prune) {
+      PruneIdleConnections(state->pool);
+      next_prune = now + kPrunePeriod;
+    }
     RefreshTargets(*state, now);
     RecordTick(state->stalls, SuspendAwareNow());
     WithdrawLateStarts(*state);
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -19,7 +19,10 @@
 
 // Responses to other requests that are skipped before the connection is closed.
 constexpr int kMaxSkippedResponses = 3;
-constexpr std::size_t kMaxBodyBytes = 16 * 1024 * 1024;
+// Each response may hold this many bytes in memory; the parts of responses that
+// exceed it may together hold a larger number.
+constexpr std::size_t kOwnHeldBytes = 16 * 1024;
+constexpr std::size_t kMaxHeldBytes = 16 * 1024 * 1024;
 // A request whose kept connection fails later than this is placed anew instead
 // of being sent to the same target again.
 constexpr milliseconds kMaxResendDelay{200};
@@ -60,6 +63,40 @@
   run.state->pending_starts.erase(&run.start);
 }
 
+// Counts the bytes of a response that are held in memory, for the lifetime of
+// this object.
+struct held_bytes {
+  entry_state& state;
+  std::size_t shared = 0;
+
+  explicit held_bytes(entry_state& s) : state(s) {}
+  ~held_bytes() { state.held_response_bytes -= shared; }
+  held_bytes(const held_bytes&) = delete;
+  held_bytes& operator=(const held_bytes&) = delete;
+
+  // Returns false if the response is too long to be held.
+  bool Update(std::size_t size) {
+    state.held_response_bytes -= shared;
+    shared = size > kOwnHeldBytes ? size - kOwnHeldBytes : 0;
+    state.held_response_bytes += shared;
+    return shared == 0 || state.held_response_bytes <= kMaxHeldBytes;
+  }
+};
+
+// Returns the outcome of a response that is too long.
+forward_outcome RejectLongResponse(forward_run& run, std::size_t size) {
+  Count(run.state->stats, "waxwing_responses_too_long_total");
+  LogWarning("response_too_long", {{"request", run.request.id},
+                                   {"target", run.target_id},
+                                   {"bytes", size},
+                                   {"held", run.state->held_response_bytes}});
+  return forward_outcome::kBroken;
+}
+
+bool IsPastDeadline(const forward_run& run) {
+  return std::chrono::steady_clock::now() >= run.deadline;
+}
+
 // Returns the outcome of a call that failed with `error`.
 forward_outcome FailureOutcome(const forward_run& run,
                                const http_error& error) {
@@ -68,7 +105,7 @@
   if (run.start.is_withdrawn)
     return error.maybe_sent ? forward_outcome::kWithdrawn
                             : forward_outcome::kNotRun;
-  if (std::chrono::steady_clock::now() >= run.deadline)
+  if (IsPastDeadline(run))
     return forward_outcome::kTimedOut;
   return error.maybe_sent ? forward_outcome::kBroken : forward_outcome::kNotRun;
 }
@@ -80,6 +117,7 @@
   response.status = call.head.status;
   response.headers =
       run.state->protocol.filter_response_headers(call.head.headers);
+  held_bytes held(*run.state);
   while (true) {
     const auto more = co_await ReadSomeBody(run.state->pool, call,
                                             TimeLeft(run), response.body);
@@ -87,8 +125,10 @@
       co_return FailureOutcome(run, more.error());
     if (!*more)
       break;
-    if (response.body.size() > kMaxBodyBytes)
-      co_return forward_outcome::kBroken;
+    if (!held.Update(response.body.size()))
+      co_return RejectLongResponse(run, response.body.size());
+    if (IsPastDeadline(run))
+      co_return forward_outcome::kTimedOut;
   }
   if (response.status >= 500 && MayRepeat(*run.matched_route)) {
     run.failure_response = std::move(response);
@@ -123,6 +163,7 @@
                                              dispatch& attempt,
                                              http_call& call) {
   std::string buffer;
+  held_bytes held(*run.state);
   while (true) {
     const auto more =
         co_await ReadSomeBody(run.state->pool, call, TimeLeft(run), buffer);
@@ -146,10 +187,12 @@
       events += event;
     }
     buffer.erase(0, buffer.size() - rest.size());
-    if (buffer.size() > kMaxEventBytes)
-      co_return forward_outcome::kBroken;
+    if (buffer.size() > kMaxEventBytes || !held.Update(buffer.size()))
+      co_return RejectLongResponse(run, buffer.size());
     if (!events.empty() && !co_await DeliverEvents(run, call, events))
       co_return forward_outcome::kCallerGone;
+    if (IsPastDeadline(run))
+      co_return forward_outcome::kTimedOut;
   }
   if (!buffer.empty() || !run.stream_started)
     co_return forward_outcome::kBroken;
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -244,6 +244,8 @@
   std::uint64_t next_permit_number = 1;
   // By service.
   std::map<std::string, retry_budget, std::less<>> retry_budgets;
+  // Bytes of responses that are held until they can be relayed.
+  std::size_t held_response_bytes = 0;
   // By service.
   std::map<std::string, dispatch_queue, std::less<>> dispatch_queues;
   lease_view lease;
--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -6,6 +6,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 #include <cerrno>
+#include <list>
 #include <map>
 #include <optional>
 #include <utility>
@@ -17,11 +18,18 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+namespace {
+
+// Limits a chunk header or trailer, which the parser does not.
+constexpr std::size_t kMaxBufferedBytes = 64 * 1024;
+
+}  // namespace
+
 namespace detail {
 
 struct http_call_state {
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxBufferedBytes};
   std::optional<http::response_parser<http::buffer_body>> parser;
   endpoint address;
   // The connection may return to the pool after the call.
@@ -39,7 +47,7 @@
   asio::any_io_executor executor;
   http_pool_limits limits;
   // Most recently used last; the last one is reused first.
-  std::map<endpoint, std::vector<idle_connection>> idle;
+  std::map<endpoint, std::list<idle_connection>> idle;
 };
 
 }  // namespace detail
@@ -69,6 +77,25 @@
   return {failure, sent, error.message()};
 }
 
+// Returns the time until `limit`, at least 1 ms.
+milliseconds TimeUntil(instant limit) {
+  return std::max(milliseconds(1),
+                  std::chrono::ceil<milliseconds>(
+                      limit - std::chrono::steady_clock::now()));
+}
+
+http_error TimedOut() {
+  return {http_failure::kTimeout, true, "the response does not end"};
+}
+
+// True if nothing has arrived on an idle connection, neither its end nor data.
+bool IsQuiet(beast::tcp_stream& stream) {
+  char byte = 0;
+  return ::recv(stream.socket().native_handle(), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         errno == EAGAIN;
+}
+
 // Removes an idle connection from the pool, if there is a recent one.
 std::optional<beast::tcp_stream> TakeIdleConnection(
     detail::http_pool_state& pool,
@@ -83,11 +110,7 @@
     found->second.clear();
     return std::nullopt;
   }
-  // A readable idle connection was closed by the peer or has unsolicited data.
-  char byte = 0;
-  if (::recv(last.stream.socket().native_handle(), &byte, 1,
-             MSG_PEEK | MSG_DONTWAIT) >= 0 ||
-      errno != EAGAIN)
+  if (!IsQuiet(last.stream))
     return std::nullopt;
   return std::move(last.stream);
 }
@@ -275,7 +298,9 @@
     if (count > 0)
       co_return true;
   }
-  if (parser.keep_alive() && state.reusable)
+  // An interim response is followed by the final one.
+  const bool is_final = parser.get().result_int() >= 200;
+  if (parser.keep_alive() && state.reusable && is_final)
     ReturnIdleConnection(*pool.state, state);
   co_return false;
 }
@@ -284,9 +309,13 @@
 SkipResponse(const http_pool& pool, http_call& call, milliseconds timeout) {
   detail::http_call_state& state = *call.state;
   state.reusable = false;
+  const instant limit = std::chrono::steady_clock::now() + timeout;
   std::string discarded;
   while (true) {
-    const auto more = co_await ReadSomeBody(pool, call, timeout, discarded);
+    if (std::chrono::steady_clock::now() >= limit)
+      co_return tl::unexpected(TimedOut());
+    const auto more =
+        co_await ReadSomeBody(pool, call, TimeUntil(limit), discarded);
     if (!more)
       co_return tl::unexpected(more.error());
     if (!*more)
@@ -295,7 +324,7 @@
   }
   state.parser.emplace();
   state.parser->body_limit(pool.state->limits.max_response_bytes);
-  state.stream.expires_after(timeout);
+  state.stream.expires_after(TimeUntil(limit));
   auto [error, bytes] = co_await http::async_read_header(
       state.stream, state.buffer, *state.parser, kUseTuple);
   if (error)
@@ -327,14 +356,33 @@
   if (!call)
     co_return tl::unexpected(call.error());
   http_response response = call->head;
+  const instant limit =
+      std::chrono::steady_clock::now() + options.header_timeout;
   while (true) {
-    auto more = co_await ReadSomeBody(pool, *call, options.header_timeout,
-                                      response.body);
+    const auto more =
+        co_await ReadSomeBody(pool, *call, TimeUntil(limit), response.body);
     if (!more)
       co_return tl::unexpected(more.error());
     if (!*more)
       co_return response;
+    if (response.body.size() > options.max_body_bytes)
+      co_return tl::unexpected(http_error{http_failure::kMalformed, true,
+                                          "the response body is too long"});
+    if (std::chrono::steady_clock::now() >= limit)
+      co_return tl::unexpected(TimedOut());
+  }
+}
+
+void PruneIdleConnections(const http_pool& pool) {
+  const instant now = std::chrono::steady_clock::now();
+  for (auto& [address, list] : pool.state->idle) {
+    std::erase_if(list, [&](detail::idle_connection& connection) {
+      return now - connection.since > pool.state->limits.max_idle_age ||
+             !IsQuiet(connection.stream);
+    });
   }
+  std::erase_if(pool.state->idle,
+                [](const auto& entry) { return entry.second.empty(); });
 }
 
 }  // namespace waxwing
--- a/waxwing/http_client.h
+++ b/waxwing/http_client.h
@@ -73,6 +73,8 @@
   // replaced: what the request states, such as its deadline, and the choice of
   // the address may be out of date by then.
   milliseconds max_resend_delay = milliseconds::max();
+  // Longest response body that Fetch() accepts.
+  std::size_t max_body_bytes = 64 * 1024 * 1024;
 };
 
 // Sends a request and reads the response header.
@@ -91,14 +93,19 @@
     std::string& out);
 
 // Discards the rest of a response to another request, then reads the header of
-// the next response on the same connection.
+// the next response on the same connection, within `timeout` in all.
 boost::asio::awaitable<tl::expected<void, http_error>>
 SkipResponse(const http_pool& pool, http_call& call, milliseconds timeout);
 
 // Closes the call's connection; a pending read ends with an error.
 void CancelCall(http_call& call);
 
-// Makes a call and reads the complete response, header_timeout for each step.
+// Closes idle connections that may no longer be reused, because they are too
+// old, closed by the peer or have unsolicited data.
+void PruneIdleConnections(const http_pool& pool);
+
+// Makes a call and reads the complete response, within header_timeout for the
+// header and the same time for the body.
 boost::asio::awaitable<tl::expected<http_response, http_error>> Fetch(
     const http_pool& pool,
     const endpoint& address,
