--- a/testing/entry_soak_test.cc
+++ b/testing/entry_soak_test.cc
@@ -36,6 +36,12 @@
 // Bound on starts of requests on replaced weights, and the time without
 // disruption from which it counts.
 constexpr milliseconds kWeightsLimit{3'000};
+// Requests per second that targets state that they take, and the window in
+// which requests count.
+constexpr int kStatedRate = 3;
+constexpr milliseconds kRateWindow{4'000};
+// Length of responses that are no HTTP.
+constexpr std::size_t kGarbageBytes = 4 * 1024 * 1024;
 // Pause that targets ask for in their refusals, in seconds.
 constexpr std::string_view kPauseSeconds = "1.5";
 // Time within which the system must serve again after all faults have ended.
@@ -61,6 +67,10 @@
   double fail = 0;
   // Share of refusals that ask for a pause.
   double pause = 0;
+  // Share of responses that are no HTTP, but many bytes.
+  double garbage = 0;
+  // Targets state a request rate in their responses.
+  bool state_rate = false;
   // Longest time to the first token of engines; orders are not carried out.
   std::size_t start_delay_ms = 0;
   bool ignore_orders = false;
@@ -106,6 +116,8 @@
   std::map<int, clock::time_point> announced_at;
   clock::time_point calm_since;
   int late_starts = 0;
+  // By target: when its requests arrived.
+  std::vector<clock::time_point> arrivals[kTargets];
   // Index of a target that states its departure, or -1, and its incarnations.
   int leaving_target = -1;
   std::int64_t born = 1;
@@ -226,6 +238,11 @@
   const std::string id(waxwing::FindHeader(request.headers, "Request-Id"));
   if (request.target.starts_with("/api/"))
     return {{PlainResponse(404, id, "{}")}};
+  s.arrivals[index].push_back(clock::now());
+  const std::string rate =
+      s.faults.state_rate
+          ? "Server-Limit: " + std::to_string(kStatedRate) + "\r\n"
+          : "";
   if (static_cast<int>(index) == s.leaving_target) {
     ++s.runs[id];
     return {
@@ -236,13 +253,15 @@
                            "Not-Executed: 1\r\nRetry-After: " +
                                std::string(kPauseSeconds) + "\r\n")}};
   if (Chance(s, s.faults.refuse))
-    return {{PlainResponse(503, id, "", "Not-Executed: 1\r\n")}};
+    return {{PlainResponse(503, id, "", "Not-Executed: 1\r\n" + rate)}};
   ++s.runs[id];
+  if (Chance(s, s.faults.garbage))
+    return {{std::string(kGarbageBytes, 'x')}};
   if (Chance(s, s.faults.drop))
     return {{}, true};
   if (Chance(s, s.faults.fail))
-    return {{PlainResponse(500, id, "sorry")}};
-  return {{PlainResponse(200, id, "answer to " + id)}};
+    return {{PlainResponse(500, id, "sorry", rate)}};
+  return {{PlainResponse(200, id, "answer to " + id, rate)}};
 }
 
 void StartVm(entry_vm& vm) {
@@ -388,7 +407,7 @@
 // Injects one fault and returns what ends it.
 std::function<void()> InjectFault(soak_run& s) {
   entry_vm& vm = s.vms[PickFaultValue(s, s.vms.size())];
-  switch (PickFaultValue(s, 13)) {
+  switch (PickFaultValue(s, 15)) {
     case 9:
       s.fault_log += " weights";
       return AnnounceWeights(s);
@@ -405,6 +424,14 @@
       s.fault_log += " pause";
       s.faults.pause = 0.2;
       return [&s] { s.faults.pause = 0; };
+    case 13:
+      s.fault_log += " rate";
+      s.faults.state_rate = true;
+      return [&s] { s.faults.state_rate = false; };
+    case 14:
+      s.fault_log += " garbage";
+      s.faults.garbage = 0.2;
+      return [&s] { s.faults.garbage = 0; };
     case 0:
       s.fault_log += " kill";
       KillProcess(vm.process);
@@ -529,6 +556,33 @@
   EXPECT_EQ(s.targets[0]->requests.size(), at_departure);
 }
 
+// All VMs together keep to the rate that each target states, and use it.
+void CheckRates(soak_run& s) {
+  constexpr milliseconds kNoticeTime{500};
+  s.leaving_target = -1;
+  s.faults.state_rate = true;
+  const clock::time_point start = clock::now() + kNoticeTime;
+  RunFor(s, 2 * kRateWindow);
+  s.faults.state_rate = false;
+  for (const auto& all : s.arrivals) {
+    std::vector<clock::time_point> arrivals;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(arrivals),
+                 [&](clock::time_point each) { return each > start; });
+    std::size_t busiest = 0;
+    for (std::size_t first = 0, last = 0; last < arrivals.size(); ++last) {
+      while (arrivals[last] - arrivals[first] > kRateWindow)
+        ++first;
+      busiest = std::max(busiest, last - first + 1);
+    }
+    const auto window_seconds = kRateWindow.count() / 1'000;
+    EXPECT_LE(busiest, kStatedRate * window_seconds * 3 / 2 + 5);
+    // The first target has left.
+    if (&all != &s.arrivals[0]) {
+      EXPECT_GE(busiest, kStatedRate * window_seconds / 2);
+    }
+  }
+}
+
 void CheckGuarantees(const soak_run& s) {
   int complete = 0;
   for (const auto& [id, result] : s.results) {
@@ -568,6 +622,7 @@
     EXPECT_TRUE(EveryVmServes(s));
     CheckWeightsLimit(s);
     CheckNotices(s);
+    CheckRates(s);
     s.is_finished = true;
     RunFor(s, milliseconds(2'000));
     CheckGuarantees(s);
