Give equal targets equal work

Of targets with the same cost the first in the list was chosen, by all VMs the same.

Of equal ones a VM now takes the target with the fewest of its own requests in flight, then the one that it used longest ago; those it has not used come in a random order, so that VMs with few requests spread too. The native router's services do the same. Prompts keep their homes: their costs differ.

Another test: a target that is back gets its part, ten of forty requests, and no more.

--- a/testing/placement_test.cc
+++ b/testing/placement_test.cc
@@ -5,7 +5,10 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <deque>
 #include <map>
+#include <random>
 #include <set>
 
 #include "waxwing/hash.h"
@@ -51,6 +54,68 @@
   return Place(state, request, now);
 }
 
+// Places `requests` without a prompt at VMs in turn, each with `in_flight`
+// earlier ones at a time, and returns how many each target gets.
+std::vector<int> SpreadOverTargets(int vms,
+                                   int targets,
+                                   int requests,
+                                   std::size_t in_flight) {
+  std::vector<placement_state> states(static_cast<std::size_t>(vms),
+                                      MakeState(targets));
+  std::vector<std::deque<placement>> running(states.size());
+  std::vector<int> out(static_cast<std::size_t>(targets));
+  const prefix_chain no_prompt;
+  std::mt19937_64 random(1);
+  for (int i = 0; i < requests; ++i) {
+    const std::size_t vm = random() % states.size();
+    const placement_request request{&no_prompt, "model", "v1", -1, random()};
+    const auto chosen = Place(states[vm], request, instant{});
+    ++out[chosen->target];
+    RecordDispatch(states[vm], *chosen, 0);
+    running[vm].push_back(*chosen);
+    if (running[vm].size() > in_flight) {
+      RecordFinished(states[vm], running[vm].front());
+      running[vm].pop_front();
+    }
+  }
+  return out;
+}
+
+TEST(Placement, EqualTargetsGetEqualWorkFromAnyNumberOfVms) {
+  constexpr int kRequestsPerTarget = 100;
+  for (const int vms : {1, 6, 80, 295}) {
+    for (const int targets : {2, 4, 20, 200}) {
+      for (const std::size_t in_flight : {0, 2, 10}) {
+        const auto shares = SpreadOverTargets(
+            vms, targets, targets * kRequestsPerTarget, in_flight);
+        EXPECT_LE(*std::max_element(shares.begin(), shares.end()),
+                  1.3 * kRequestsPerTarget)
+            << vms << " VMs, " << targets << " targets, " << in_flight;
+      }
+    }
+  }
+}
+
+TEST(Placement, TargetThatIsBackGetsItsPartAndIsNotFlooded) {
+  placement_state state = MakeState(4);
+  state.targets[0].is_in_service = false;
+  const prefix_chain no_prompt;
+  const auto send = [&](int count) {
+    int to_first = 0;
+    for (int i = 0; i < count; ++i) {
+      const placement_request request{&no_prompt, "model", "v1", -1, 7};
+      const auto chosen = Place(state, request, instant{});
+      to_first += chosen->target == 0 ? 1 : 0;
+      RecordDispatch(state, *chosen, 0);
+      RecordFinished(state, *chosen);
+    }
+    return to_first;
+  };
+  EXPECT_EQ(send(40), 0);
+  state.targets[0].is_in_service = true;
+  EXPECT_EQ(send(40), 10);
+}
+
 TEST(Prefix, DifferentScopesHaveDifferentHashes) {
   std::set<std::uint64_t> seen;
   std::size_t total = 0;
--- a/waxwing/placement.cc
+++ b/waxwing/placement.cc
@@ -107,6 +107,23 @@
   return cost;
 }
 
+// True if target `a` comes before `b` although both cost the same: fewer own
+// requests in flight, then the one used longer ago; targets that have not been
+// used yet come in random order.
+bool PrecedesAmongEquals(const placement_state& state,
+                         const placement_request& request,
+                         std::uint32_t a,
+                         std::uint32_t b) {
+  const target_view& x = state.targets[a];
+  const target_view& y = state.targets[b];
+  if (x.own_in_flight != y.own_in_flight)
+    return x.own_in_flight < y.own_in_flight;
+  if (x.last_dispatch != y.last_dispatch)
+    return x.last_dispatch < y.last_dispatch;
+  return RendezvousWeight(request.random, x.name_hash) >
+         RendezvousWeight(request.random, y.name_hash);
+}
+
 std::optional<placement> PlaceByCost(placement_state& state,
                                      const placement_request& request,
                                      bool use_homes,
@@ -138,7 +155,9 @@
             assumed_cached, kAssumedCachedShare[rank] * request.chain->tokens);
     }
     option.cost = CostOf(state, request, i, assumed_cached);
-    if (!found || option.cost < best.cost)
+    if (!found || option.cost < best.cost ||
+        (option.cost == best.cost &&
+         PrecedesAmongEquals(state, request, i, best.target)))
       best = option;
     found = true;
   }
@@ -228,6 +247,7 @@
 void RecordDispatch(placement_state& state,
                     const placement& chosen,
                     std::uint32_t uncached_tokens) {
+  state.targets[chosen.target].last_dispatch = ++state.dispatches;
   target_view& view = state.targets[chosen.target];
   ++view.own_in_flight;
   view.own_prefill_backlog += uncached_tokens;
--- a/waxwing/placement.h
+++ b/waxwing/placement.h
@@ -49,6 +49,8 @@
   std::vector<target_view> targets;
   prefix_index index;
   std::uint64_t next_round_robin = 0;
+  // Requests dispatched so far.
+  std::uint64_t dispatches = 0;
   // Requests queued for each target, counted during a scan of the queue.
   std::vector<int> queued_by_target;
   // Buffers reused by each decision: the matches of the prompt, and the targets
--- a/waxwing/service_run.cc
+++ b/waxwing/service_run.cc
@@ -32,7 +32,7 @@
 }
 
 // Returns the usable target of the service with the fewest requests in flight,
-// other than `failed_target`.
+// other than `failed_target`; of equal ones the one used longest ago.
 std::optional<placement> ChooseTarget(const router_state& state,
                                       std::string_view service,
                                       int failed_target,
@@ -43,8 +43,10 @@
     if (view.serves != service || !IsUsable(view, now) ||
         static_cast<int>(i) == failed_target)
       continue;
-    if (!best ||
-        InFlight(view) < InFlight(state.placement.targets[best->target]))
+    const auto rank = [](const target_view& target) {
+      return std::pair(InFlight(target), target.last_dispatch);
+    };
+    if (!best || rank(view) < rank(state.placement.targets[best->target]))
       best = placement{i, 0, now, true};
   }
   return best;
--- a/waxwing/target_view.h
+++ b/waxwing/target_view.h
@@ -43,6 +43,9 @@
   // Requests that it runs concurrently; further ones queue inside it.
   int slots = 8;
   int own_in_flight = 0;
+  // Number of the last request that this router has sent, counted over all
+  // targets; 0 if it has sent none.
+  std::uint64_t last_dispatch = 0;
   int others_in_flight = 0;
   // Of those, the requests whose response has not begun.
   int others_waiting = 0;
