Keep a part of the retry allowance for VMs that restart

All VMs that had saved up retries, spent them and were killed at once had the whole allowance twice in a window: 216 retries where 174 are allowed, in RetryBudget.

A quarter of the allowance is kept for budgets of VMs that start, three quarters can be saved up. Starting with nothing was weighed: the first requests of a new VM then fail at targets that refuse them, without a second try.

--- a/testing/admission_test.cc
+++ b/testing/admission_test.cc
@@ -176,5 +176,33 @@
             10'000 * budget.retries_per_request + budget.max_balance + 1);
 }
 
+// All VMs have saved up retries, spend them, and are killed at once.
+TEST(RetryBudget, SumOverVmsHoldsWhenAllRestartWithinTheWindow) {
+  constexpr std::size_t kVms = 6;
+  constexpr int kRequestsPerVm = 50;
+  constexpr double kRatio = 0.2;
+  constexpr double kAllowance = 54;
+  int retries = 0;
+  int requests = 0;
+  for (std::size_t vm = 0; vm < kVms; ++vm) {
+    retry_budget budget = MakeSharedBudget(kAllowance, kVms);
+    budget.retries_per_request = kRatio;
+    // Before the window.
+    for (int request = 0; request < 1'000; ++request)
+      EarnRetry(budget);
+    for (int start = 0; start < 2; ++start) {
+      for (int request = 0; request < kRequestsPerVm; ++request) {
+        ++requests;
+        EarnRetry(budget);
+        while (SpendRetry(budget))
+          ++retries;
+      }
+      budget = MakeSharedBudget(kAllowance, kVms);
+      budget.retries_per_request = kRatio;
+    }
+  }
+  EXPECT_LE(retries, kRatio * requests + kAllowance);
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -120,10 +120,16 @@
 
 void CreditRetryBudget(forward_run& run) {
   entry_state& state = *run.state;
-  const auto vms = static_cast<double>(CountServingVms(state));
-  retry_budget& budget = state.retry_budgets[run.service];
+  const std::size_t vms = CountServingVms(state);
+  const double allowance = state.options.bounds.retry_allowance;
+  auto found = state.retry_budgets.find(run.service);
+  if (found == state.retry_budgets.end())
+    found = state.retry_budgets
+                .emplace(run.service, MakeSharedBudget(allowance, vms))
+                .first;
+  retry_budget& budget = found->second;
   budget.retries_per_request = state.options.bounds.retry_share;
-  budget.max_balance = state.options.bounds.retry_allowance / vms;
+  ShareAllowance(budget, allowance, vms);
   EarnRetry(budget);
 }
 
