Router: bytes that complete no event do not extend the wait for a token

A stalled stream whose engine sent a byte now and then never ended, since each byte started the timeout anew: one of the faults that operators of similar systems have told of. The wait now counts from the last token.

Test: SystemTest.StalledStreamThatSendsAByteNowAndThenIsResumed, with a stand-in engine whose stalled streams drip.

--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -386,7 +386,14 @@
 // Keeps an unresponsive connection open, long enough for the peer to time out.
 asio::awaitable<void> HoldStalled(const state_ptr& state,
                                   http_exchange& exchange) {
-  co_await Sleep(state, waxwing::seconds(30));
+  constexpr int kDrips = 300;
+  constexpr milliseconds kDripPeriod{100};
+  for (int i = 0; i < kDrips; ++i) {
+    if (state->faults.stalled_streams_drip &&
+        !co_await waxwing::WriteStream(exchange, ":"))
+      break;
+    co_await Sleep(state, kDripPeriod);
+  }
   waxwing::AbortExchange(exchange);
 }
 
--- a/standin/engine.h
+++ b/standin/engine.h
@@ -60,6 +60,8 @@
   double swap_response = 0;
   // Factor on the times of prefill and decoding.
   double slow = 1;
+  // Stalled streams go on with parts of an event that never ends.
+  bool stalled_streams_drip = false;
 };
 
 struct engine_counts {
--- a/testing/system_test.cc
+++ b/testing/system_test.cc
@@ -177,6 +177,20 @@
   EXPECT_EQ(standin::GetRunCount(c->services[0], "{\"n\":2}"), 1u);
 }
 
+TEST(SystemTest, StalledStreamThatSendsAByteNowAndThenIsResumed) {
+  const auto c = StartCluster({});
+  for (standin::engine& engine : c->engines)
+    standin::MutableFaults(engine).stalled_streams_drip = true;
+  const auto stream = SendAsync(*c, 0, ChatRequest(*c, "hello", 60, true));
+  RunFor(*c, milliseconds(400));
+  for (standin::engine& engine : c->engines)
+    standin::StallConnections(engine);
+  ASSERT_TRUE(RunUntil(
+      *c, [&] { return stream->has_value(); }, milliseconds(8'000)));
+  EXPECT_NE((*stream)->body.find("[DONE]"), std::string::npos);
+  EXPECT_EQ((*stream)->body.find("event: error"), std::string::npos);
+}
+
 TEST(SystemTest, UndispatchedTicketRunsAfterRouterRestart) {
   const auto c = StartCluster({});
   const std::string ticket = RequestTicket(*c, 0);
--- a/waxwing/chat_relay.cc
+++ b/waxwing/chat_relay.cc
@@ -155,9 +155,19 @@
                                            chat_dispatch& dispatch,
                                            http_call& call) {
   std::string buffer;
+  // Bytes that complete no event do not extend the wait for the next token.
+  std::uint64_t awaited_token = run.next_token;
+  instant limit = std::chrono::steady_clock::now() + ReadTimeout(run, dispatch);
   while (true) {
-    const auto has_more = co_await ReadSomeBody(
-        run.state->pool, call, ReadTimeout(run, dispatch), buffer);
+    if (run.next_token != awaited_token) {
+      awaited_token = run.next_token;
+      limit = std::chrono::steady_clock::now() + ReadTimeout(run, dispatch);
+    }
+    const auto left = ToMilliseconds(limit - std::chrono::steady_clock::now());
+    if (left <= milliseconds(0))
+      co_return attempt_result::kStreamFailed;
+    const auto has_more =
+        co_await ReadSomeBody(run.state->pool, call, left, buffer);
     if (!has_more || !*has_more)
       co_return attempt_result::kStreamFailed;
     std::string_view rest = buffer;
