--- a/testing/system_test.cc
+++ b/testing/system_test.cc
@@ -181,8 +181,16 @@
   const auto c = StartCluster({});
   for (standin::engine& engine : c->engines)
     standin::MutableFaults(engine).stalled_streams_drip = true;
-  const auto stream = SendAsync(*c, 0, ChatRequest(*c, "hello", 60, true));
-  RunFor(*c, milliseconds(400));
+  const auto stream = SendAsync(*c, 0, ChatRequest(*c, "hello", 150, true));
+  const auto tokens = [&c] {
+    std::uint64_t sum = 0;
+    for (const standin::engine& engine : c->engines)
+      sum += standin::GetCounts(engine).answer_tokens;
+    return sum;
+  };
+  ASSERT_TRUE(RunUntil(
+      *c, [&] { return tokens() > 20; }, kTimeout));
+  ASSERT_FALSE(stream->has_value());
   for (standin::engine& engine : c->engines)
     standin::StallConnections(engine);
   ASSERT_TRUE(RunUntil(
