--- a/testing/entry_soak_test.cc
+++ b/testing/entry_soak_test.cc
@@ -556,6 +556,30 @@
   EXPECT_EQ(s.targets[0]->requests.size(), at_departure);
 }
 
+// Equal targets get equal shares of the requests in calm times.
+void CheckShares(soak_run& s) {
+  constexpr milliseconds kSettling{2'000};
+  constexpr milliseconds kLength{3'000};
+  constexpr std::size_t kMinMean = 100;
+  constexpr double kMaxRatio = 1.3;
+  RunFor(s, kSettling);
+  const clock::time_point start = clock::now();
+  RunFor(s, kLength);
+  std::size_t sum = 0;
+  std::size_t busiest = 0;
+  for (const auto& arrivals : s.arrivals) {
+    const auto count = static_cast<std::size_t>(
+        std::count_if(arrivals.begin(), arrivals.end(),
+                      [&](clock::time_point each) { return each > start; }));
+    sum += count;
+    busiest = std::max(busiest, count);
+  }
+  if (sum >= kMinMean * kTargets) {
+    EXPECT_LE(static_cast<double>(busiest),
+              kMaxRatio * static_cast<double>(sum) / kTargets);
+  }
+}
+
 // All VMs together keep to the rate that each target states, and use it.
 void CheckRates(soak_run& s) {
   constexpr milliseconds kNoticeTime{500};
@@ -620,6 +644,7 @@
       asio::co_spawn(s.context, RunPromptCaller(s), asio::detached);
     RunFaults(s);
     EXPECT_TRUE(EveryVmServes(s));
+    CheckShares(s);
     CheckWeightsLimit(s);
     CheckNotices(s);
     CheckRates(s);
