Accept a stated rate from a refusal without the target's marks

A rate in a refusal that has neither stamp nor target ID was ignored, so a target that refuses everything could not state one. Only the end of a rate needs the marks now. A response that names another target says nothing.

Test: TargetRate.RefusalWithoutMarksStatesARateButDoesNotEndOne, fails before.

--- a/testing/target_rate_test.cc
+++ b/testing/target_rate_test.cc
@@ -42,6 +42,29 @@
   EXPECT_FALSE(known.per_second);
 }
 
+TEST(TargetRate, RefusalWithoutMarksStatesARateButDoesNotEndOne) {
+  entry_fixture f;
+  f.AddTarget("t1", "panel", RespondOk);
+  f.Start(1);
+  entry_state& state = *f.running.state;
+  const auto rate = [&] {
+    return state.placement.targets[state.targets.at("t1").index]
+        .rate.per_second;
+  };
+  const auto observe = [&](const response_info& facts) {
+    ObserveStatedRate(state, "t1", "r", facts,
+                      std::chrono::steady_clock::now());
+  };
+  observe({.target = "t2", .rate_limit = 3});
+  EXPECT_FALSE(rate());
+  observe({.not_run = true, .rate_limit = 3});
+  EXPECT_EQ(rate(), 3);
+  observe({.not_run = true});
+  EXPECT_EQ(rate(), 3);
+  observe({.has_server_stamp = true});
+  EXPECT_FALSE(rate());
+}
+
 // The largest number of requests in any window of this length counts.
 constexpr seconds kWindow{4};
 
--- a/waxwing/entry_notices.cc
+++ b/waxwing/entry_notices.cc
@@ -126,9 +126,12 @@
                        const response_info& facts,
                        instant sent) {
   const auto found = state.targets.find(target);
-  // A response without the target's own marks may be another target's.
-  const bool is_own = facts.has_server_stamp || facts.target == target;
-  if (found == state.targets.end() || !is_own)
+  const bool is_other = !facts.target.empty() && facts.target != target;
+  // Without the target's own marks, a response is no evidence that the rate has
+  // ended.
+  const bool has_marks = facts.has_server_stamp || facts.target == target;
+  if (found == state.targets.end() || is_other ||
+      (!facts.rate_limit && !has_marks))
     return;
   target_view& view = state.placement.targets[found->second.index];
   if (facts.has_invalid_rate_limit) {
