Deliver a complete response that is read after a stall

The check of the deadline that came with the bound on endless responses dropped a response whose last bytes had arrived in time, if the VM stalled and read them after the deadline. The relay now ends a response only if it goes on after having been late once already.

Test: EndlessResponse.CompleteResponseThatIsReadAfterAStallIsDelivered, fails before with 504.

--- a/testing/endless_response_test.cc
+++ b/testing/endless_response_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <fstream>
+#include <thread>
 
 #include "testing/entry_fixture.h"
 
@@ -219,6 +220,41 @@
   }
 }
 
+// The VM stalls while the end of a response arrives, until after the deadline.
+TEST(EndlessResponse, CompleteResponseThatIsReadAfterAStallIsDelivered) {
+  entry_fixture f;
+  f.caller_deadline_ms = 300;
+  asio::ip::tcp::acceptor acceptor(f.context,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  PutObject(*f.store, "servers", "p1",
+            EntryTargetRecord({"127.0.0.1", acceptor.local_endpoint().port()},
+                              "panel", 0));
+  asio::co_spawn(
+      f.context,
+      [&]() -> asio::awaitable<void> {
+        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+        std::string bytes(4096, '\0');
+        co_await socket.async_read_some(asio::buffer(bytes),
+                                        asio::use_awaitable);
+        const std::string beginning =
+            "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: s\r\n"
+            "Content-Length: 8\r\n\r\nhalf";
+        co_await asio::async_write(socket, asio::buffer(beginning),
+                                   asio::use_awaitable);
+        asio::steady_timer timer(f.context, milliseconds(200));
+        co_await timer.async_wait(asio::use_awaitable);
+        co_await asio::async_write(socket, asio::buffer("half", 4),
+                                   asio::use_awaitable);
+        std::this_thread::sleep_for(milliseconds(200));
+      },
+      asio::detached);
+  f.Start(1);
+  const auto response = f.Send(kNonIdempotentPath);
+  EXPECT_EQ(response->status, 200u);
+  EXPECT_EQ(response->body, "halfhalf");
+  acceptor.close();
+}
+
 // A complete response, then bytes without end on the kept connection.
 TEST(EndlessResponse, BytesAfterAResponseBelongToNoRequest) {
   entry_fixture f;
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -119,6 +119,7 @@
       run.state->protocol.filter_response_headers(call.head.headers);
   held_bytes held(*run.state);
   while (true) {
+    const bool is_late = IsPastDeadline(run);
     const auto more = co_await ReadSomeBody(run.state->pool, call,
                                             TimeLeft(run), response.body);
     if (!more)
@@ -127,7 +128,7 @@
       break;
     if (!held.Update(response.body.size()))
       co_return RejectLongResponse(run, response.body.size());
-    if (IsPastDeadline(run))
+    if (is_late)
       co_return forward_outcome::kTimedOut;
   }
   if (response.status >= 500 && MayRepeat(*run.matched_route)) {
@@ -165,6 +166,7 @@
   std::string buffer;
   held_bytes held(*run.state);
   while (true) {
+    const bool is_late = IsPastDeadline(run);
     const auto more =
         co_await ReadSomeBody(run.state->pool, call, TimeLeft(run), buffer);
     if (!more)
@@ -191,7 +193,7 @@
       co_return RejectLongResponse(run, buffer.size());
     if (!events.empty() && !co_await DeliverEvents(run, call, events))
       co_return forward_outcome::kCallerGone;
-    if (IsPastDeadline(run))
+    if (is_late)
       co_return forward_outcome::kTimedOut;
   }
   if (!buffer.empty() || !run.stream_started)
