Log the build of targets and which stream a request takes up

The adapter reads the version of a target's software and the attempt that a caller names; no decision depends on either yet.

--- a/waxwing/adapter.h
+++ b/waxwing/adapter.h
@@ -47,8 +47,9 @@
   // The caller's timeout, if the request states one.
   std::optional<milliseconds> time_left;
   // Number of the last event that the caller has received of an interrupted
-  // stream.
+  // stream, and the ID of the caller's attempt that brought its first event.
   std::optional<std::uint64_t> resume_after;
+  std::string resumed_request;
   // Requested priority, from 0 (least urgent) to 9.
   std::optional<int> priority;
   // The caller has marked the request as one that must not run more than once.
@@ -150,6 +151,8 @@
   std::string zone;
   int slots = 1;
   bool is_draining = false;
+  // Version of the target's software; empty if the record states none.
+  std::string build;
   // The model that the target serves and the version of its weights.
   std::string model;
   std::int64_t weights_version = 0;
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -157,6 +157,7 @@
                         std::min(run.chain.tokens, choice.chosen.cached_tokens);
   out.epoch = view.epoch;
   run.target_id = view.name;
+  run.target_build = out.target.record.build;
   run.cached_tokens = choice.chosen.cached_tokens;
   run.target_in_flight = InFlight(view);
   run.target_waiting = view.others_waiting;
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -33,6 +33,13 @@
 constexpr milliseconds kRetryAfterSpread{300};
 constexpr milliseconds kNoConfigRetryAfter{300};
 
+// Returns the last event that the caller had when it sent the request, or -1.
+std::int64_t ResumePoint(const forward_run& run) {
+  return run.request.resume_after
+             ? static_cast<std::int64_t>(*run.request.resume_after)
+             : -1;
+}
+
 asio::awaitable<void> Refuse(forward_run& run,
                              unsigned status,
                              std::string_view reason,
@@ -44,6 +51,8 @@
       {{"request", run.request.id},
        {"status", status},
        {"reason", reason},
+       {"resumes", run.request.resumed_request},
+       {"resume_after", ResumePoint(run)},
        {"route", run.matched_route ? run.matched_route->name : std::string()},
        {"config", run.table->version},
        {"sends", run.sends}});
@@ -263,6 +272,8 @@
                {"trial", was_trial},
                {"survived", listing.listed.has_survived},
                {"rate", run.target_rate.value_or(-1)},
+               {"build", attempt.target.record.build},
+               {"resumes", run.request.resumed_request},
                {"events", run.last_event_id},
                {"account", run.account.name},
                {"fingerprint", ToHex(run.fingerprint)},
@@ -293,6 +304,9 @@
        {"segments", SegmentIds(run)},
        {"config", run.table->version},
        {"target", run.target_id},
+       {"build", run.target_build},
+       {"resumes", run.request.resumed_request},
+       {"resume_after", ResumePoint(run)},
        {"sends", run.sends},
        {"first_ms", ToMs(run.time_to_first_byte.value_or(took))},
        {"pause_ms", ToMs(run.longest_pause)},
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -84,6 +84,7 @@
   duration longest_pause{};
   instant last_delivery;
   std::string target_id;
+  std::string target_build;
   std::uint32_t cached_tokens = 0;
   int target_in_flight = 0;
   int target_waiting = 0;
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -129,6 +129,8 @@
   LogInfo("target_listed", {{"target", record.id},
                             {"service", record.service},
                             {"address", ToText(record.address)},
+                            {"build", record.build},
+                            {"incarnation", record.incarnation},
                             {"weights", record.weights_version},
                             {"leaving", record.is_draining}});
 }
