--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -368,9 +368,10 @@
 std::string EntryTargetRecord(const waxwing::endpoint& address,
                               std::string_view service,
                               int weights,
-                              std::string_view state) {
+                              std::string_view state,
+                              std::string_view build) {
   json::object out{{"service", service}, {"address", waxwing::ToText(address)},
-                   {"zone", "a"},        {"version", "v1"},
+                   {"zone", "a"},        {"version", build},
                    {"slots", 8},         {"state", state},
                    {"cold_left_ms", 0},  {"sequence", 0}};
   if (weights > 0)
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -130,7 +130,8 @@
 std::string EntryTargetRecord(const waxwing::endpoint& address,
                               std::string_view service,
                               int weights,
-                              std::string_view state = "ready");
+                              std::string_view state = "ready",
+                              std::string_view build = "v1");
 
 }  // namespace testing_support
 
