Resume a broken stream only at targets of the build that began it

Cause: the build in a target's record was not read, and after a target broke off in the middle of a stream the cheapest other target got the rest, whatever its build.

Evidence: StreamBuild.BrokenStreamGoesOnOnlyAtItsBuildWithinOneResponse failed before: 12 of 12 streams went on at an engine of the other build. It passes now, as do the tests of a build of which no other target is left (the response is cut at once, so that the caller can act) and of targets whose records state no build (they fit nothing but themselves).

Why it works: the origin of a stream (service, build, target, incarnation) is set with the first event that the caller gets, and from then on both placements consider only targets that fit it. Before the first event a request may begin anywhere.

--- a/waxwing/engine_choice.cc
+++ b/waxwing/engine_choice.cc
@@ -198,7 +198,9 @@
     const bool is_usable = request.ignore_backoff
                                ? IsUsableIgnoringBackoff(targets[i], now)
                                : IsUsable(targets[i], now);
-    if (is_usable && targets[i].serves == request.service)
+    const bool is_of_build =
+        !request.origin || MayContinueAt(*request.origin, targets[i]);
+    if (is_usable && is_of_build && targets[i].serves == request.service)
       usable.push_back(i);
   }
   std::vector<version_state> versions =
--- a/waxwing/engine_choice.h
+++ b/waxwing/engine_choice.h
@@ -25,6 +25,7 @@
 #include <vector>
 
 #include "waxwing/cache_map.h"
+#include "waxwing/stream_builds.h"
 #include "waxwing/target_view.h"
 #include "waxwing/types.h"
 
@@ -58,6 +59,8 @@
   duration transfer_time_per_token{};
   // Stores from which segments may be fetched.
   std::span<const cache_store_view> cache_stores;
+  // Origin of the stream that the request continues, or null.
+  const stream_origin* origin = nullptr;
   // Index of the target that has just failed this request, or -1.
   int failed_target = -1;
   // Also considers targets in backoff, because no other target is usable.
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -71,6 +71,10 @@
                      (engine.link_mbps * kBitsPerMegabit));
 }
 
+const stream_origin* OriginOf(const forward_run& run) {
+  return run.origin ? &*run.origin : nullptr;
+}
+
 }  // namespace
 
 std::optional<engine_choice> ChooseEngineFor(forward_run& run,
@@ -87,6 +91,7 @@
     query.transfer_time_per_token = TransferTimePerToken(service->second);
   const auto stores = UsableStores(*run.state);
   query.cache_stores = stores;
+  query.origin = OriginOf(run);
   query.failed_target = run.failed_target;
   query.ignore_backoff = is_last_resort;
   return ChooseEngine(run.state->placement.targets, run.state->caches, query,
@@ -109,8 +114,8 @@
                      chosen->cached_tokens + chosen->fetched_tokens, now, true};
   }
   const placement_request query{
-      &run.chain,        run.service,    "",
-      run.failed_target, state.random(), is_last_resort};
+      &run.chain,     run.service,    "",           run.failed_target,
+      state.random(), is_last_resort, OriginOf(run)};
   return Place(state.placement, query, now);
 }
 
@@ -173,6 +178,12 @@
   return out;
 }
 
+stream_origin OriginAt(const dispatch& attempt) {
+  const target_record& record = attempt.target.record;
+  return {record.service, record.build, record.id,
+          static_cast<std::uint64_t>(record.incarnation)};
+}
+
 bool DependsOnWeights(const forward_run& run, const dispatch& attempt) {
   return run.matched_route->has_prompt &&
          attempt.target.record.weights_version > 0;
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -154,8 +154,11 @@
 
 // Relays complete events; the caller never gets a part of one.
 asio::awaitable<bool> DeliverEvents(forward_run& run,
+                                    const dispatch& attempt,
                                     const http_call& call,
                                     std::string_view events) {
+  if (!run.origin)
+    run.origin = OriginAt(attempt);
   const instant now = std::chrono::steady_clock::now();
   if (run.stream_started)
     run.longest_pause = std::max(run.longest_pause, now - run.last_delivery);
@@ -208,7 +211,7 @@
     buffer.erase(0, buffer.size() - rest.size());
     if (buffer.size() > kMaxEventBytes || !held.Update(buffer.size()))
       co_return RejectLongResponse(run, buffer.size());
-    if (!events.empty() && !co_await DeliverEvents(run, call, events))
+    if (!events.empty() && !co_await DeliverEvents(run, attempt, call, events))
       co_return forward_outcome::kCallerGone;
     if (is_late)
       co_return forward_outcome::kTimedOut;
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -13,6 +13,7 @@
 
 #include "waxwing/entry_state.h"
 #include "waxwing/hash.h"
+#include "waxwing/stream_builds.h"
 
 namespace waxwing {
 
@@ -78,6 +79,8 @@
   // `last_event_id`.
   bool stream_started = false;
   std::uint64_t last_event_id = 0;
+  // The target that began the stream, once the caller has an event of it.
+  std::optional<stream_origin> origin;
   // For the log: time to the first byte, the longest pause between events, and
   // the state of the target when it was chosen.
   std::optional<duration> time_to_first_byte;
@@ -161,6 +164,9 @@
 // Returns what is sent to the target in addition to the caller's request.
 attempt_parameters MakeRunOrder(forward_run& run, const dispatch& attempt);
 
+// Returns the origin of a stream that begins with this attempt.
+stream_origin OriginAt(const dispatch& attempt);
+
 // True if the attempt's index in the placement list still refers to the same
 // target.
 bool IsCurrent(const entry_state& state, const dispatch& attempt);
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -63,6 +63,7 @@
   view.name_hash = Hash64(record.id);
   view.serves = record.service;
   view.version = std::to_string(record.weights_version);
+  view.build = record.build;
   view.boot_id = static_cast<std::uint64_t>(record.incarnation);
   view.zone = record.zone;
   view.address = record.address;
@@ -99,6 +100,7 @@
     // copy of its record says.
     const bool is_draining = record.is_draining || target.record.is_draining;
     view.is_in_service = !is_draining;
+    view.build = record.build;
     if (record.is_draining && !target.record.is_draining)
       LogInfo("target_leaving", {{"target", record.id}});
     if (record.weights_version != target.record.weights_version)
--- a/waxwing/placement.cc
+++ b/waxwing/placement.cc
@@ -32,7 +32,8 @@
                              ? IsUsableIgnoringBackoff(view, now)
                              : IsUsable(view, now);
   return is_usable && view.serves == request.serves &&
-         (request.version.empty() || view.version == request.version);
+         (request.version.empty() || view.version == request.version) &&
+         (!request.origin || MayContinueAt(*request.origin, view));
 }
 
 // Fills `state.matches` with the matches that are still valid: the target has
--- a/waxwing/placement.h
+++ b/waxwing/placement.h
@@ -24,6 +24,7 @@
 
 #include "waxwing/prefix.h"
 #include "waxwing/prefix_index.h"
+#include "waxwing/stream_builds.h"
 #include "waxwing/target_view.h"
 #include "waxwing/types.h"
 
@@ -68,6 +69,8 @@
   std::uint64_t random = 0;
   // Also considers targets in backoff, because no other target is usable.
   bool ignore_backoff = false;
+  // Origin of the stream that the request continues, or null.
+  const stream_origin* origin = nullptr;
 };
 
 struct placement {
--- a/waxwing/target_view.h
+++ b/waxwing/target_view.h
@@ -33,6 +33,8 @@
   std::uint64_t name_hash = 0;
   std::string serves;
   std::string version;
+  // Version of the target's software; empty if it is not known.
+  std::string build;
   std::string zone;
   endpoint address;
   // Listed in the configuration and not leaving.
