--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -156,6 +156,18 @@
 struct trial_endBuilder;
 struct trial_endT;
 
+struct stream_record;
+struct stream_recordBuilder;
+struct stream_recordT;
+
+struct stream_query;
+struct stream_queryBuilder;
+struct stream_queryT;
+
+struct stream_reply;
+struct stream_replyBuilder;
+struct stream_replyT;
+
 struct frame;
 struct frameBuilder;
 struct frameT;
@@ -190,11 +202,14 @@
   trial_request = 26,
   trial_response = 27,
   trial_end = 28,
+  stream_record = 29,
+  stream_query = 30,
+  stream_reply = 31,
   MIN = NONE,
-  MAX = trial_end
+  MAX = stream_reply
 };
 
-inline const message (&EnumValuesmessage())[29] {
+inline const message (&EnumValuesmessage())[32] {
   static const message values[] = {
     message::NONE,
     message::challenge,
@@ -224,13 +239,16 @@
     message::hold_notice,
     message::trial_request,
     message::trial_response,
-    message::trial_end
+    message::trial_end,
+    message::stream_record,
+    message::stream_query,
+    message::stream_reply
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[30] = {
+  static const char * const names[33] = {
     "NONE",
     "challenge",
     "hello",
@@ -260,13 +278,16 @@
     "trial_request",
     "trial_response",
     "trial_end",
+    "stream_record",
+    "stream_query",
+    "stream_reply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::trial_end)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::stream_reply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -387,6 +408,18 @@
   static const message enum_value = message::trial_end;
 };
 
+template<> struct messageTraits<waxwing::wire::stream_record> {
+  static const message enum_value = message::stream_record;
+};
+
+template<> struct messageTraits<waxwing::wire::stream_query> {
+  static const message enum_value = message::stream_query;
+};
+
+template<> struct messageTraits<waxwing::wire::stream_reply> {
+  static const message enum_value = message::stream_reply;
+};
+
 template<typename T> struct messageUnionTraits {
   static const message enum_value = message::NONE;
 };
@@ -503,6 +536,18 @@
   static const message enum_value = message::trial_end;
 };
 
+template<> struct messageUnionTraits<waxwing::wire::stream_recordT> {
+  static const message enum_value = message::stream_record;
+};
+
+template<> struct messageUnionTraits<waxwing::wire::stream_queryT> {
+  static const message enum_value = message::stream_query;
+};
+
+template<> struct messageUnionTraits<waxwing::wire::stream_replyT> {
+  static const message enum_value = message::stream_reply;
+};
+
 struct messageUnion {
   message type;
   void *value;
@@ -757,6 +802,30 @@
     return type == message::trial_end ?
       reinterpret_cast<const waxwing::wire::trial_endT *>(value) : nullptr;
   }
+  waxwing::wire::stream_recordT *Asstream_record() {
+    return type == message::stream_record ?
+      reinterpret_cast<waxwing::wire::stream_recordT *>(value) : nullptr;
+  }
+  const waxwing::wire::stream_recordT *Asstream_record() const {
+    return type == message::stream_record ?
+      reinterpret_cast<const waxwing::wire::stream_recordT *>(value) : nullptr;
+  }
+  waxwing::wire::stream_queryT *Asstream_query() {
+    return type == message::stream_query ?
+      reinterpret_cast<waxwing::wire::stream_queryT *>(value) : nullptr;
+  }
+  const waxwing::wire::stream_queryT *Asstream_query() const {
+    return type == message::stream_query ?
+      reinterpret_cast<const waxwing::wire::stream_queryT *>(value) : nullptr;
+  }
+  waxwing::wire::stream_replyT *Asstream_reply() {
+    return type == message::stream_reply ?
+      reinterpret_cast<waxwing::wire::stream_replyT *>(value) : nullptr;
+  }
+  const waxwing::wire::stream_replyT *Asstream_reply() const {
+    return type == message::stream_reply ?
+      reinterpret_cast<const waxwing::wire::stream_replyT *>(value) : nullptr;
+  }
 };
 
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
@@ -4115,6 +4184,357 @@
 
 flatbuffers::Offset<trial_end> Createtrial_end(flatbuffers::FlatBufferBuilder &_fbb, const trial_endT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct stream_recordT : public flatbuffers::NativeTable {
+  typedef stream_record TableType;
+  std::unique_ptr<waxwing::wire::request_key> key{};
+  std::string service{};
+  std::string build{};
+  std::string target{};
+  uint64_t incarnation = 0;
+  uint32_t attempt = 0;
+  uint32_t age_ms = 0;
+  stream_recordT() = default;
+  stream_recordT(const stream_recordT &o);
+  stream_recordT(stream_recordT&&) FLATBUFFERS_NOEXCEPT = default;
+  stream_recordT &operator=(stream_recordT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct stream_record FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef stream_recordT NativeTableType;
+  typedef stream_recordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_SERVICE = 6,
+    VT_BUILD = 8,
+    VT_TARGET = 10,
+    VT_INCARNATION = 12,
+    VT_ATTEMPT = 14,
+    VT_AGE_MS = 16
+  };
+  const waxwing::wire::request_key *key() const {
+    return GetStruct<const waxwing::wire::request_key *>(VT_KEY);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *build() const {
+    return GetPointer<const flatbuffers::String *>(VT_BUILD);
+  }
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  uint32_t attempt() const {
+    return GetField<uint32_t>(VT_ATTEMPT, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<waxwing::wire::request_key>(verifier, VT_KEY, 8) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_BUILD) &&
+           verifier.VerifyString(build()) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ATTEMPT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+  stream_recordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(stream_recordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<stream_record> Pack(flatbuffers::FlatBufferBuilder &_fbb, const stream_recordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct stream_recordBuilder {
+  typedef stream_record Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(const waxwing::wire::request_key *key) {
+    fbb_.AddStruct(stream_record::VT_KEY, key);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(stream_record::VT_SERVICE, service);
+  }
+  void add_build(flatbuffers::Offset<flatbuffers::String> build) {
+    fbb_.AddOffset(stream_record::VT_BUILD, build);
+  }
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(stream_record::VT_TARGET, target);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(stream_record::VT_INCARNATION, incarnation, 0);
+  }
+  void add_attempt(uint32_t attempt) {
+    fbb_.AddElement<uint32_t>(stream_record::VT_ATTEMPT, attempt, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(stream_record::VT_AGE_MS, age_ms, 0);
+  }
+  explicit stream_recordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<stream_record> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<stream_record>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<stream_record> Createstream_record(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const waxwing::wire::request_key *key = nullptr,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> build = 0,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    uint64_t incarnation = 0,
+    uint32_t attempt = 0,
+    uint32_t age_ms = 0) {
+  stream_recordBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
+  builder_.add_age_ms(age_ms);
+  builder_.add_attempt(attempt);
+  builder_.add_target(target);
+  builder_.add_build(build);
+  builder_.add_service(service);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+struct stream_record::Traits {
+  using type = stream_record;
+  static auto constexpr Create = Createstream_record;
+};
+
+inline flatbuffers::Offset<stream_record> Createstream_recordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const waxwing::wire::request_key *key = nullptr,
+    const char *service = nullptr,
+    const char *build = nullptr,
+    const char *target = nullptr,
+    uint64_t incarnation = 0,
+    uint32_t attempt = 0,
+    uint32_t age_ms = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto build__ = build ? _fbb.CreateString(build) : 0;
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  return waxwing::wire::Createstream_record(
+      _fbb,
+      key,
+      service__,
+      build__,
+      target__,
+      incarnation,
+      attempt,
+      age_ms);
+}
+
+flatbuffers::Offset<stream_record> Createstream_record(flatbuffers::FlatBufferBuilder &_fbb, const stream_recordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct stream_queryT : public flatbuffers::NativeTable {
+  typedef stream_query TableType;
+  uint64_t number = 0;
+  std::unique_ptr<waxwing::wire::request_key> key{};
+  std::string service{};
+  stream_queryT() = default;
+  stream_queryT(const stream_queryT &o);
+  stream_queryT(stream_queryT&&) FLATBUFFERS_NOEXCEPT = default;
+  stream_queryT &operator=(stream_queryT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct stream_query FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef stream_queryT NativeTableType;
+  typedef stream_queryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_KEY = 6,
+    VT_SERVICE = 8
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const waxwing::wire::request_key *key() const {
+    return GetStruct<const waxwing::wire::request_key *>(VT_KEY);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<waxwing::wire::request_key>(verifier, VT_KEY, 8) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           verifier.EndTable();
+  }
+  stream_queryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(stream_queryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<stream_query> Pack(flatbuffers::FlatBufferBuilder &_fbb, const stream_queryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct stream_queryBuilder {
+  typedef stream_query Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(stream_query::VT_NUMBER, number, 0);
+  }
+  void add_key(const waxwing::wire::request_key *key) {
+    fbb_.AddStruct(stream_query::VT_KEY, key);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(stream_query::VT_SERVICE, service);
+  }
+  explicit stream_queryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<stream_query> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<stream_query>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<stream_query> Createstream_query(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const waxwing::wire::request_key *key = nullptr,
+    flatbuffers::Offset<flatbuffers::String> service = 0) {
+  stream_queryBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_service(service);
+  builder_.add_key(key);
+  return builder_.Finish();
+}
+
+struct stream_query::Traits {
+  using type = stream_query;
+  static auto constexpr Create = Createstream_query;
+};
+
+inline flatbuffers::Offset<stream_query> Createstream_queryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const waxwing::wire::request_key *key = nullptr,
+    const char *service = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return waxwing::wire::Createstream_query(
+      _fbb,
+      number,
+      key,
+      service__);
+}
+
+flatbuffers::Offset<stream_query> Createstream_query(flatbuffers::FlatBufferBuilder &_fbb, const stream_queryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct stream_replyT : public flatbuffers::NativeTable {
+  typedef stream_reply TableType;
+  uint64_t number = 0;
+  std::unique_ptr<waxwing::wire::stream_recordT> record{};
+  std::string sole_build{};
+  stream_replyT() = default;
+  stream_replyT(const stream_replyT &o);
+  stream_replyT(stream_replyT&&) FLATBUFFERS_NOEXCEPT = default;
+  stream_replyT &operator=(stream_replyT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct stream_reply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef stream_replyT NativeTableType;
+  typedef stream_replyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_RECORD = 6,
+    VT_SOLE_BUILD = 8
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const waxwing::wire::stream_record *record() const {
+    return GetPointer<const waxwing::wire::stream_record *>(VT_RECORD);
+  }
+  const flatbuffers::String *sole_build() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOLE_BUILD);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_RECORD) &&
+           verifier.VerifyTable(record()) &&
+           VerifyOffset(verifier, VT_SOLE_BUILD) &&
+           verifier.VerifyString(sole_build()) &&
+           verifier.EndTable();
+  }
+  stream_replyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(stream_replyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<stream_reply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const stream_replyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct stream_replyBuilder {
+  typedef stream_reply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(stream_reply::VT_NUMBER, number, 0);
+  }
+  void add_record(flatbuffers::Offset<waxwing::wire::stream_record> record) {
+    fbb_.AddOffset(stream_reply::VT_RECORD, record);
+  }
+  void add_sole_build(flatbuffers::Offset<flatbuffers::String> sole_build) {
+    fbb_.AddOffset(stream_reply::VT_SOLE_BUILD, sole_build);
+  }
+  explicit stream_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<stream_reply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<stream_reply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<stream_reply> Createstream_reply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<waxwing::wire::stream_record> record = 0,
+    flatbuffers::Offset<flatbuffers::String> sole_build = 0) {
+  stream_replyBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_sole_build(sole_build);
+  builder_.add_record(record);
+  return builder_.Finish();
+}
+
+struct stream_reply::Traits {
+  using type = stream_reply;
+  static auto constexpr Create = Createstream_reply;
+};
+
+inline flatbuffers::Offset<stream_reply> Createstream_replyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<waxwing::wire::stream_record> record = 0,
+    const char *sole_build = nullptr) {
+  auto sole_build__ = sole_build ? _fbb.CreateString(sole_build) : 0;
+  return waxwing::wire::Createstream_reply(
+      _fbb,
+      number,
+      record,
+      sole_build__);
+}
+
+flatbuffers::Offset<stream_reply> Createstream_reply(flatbuffers::FlatBufferBuilder &_fbb, const stream_replyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct frameT : public flatbuffers::NativeTable {
   typedef frame TableType;
   waxwing::wire::messageUnion message{};
@@ -4219,6 +4639,15 @@
   const waxwing::wire::trial_end *message_as_trial_end() const {
     return message_type() == waxwing::wire::message::trial_end ? static_cast<const waxwing::wire::trial_end *>(message()) : nullptr;
   }
+  const waxwing::wire::stream_record *message_as_stream_record() const {
+    return message_type() == waxwing::wire::message::stream_record ? static_cast<const waxwing::wire::stream_record *>(message()) : nullptr;
+  }
+  const waxwing::wire::stream_query *message_as_stream_query() const {
+    return message_type() == waxwing::wire::message::stream_query ? static_cast<const waxwing::wire::stream_query *>(message()) : nullptr;
+  }
+  const waxwing::wire::stream_reply *message_as_stream_reply() const {
+    return message_type() == waxwing::wire::message::stream_reply ? static_cast<const waxwing::wire::stream_reply *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -4343,6 +4772,18 @@
   return message_as_trial_end();
 }
 
+template<> inline const waxwing::wire::stream_record *frame::message_as<waxwing::wire::stream_record>() const {
+  return message_as_stream_record();
+}
+
+template<> inline const waxwing::wire::stream_query *frame::message_as<waxwing::wire::stream_query>() const {
+  return message_as_stream_query();
+}
+
+template<> inline const waxwing::wire::stream_reply *frame::message_as<waxwing::wire::stream_reply>() const {
+  return message_as_stream_reply();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5610,6 +6051,161 @@
       _number);
 }
 
+inline stream_recordT::stream_recordT(const stream_recordT &o)
+      : key((o.key) ? new waxwing::wire::request_key(*o.key) : nullptr),
+        service(o.service),
+        build(o.build),
+        target(o.target),
+        incarnation(o.incarnation),
+        attempt(o.attempt),
+        age_ms(o.age_ms) {
+}
+
+inline stream_recordT &stream_recordT::operator=(stream_recordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(key, o.key);
+  std::swap(service, o.service);
+  std::swap(build, o.build);
+  std::swap(target, o.target);
+  std::swap(incarnation, o.incarnation);
+  std::swap(attempt, o.attempt);
+  std::swap(age_ms, o.age_ms);
+  return *this;
+}
+
+inline stream_recordT *stream_record::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<stream_recordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void stream_record::UnPackTo(stream_recordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = key(); if (_e) _o->key = std::unique_ptr<waxwing::wire::request_key>(new waxwing::wire::request_key(*_e)); }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = build(); if (_e) _o->build = _e->str(); }
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = attempt(); _o->attempt = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<stream_record> stream_record::Pack(flatbuffers::FlatBufferBuilder &_fbb, const stream_recordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createstream_record(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<stream_record> Createstream_record(flatbuffers::FlatBufferBuilder &_fbb, const stream_recordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const stream_recordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _key = _o->key ? _o->key.get() : nullptr;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _build = _o->build.empty() ? 0 : _fbb.CreateString(_o->build);
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  auto _incarnation = _o->incarnation;
+  auto _attempt = _o->attempt;
+  auto _age_ms = _o->age_ms;
+  return waxwing::wire::Createstream_record(
+      _fbb,
+      _key,
+      _service,
+      _build,
+      _target,
+      _incarnation,
+      _attempt,
+      _age_ms);
+}
+
+inline stream_queryT::stream_queryT(const stream_queryT &o)
+      : number(o.number),
+        key((o.key) ? new waxwing::wire::request_key(*o.key) : nullptr),
+        service(o.service) {
+}
+
+inline stream_queryT &stream_queryT::operator=(stream_queryT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(key, o.key);
+  std::swap(service, o.service);
+  return *this;
+}
+
+inline stream_queryT *stream_query::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<stream_queryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void stream_query::UnPackTo(stream_queryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = key(); if (_e) _o->key = std::unique_ptr<waxwing::wire::request_key>(new waxwing::wire::request_key(*_e)); }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+}
+
+inline flatbuffers::Offset<stream_query> stream_query::Pack(flatbuffers::FlatBufferBuilder &_fbb, const stream_queryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createstream_query(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<stream_query> Createstream_query(flatbuffers::FlatBufferBuilder &_fbb, const stream_queryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const stream_queryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _key = _o->key ? _o->key.get() : nullptr;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  return waxwing::wire::Createstream_query(
+      _fbb,
+      _number,
+      _key,
+      _service);
+}
+
+inline stream_replyT::stream_replyT(const stream_replyT &o)
+      : number(o.number),
+        record((o.record) ? new waxwing::wire::stream_recordT(*o.record) : nullptr),
+        sole_build(o.sole_build) {
+}
+
+inline stream_replyT &stream_replyT::operator=(stream_replyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(record, o.record);
+  std::swap(sole_build, o.sole_build);
+  return *this;
+}
+
+inline stream_replyT *stream_reply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<stream_replyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void stream_reply::UnPackTo(stream_replyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = record(); if (_e) _o->record = std::unique_ptr<waxwing::wire::stream_recordT>(_e->UnPack(_resolver)); }
+  { auto _e = sole_build(); if (_e) _o->sole_build = _e->str(); }
+}
+
+inline flatbuffers::Offset<stream_reply> stream_reply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const stream_replyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createstream_reply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<stream_reply> Createstream_reply(flatbuffers::FlatBufferBuilder &_fbb, const stream_replyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const stream_replyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _record = _o->record ? Createstream_record(_fbb, _o->record.get(), _rehasher) : 0;
+  auto _sole_build = _o->sole_build.empty() ? 0 : _fbb.CreateString(_o->sole_build);
+  return waxwing::wire::Createstream_reply(
+      _fbb,
+      _number,
+      _record,
+      _sole_build);
+}
+
 inline frameT *frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<frameT>();
   UnPackTo(_o.get(), _resolver);
@@ -5756,6 +6352,18 @@
       auto ptr = reinterpret_cast<const waxwing::wire::trial_end *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::stream_record: {
+      auto ptr = reinterpret_cast<const waxwing::wire::stream_record *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::stream_query: {
+      auto ptr = reinterpret_cast<const waxwing::wire::stream_query *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::stream_reply: {
+      auto ptr = reinterpret_cast<const waxwing::wire::stream_reply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5887,6 +6495,18 @@
       auto ptr = reinterpret_cast<const waxwing::wire::trial_end *>(obj);
       return ptr->UnPack(resolver);
     }
+    case message::stream_record: {
+      auto ptr = reinterpret_cast<const waxwing::wire::stream_record *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::stream_query: {
+      auto ptr = reinterpret_cast<const waxwing::wire::stream_query *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::stream_reply: {
+      auto ptr = reinterpret_cast<const waxwing::wire::stream_reply *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6006,6 +6626,18 @@
       auto ptr = reinterpret_cast<const waxwing::wire::trial_endT *>(value);
       return Createtrial_end(_fbb, ptr, _rehasher).Union();
     }
+    case message::stream_record: {
+      auto ptr = reinterpret_cast<const waxwing::wire::stream_recordT *>(value);
+      return Createstream_record(_fbb, ptr, _rehasher).Union();
+    }
+    case message::stream_query: {
+      auto ptr = reinterpret_cast<const waxwing::wire::stream_queryT *>(value);
+      return Createstream_query(_fbb, ptr, _rehasher).Union();
+    }
+    case message::stream_reply: {
+      auto ptr = reinterpret_cast<const waxwing::wire::stream_replyT *>(value);
+      return Createstream_reply(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6124,6 +6756,18 @@
       value = new waxwing::wire::trial_endT(*reinterpret_cast<waxwing::wire::trial_endT *>(u.value));
       break;
     }
+    case message::stream_record: {
+      value = new waxwing::wire::stream_recordT(*reinterpret_cast<waxwing::wire::stream_recordT *>(u.value));
+      break;
+    }
+    case message::stream_query: {
+      value = new waxwing::wire::stream_queryT(*reinterpret_cast<waxwing::wire::stream_queryT *>(u.value));
+      break;
+    }
+    case message::stream_reply: {
+      value = new waxwing::wire::stream_replyT(*reinterpret_cast<waxwing::wire::stream_replyT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6271,6 +6915,21 @@
       delete ptr;
       break;
     }
+    case message::stream_record: {
+      auto ptr = reinterpret_cast<waxwing::wire::stream_recordT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::stream_query: {
+      auto ptr = reinterpret_cast<waxwing::wire::stream_queryT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::stream_reply: {
+      auto ptr = reinterpret_cast<waxwing::wire::stream_replyT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/testing/stream_build_test.cc
+++ b/testing/stream_build_test.cc
@@ -196,5 +196,48 @@
   }
 }
 
+TEST(StreamBuild, StreamOfAVmThatEndedGoesOnOnlyAtItsBuild) {
+  take_up_fixture f(4);
+  for (int i = 0; i < kStreams; ++i)
+    ASSERT_TRUE(f.BeginAndLeave(0, "first-" + std::to_string(i)));
+  StopEntry(f.vms[0]);
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string first = "first-" + std::to_string(i);
+    const std::string next = "next-" + std::to_string(i);
+    const auto response = f.TakeUp(1 + i % 3, next, first);
+    EXPECT_TRUE(response && response->status == 200) << next;
+    EXPECT_EQ(f.BuildOf(next), f.BuildOf(first)) << next;
+  }
+}
+
+TEST(StreamBuild, StreamWhoseBuildNobodyKnowsIsRefusedAsNotRun) {
+  take_up_fixture f(3);
+  const auto response = f.TakeUp(1, "next", "unheard-of");
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->status, 503u);
+  EXPECT_FALSE(FindHeader(response->headers, "Retry-After").empty());
+  EXPECT_EQ(f.BuildOf("next"), "");
+}
+
+TEST(StreamBuild, AccountCannotTakeUpAStreamOfAnother) {
+  EXPECT_NE(StreamKey("shop", "r1"), StreamKey("bank", "r1"));
+  EXPECT_NE(StreamKey("shop", "r1"), StreamKey("shopr", "1"));
+}
+
+TEST(StreamBuild, UnrecordedStreamGoesOnWhileThereIsOneBuild) {
+  entry_fixture f;
+  for (const std::string id : {"e1", "e2"})
+    f.AddTarget(id, "llm", BreakAfterFirstEvent);
+  f.Start(2);
+  entry_state& state = *f.running.state;
+  const http_headers take_up = {{"Last-Event-Id", "1"}, {"Resumes", "r0"}};
+  // Until streams that began before this VM's start can't be taken up any more,
+  // they may be of a build that is gone.
+  EXPECT_EQ(f.Send(kResumablePath, take_up)->status, 503u);
+  *state.builds.at("llm").observed_since -= state.stream_lifetime;
+  EXPECT_EQ(f.Send(kResumablePath, take_up)->status, 200u);
+  EXPECT_EQ(state.stream_queries.size(), 0u);
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/agent_links.cc
+++ b/waxwing/agent_links.cc
@@ -128,7 +128,10 @@
          type == wire::message::hold_notice ||
          type == wire::message::trial_request ||
          type == wire::message::trial_response ||
-         type == wire::message::trial_end;
+         type == wire::message::trial_end ||
+         type == wire::message::stream_record ||
+         type == wire::message::stream_query ||
+         type == wire::message::stream_reply;
 }
 
 void HandleAgentFrame(agent_state& state,
--- a/waxwing/engine_choice.cc
+++ b/waxwing/engine_choice.cc
@@ -198,9 +198,8 @@
     const bool is_usable = request.ignore_backoff
                                ? IsUsableIgnoringBackoff(targets[i], now)
                                : IsUsable(targets[i], now);
-    const bool is_of_build =
-        !request.origin || MayContinueAt(*request.origin, targets[i]);
-    if (is_usable && is_of_build && targets[i].serves == request.service)
+    if (is_usable && targets[i].serves == request.service &&
+        FitsStream(request.stream, targets[i], request.ignore_backoff))
       usable.push_back(i);
   }
   std::vector<version_state> versions =
--- a/waxwing/engine_choice.h
+++ b/waxwing/engine_choice.h
@@ -59,8 +59,7 @@
   duration transfer_time_per_token{};
   // Stores from which segments may be fetched.
   std::span<const cache_store_view> cache_stores;
-  // Origin of the stream that the request continues, or null.
-  const stream_origin* origin = nullptr;
+  stream_needs stream;
   // Index of the target that has just failed this request, or -1.
   int failed_target = -1;
   // Also considers targets in backoff, because no other target is usable.
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -112,6 +112,7 @@
     AgeSuspects(state->suspects, now);
     RecordTick(state->stalls, SuspendAwareNow());
     WithdrawLateStarts(*state);
+    MaintainStreamRecords(state);
     for (auto& [service, queue] : state->dispatch_queues) {
       UpdateWindowMinimum(*state, service, queue);
       DispatchQueuedRequests(*state, service);
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -71,8 +71,8 @@
                      (engine.link_mbps * kBitsPerMegabit));
 }
 
-const stream_origin* OriginOf(const forward_run& run) {
-  return run.origin ? &*run.origin : nullptr;
+stream_needs StreamNeeds(const forward_run& run) {
+  return {run.origin ? &*run.origin : nullptr, run.matched_route->can_resume};
 }
 
 }  // namespace
@@ -91,7 +91,7 @@
     query.transfer_time_per_token = TransferTimePerToken(service->second);
   const auto stores = UsableStores(*run.state);
   query.cache_stores = stores;
-  query.origin = OriginOf(run);
+  query.stream = StreamNeeds(run);
   query.failed_target = run.failed_target;
   query.ignore_backoff = is_last_resort;
   return ChooseEngine(run.state->placement.targets, run.state->caches, query,
@@ -114,8 +114,8 @@
                      chosen->cached_tokens + chosen->fetched_tokens, now, true};
   }
   const placement_request query{
-      &run.chain,     run.service,    "",           run.failed_target,
-      state.random(), is_last_resort, OriginOf(run)};
+      &run.chain,     run.service,     "", run.failed_target, state.random(),
+      is_last_resort, StreamNeeds(run)};
   return Place(state.placement, query, now);
 }
 
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -256,6 +256,7 @@
       co_return run.caller_gone ? forward_outcome::kCallerGone : outcome;
     }
     dispatch attempt = BeginDispatch(run, *choice);
+    RecordStreamStart(run, attempt);
     const doubtful_listing listing(run, attempt);
     outcome = co_await RunAtTarget(run, attempt);
     FinishDispatch(run, attempt, outcome);
@@ -381,7 +382,13 @@
     if (run.waiter)
       run.waiter->wakeup.cancel();
   });
+  if (IsTakenUp(run) && !co_await FindOrigin(run)) {
+    if (!run.caller_gone)
+      co_await Refuse(run, 503, "unknown_stream", RetryAfter(run));
+    co_return;
+  }
   const forward_outcome outcome = co_await RunWithRetries(run);
+  ForgetRunningStream(run);
   LogOutcome(run, outcome);
   Observe(state->stats, "waxwing_request_seconds",
           std::chrono::steady_clock::now() - run.arrived);
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -249,6 +249,12 @@
           HandlePermitRequest(*locked, link, *ask);
         else if (const auto* permit = message.Aspermit_response())
           HandlePermitResponse(*locked, *permit);
+        else if (const auto* record = message.Asstream_record())
+          HandleStreamRecord(*locked, *record);
+        else if (const auto* query = message.Asstream_query())
+          HandleStreamQuery(*locked, link, *query);
+        else if (const auto* reply = message.Asstream_reply())
+          HandleStreamReply(*locked, *reply);
         else
           HandleSuspectMessage(*locked, link, message);
       };
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -197,6 +197,22 @@
 // True if the request has a prompt and the weights of its target are known.
 bool DependsOnWeights(const forward_run& run, const dispatch& attempt);
 
+// --- entry_streams.cc
+
+// True if the request continues a stream that the caller has received in part.
+bool IsTakenUp(const forward_run& run);
+
+// Finds out where the stream began that the request continues. Returns false if
+// that is not known, so that the request must not be sent.
+boost::asio::awaitable<bool> FindOrigin(forward_run& run);
+
+// Records that a stream begins with this attempt, unless the caller already has
+// a part of it.
+void RecordStreamStart(forward_run& run, const dispatch& attempt);
+
+// Call when the request has ended.
+void ForgetRunningStream(forward_run& run);
+
 // --- entry_permits.cc
 
 // Chooses a target, and obtains a permit if that has stated a request rate.
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -31,6 +31,7 @@
 #include "waxwing/rollout.h"
 #include "waxwing/send_permits.h"
 #include "waxwing/store_era.h"
+#include "waxwing/stream_builds.h"
 #include "waxwing/supervisor.h"
 #include "waxwing/vm_selection.h"
 
@@ -46,6 +47,9 @@
   std::int64_t reported_weights = 0;
   // After the target has refuted an assumption, the next one is made no sooner.
   instant next_assumption_at;
+  // When this start of the target was first listed, on a clock that keeps
+  // running while the VM is suspended.
+  instant listed_at;
   // Set if the target is missing from the store after an outage: it is dropped
   // at this time unless it is listed again.
   std::optional<instant> drop_at;
@@ -218,6 +222,18 @@
       : wakeup(executor) {}
 };
 
+// A coroutine that waits for the replies of record keepers. Owned by the
+// coroutine frame.
+struct stream_query_waiter {
+  boost::asio::steady_timer wakeup;
+  std::size_t awaited = 0;
+  std::optional<stream_record> record;
+  std::set<std::string> sole_builds;
+
+  explicit stream_query_waiter(boost::asio::any_io_executor executor)
+      : wakeup(executor) {}
+};
+
 struct entry_state {
   boost::asio::any_io_executor executor;
   entry_options options;
@@ -284,6 +300,18 @@
   std::uint64_t next_trial_number = 1;
   // Requests that wait for a trial.
   std::size_t trial_waiting = 0;
+  // By service with streams that can be taken up again.
+  std::map<std::string, build_history, std::less<>> builds;
+  // Services whose streams are recorded at other VMs.
+  std::map<std::string, bool, std::less<>> recorded_services;
+  // How long a stream can be taken up after it has begun.
+  duration stream_lifetime{};
+  stream_table stream_records;
+  // Streams that this VM has begun and that have not ended.
+  std::map<stream_key, stream_record> running_streams;
+  // By number of the query.
+  std::map<std::uint64_t, stream_query_waiter*> stream_queries;
+  std::uint64_t next_stream_query = 1;
   // Holds as last read from the store.
   std::map<suspect_key, hold> stored_holds;
   // By service.
@@ -434,6 +462,27 @@
 // Writes holds to the store, as the trial issuer of their service.
 boost::asio::awaitable<void> RunHoldWriter(entry_ptr state);
 
+// --- entry_streams.cc
+
+// Determines from the configuration which services have streams that can be
+// taken up again, and for how long.
+void UpdateResumableServices(entry_state& state);
+
+// Updates what this VM knows of the builds of services, from its list of
+// targets.
+void ObserveTargetBuilds(entry_state& state);
+
+// Drops old records of streams, and sends those of running streams to their
+// keepers when that becomes necessary.
+void MaintainStreamRecords(const entry_ptr& state);
+
+void HandleStreamRecord(entry_state& state,
+                        const wire::stream_recordT& message);
+void HandleStreamQuery(entry_state& state,
+                       const peer_link& link,
+                       const wire::stream_queryT& query);
+void HandleStreamReply(entry_state& state, const wire::stream_replyT& reply);
+
 // --- entry_era.cc
 
 // Records the era that a response of the store, or a peer's message, states.
--- /dev/null
+++ b/waxwing/entry_streams.cc
@@ -0,0 +1,349 @@
+// Remembers at which build each stream began, and finds that out for streams
+// that callers take up again (stream_builds.h).
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <set>
+
+#include "waxwing/agent_state.h"
+#include "waxwing/entry_run.h"
+#include "waxwing/log.h"
+
+namespace waxwing {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Time for the responses of record keepers.
+constexpr milliseconds kQueryTimeout{150};
+// A target may have restarted this long before its new record is read.
+constexpr milliseconds kRestartNoticeDelay{1'500};
+// A stream lasts at most as long as two attempts of its caller.
+constexpr int kAttemptsPerStream = 2;
+constexpr milliseconds kMinStreamLifetime{10'000};
+
+const membership& Members(const entry_state& state) {
+  return state.membership_agent.state->members;
+}
+
+std::optional<instant> ListCompleteUntil(const entry_state& state) {
+  const auto found = state.watches.find(object_kind::kTargets);
+  if (found == state.watches.end() || found->second.has_lost_changes)
+    return std::nullopt;
+  return found->second.confirmed_at;
+}
+
+std::optional<std::string> SoleBuildOf(const entry_state& state,
+                                       std::string_view service) {
+  const auto found = state.builds.find(service);
+  if (found == state.builds.end())
+    return std::nullopt;
+  return SoleBuild(found->second, ListCompleteUntil(state),
+                   state.stream_lifetime, SuspendAwareNow());
+}
+
+bool NeedsRecordsOf(const entry_state& state, std::string_view service) {
+  const auto found = state.builds.find(service);
+  return found == state.builds.end() ||
+         NeedsRecords(found->second, ListCompleteUntil(state),
+                      state.stream_lifetime, SuspendAwareNow());
+}
+
+std::unique_ptr<wire::stream_recordT> ToWire(const stream_key& key,
+                                             const stream_record& record) {
+  auto out = std::make_unique<wire::stream_recordT>();
+  out->key = std::make_unique<wire::request_key>(key.high, key.low);
+  out->service = record.origin.service;
+  out->build = record.origin.build;
+  out->target = record.origin.target;
+  out->incarnation = record.origin.incarnation;
+  out->attempt = record.attempt;
+  out->age_ms = static_cast<std::uint32_t>(
+      std::max<std::int64_t>(0, ToMs(SuspendAwareNow() - record.began)));
+  return out;
+}
+
+stream_record FromWire(const wire::stream_recordT& record) {
+  return {{record.service, record.build, record.target, record.incarnation},
+          record.attempt,
+          SuspendAwareNow() - milliseconds(record.age_ms)};
+}
+
+template <typename Message>
+asio::awaitable<void> DialAndSend(entry_ptr state,
+                                  std::string vm,
+                                  Message message) {
+  const auto link = co_await EnsureLink(state->membership_agent.state, vm);
+  if (link)
+    SendMessage(*link, std::move(message));
+}
+
+// Sends a message to another VM, over a new link if there is none.
+template <typename Message>
+void SendToVm(const entry_ptr& state,
+              const std::string& vm,
+              const Message& message) {
+  const auto& links = state->membership_agent.state->links;
+  const auto link = links.find(vm);
+  if (link != links.end() && IsOpen(link->second.connection))
+    SendMessage(link->second.connection, message);
+  else
+    asio::co_spawn(state->executor, DialAndSend(state, vm, message),
+                   asio::detached);
+}
+
+void SendToKeepers(const entry_ptr& state,
+                   const stream_key& key,
+                   const stream_record& record) {
+  for (const std::string& vm :
+       ChooseRecordKeepers(Members(*state), key, kRecordCopies)) {
+    SendToVm(state, vm, *ToWire(key, record));
+    Count(state->stats, "waxwing_stream_records_sent_total");
+  }
+}
+
+// True if the stream may have begun at another start of its target than the one
+// in the record, which had not been read yet.
+bool IsInDoubt(const entry_state& state, const stream_record& record) {
+  const auto listed = state.targets.find(record.origin.target);
+  if (listed != state.targets.end()) {
+    const listed_target& target = listed->second;
+    return static_cast<std::uint64_t>(target.record.incarnation) !=
+                       record.origin.incarnation ||
+                   target.record.build != record.origin.build
+               ? record.began + kRestartNoticeDelay > target.listed_at
+               : false;
+  }
+  const auto removed = state.removed_targets.find(record.origin.target);
+  return removed != state.removed_targets.end() &&
+         static_cast<std::uint64_t>(removed->second.incarnation) !=
+             record.origin.incarnation;
+}
+
+// What other VMs know of a stream.
+struct stream_findings {
+  std::optional<stream_record> record;
+  // Builds that those without a record have concluded.
+  std::set<std::string> sole_builds;
+};
+
+asio::awaitable<stream_findings> AskKeepers(entry_ptr state,
+                                            stream_key key,
+                                            std::string service) {
+  const std::vector<std::string> vms =
+      ChooseRecordKeepers(Members(*state), key, kRecordQueries);
+  stream_query_waiter waiter(state->executor);
+  waiter.awaited = vms.size();
+  wire::stream_queryT query;
+  query.number = state->next_stream_query++;
+  query.key = std::make_unique<wire::request_key>(key.high, key.low);
+  query.service = service;
+  state->stream_queries[query.number] = &waiter;
+  for (const std::string& vm : vms)
+    SendToVm(state, vm, query);
+  if (!vms.empty()) {
+    waiter.wakeup.expires_after(kQueryTimeout);
+    co_await waiter.wakeup.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  state->stream_queries.erase(query.number);
+  co_return stream_findings{waiter.record, waiter.sole_builds};
+}
+
+// Returns the only build at which the stream can have begun, by what this VM
+// and those without a record of it know.
+std::optional<std::string> ConcludeBuild(const entry_state& state,
+                                         std::string_view service,
+                                         const stream_findings& findings) {
+  std::set<std::string> concluded = findings.sole_builds;
+  if (const auto own = SoleBuildOf(state, service))
+    concluded.insert(*own);
+  if (concluded.size() != 1)
+    return std::nullopt;
+  return *concluded.begin();
+}
+
+}  // namespace
+
+void UpdateResumableServices(entry_state& state) {
+  duration longest{};
+  std::set<std::string, std::less<>> services;
+  for (const auto& [host, routes] : state.table->routes) {
+    for (const route& entry : routes) {
+      if (entry.kind != route_kind::kStream || !entry.can_resume)
+        continue;
+      longest = std::max<duration>(longest, entry.timeout);
+      for (const weighted_service& service : entry.services)
+        services.insert(service.service);
+    }
+  }
+  state.stream_lifetime =
+      std::max<duration>(kMinStreamLifetime, longest * kAttemptsPerStream);
+  for (const std::string& service : services)
+    state.builds.try_emplace(service);
+  std::erase_if(state.builds, [&](const auto& entry) {
+    return !services.contains(entry.first);
+  });
+}
+
+void ObserveTargetBuilds(entry_state& state) {
+  const instant now = SuspendAwareNow();
+  std::map<std::string, build_counts, std::less<>> counts;
+  for (const auto& [id, target] : state.targets)
+    ++counts[target.record.service][target.record.build];
+  for (auto& [service, history] : state.builds)
+    ObserveBuilds(history, counts[service], ListCompleteUntil(state),
+                  state.stream_lifetime, now);
+  for (const auto& [id, target] : state.targets) {
+    target_view& view = state.placement.targets[target.index];
+    const auto history = state.builds.find(target.record.service);
+    view.is_build_new = false;
+    if (history == state.builds.end())
+      continue;
+    const auto build = history->second.builds.find(target.record.build);
+    view.is_build_new = build != history->second.builds.end() &&
+                        now < build->second.usable_since;
+  }
+}
+
+void MaintainStreamRecords(const entry_ptr& state) {
+  const instant now = SuspendAwareNow();
+  AgeStreams(state->stream_records, state->stream_lifetime, now);
+  for (const auto& [service, history] : state->builds) {
+    const bool needs_records = NeedsRecordsOf(*state, service);
+    bool& had_records = state->recorded_services[service];
+    if (needs_records != had_records) {
+      LogInfo("stream_records", {{"service", service},
+                                 {"needed", needs_records},
+                                 {"builds", history.builds.size()},
+                                 {"running", state->running_streams.size()}});
+    }
+    if (needs_records && !had_records) {
+      for (const auto& [key, record] : state->running_streams) {
+        if (record.origin.service == service)
+          SendToKeepers(state, key, record);
+      }
+    }
+    had_records = needs_records;
+  }
+}
+
+bool IsTakenUp(const forward_run& run) {
+  return run.matched_route->kind == route_kind::kStream &&
+         run.matched_route->can_resume &&
+         run.request.resume_after.value_or(0) > 0;
+}
+
+void RecordStreamStart(forward_run& run, const dispatch& attempt) {
+  if (run.matched_route->kind != route_kind::kStream ||
+      !run.matched_route->can_resume || run.origin)
+    return;
+  entry_state& state = *run.state;
+  const stream_key key = StreamKey(run.account.name, run.request.id);
+  const instant now = SuspendAwareNow();
+  const stream_record record{OriginAt(attempt),
+                             static_cast<std::uint32_t>(run.sends + 1), now};
+  state.running_streams[key] = record;
+  RecordStream(state.stream_records, key, record, now);
+  if (NeedsRecordsOf(state, record.origin.service))
+    SendToKeepers(run.state, key, record);
+}
+
+void ForgetRunningStream(forward_run& run) {
+  run.state->running_streams.erase(StreamKey(run.account.name, run.request.id));
+}
+
+asio::awaitable<bool> FindOrigin(forward_run& run) {
+  entry_state& state = *run.state;
+  const stream_key key =
+      StreamKey(run.account.name, run.request.resumed_request);
+  const std::string_view only_service =
+      run.matched_route->services.size() == 1
+          ? std::string_view(run.matched_route->services.front().service)
+          : std::string_view();
+  std::optional<stream_record> record;
+  std::optional<std::string> sole_build;
+  std::string_view source = "own";
+  if (const stream_record* known = FindStream(state.stream_records, key)) {
+    record = *known;
+  } else if (!only_service.empty() && !NeedsRecordsOf(state, only_service)) {
+    sole_build = SoleBuildOf(state, only_service);
+    source = "sole_build";
+  } else {
+    const stream_findings findings =
+        co_await AskKeepers(run.state, key, std::string(only_service));
+    record = findings.record;
+    source = "keeper";
+    if (!record && !only_service.empty()) {
+      sole_build = ConcludeBuild(state, only_service, findings);
+      source = "concluded";
+    }
+  }
+  if (record && !IsInDoubt(state, *record)) {
+    run.origin = record->origin;
+    if (RecordStream(state.stream_records, key, *record, SuspendAwareNow()))
+      SendToKeepers(run.state, key, *record);
+  } else if (!record && sole_build) {
+    run.origin = stream_origin{std::string(only_service), *sole_build, "", 0};
+  }
+  const bool is_known =
+      run.origin && std::any_of(run.matched_route->services.begin(),
+                                run.matched_route->services.end(),
+                                [&](const weighted_service& service) {
+                                  return service.service == run.origin->service;
+                                });
+  if (is_known)
+    run.service = run.origin->service;
+  Count(state.stats, "waxwing_streams_taken_up_total{origin=\"" +
+                         std::string(is_known ? source : "unknown") + "\"}");
+  LogInfo("stream_taken_up",
+          {{"request", run.request.id},
+           {"resumes", run.request.resumed_request},
+           {"resume_after", run.request.resume_after.value_or(0)},
+           {"known", is_known},
+           {"source", source},
+           {"build", run.origin ? run.origin->build : std::string()},
+           {"doubt", record && !run.origin},
+           {"age_ms", record ? ToMs(SuspendAwareNow() - record->began) : -1}});
+  co_return is_known;
+}
+
+void HandleStreamRecord(entry_state& state,
+                        const wire::stream_recordT& message) {
+  if (!message.key)
+    return;
+  RecordStream(state.stream_records, {message.key->high(), message.key->low()},
+               FromWire(message), SuspendAwareNow());
+}
+
+void HandleStreamQuery(entry_state& state,
+                       const peer_link& link,
+                       const wire::stream_queryT& query) {
+  if (!query.key)
+    return;
+  const stream_key key{query.key->high(), query.key->low()};
+  wire::stream_replyT reply;
+  reply.number = query.number;
+  if (const stream_record* known = FindStream(state.stream_records, key))
+    reply.record = ToWire(key, *known);
+  else
+    reply.sole_build = SoleBuildOf(state, query.service).value_or("");
+  SendMessage(link, std::move(reply));
+}
+
+void HandleStreamReply(entry_state& state, const wire::stream_replyT& reply) {
+  const auto found = state.stream_queries.find(reply.number);
+  if (found == state.stream_queries.end())
+    return;
+  stream_query_waiter& waiter = *found->second;
+  if (waiter.awaited > 0)
+    --waiter.awaited;
+  if (reply.record)
+    waiter.record = FromWire(*reply.record);
+  else if (!reply.sole_build.empty())
+    waiter.sole_builds.insert(reply.sole_build);
+  if (waiter.record || waiter.awaited == 0)
+    waiter.wakeup.cancel();
+}
+
+}  // namespace waxwing
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -126,7 +126,9 @@
   const std::uint32_t epoch = view.epoch;
   view = MakeView(state, record);
   view.epoch = epoch + 1;
-  state.targets[record.id] = {record, index, record.weights_version, {}, {}};
+  listed_target& added = state.targets[record.id];
+  added = {record, index, record.weights_version};
+  added.listed_at = SuspendAwareNow();
   state.removed_targets.erase(record.id);
   LogInfo("target_listed", {{"target", record.id},
                             {"service", record.service},
@@ -336,6 +338,7 @@
   // The assumed versions change the costs.
   if (!assumed_weights.empty())
     RefreshTargets(state, now);
+  ObserveTargetBuilds(state);
 }
 
 }  // namespace waxwing
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -76,6 +76,7 @@
   limits.idle_timeout = state.table->limits.idle_timeout;
   SetLimits(state.caller_server, limits);
   UpdateCacheStores(state);
+  UpdateResumableServices(state);
   LogInfo("config_in_force", {{"version", state.table->version},
                               {"revision", object.revision},
                               {"services", state.table->services.size()},
--- a/waxwing/placement.cc
+++ b/waxwing/placement.cc
@@ -33,7 +33,7 @@
                              : IsUsable(view, now);
   return is_usable && view.serves == request.serves &&
          (request.version.empty() || view.version == request.version) &&
-         (!request.origin || MayContinueAt(*request.origin, view));
+         FitsStream(request.stream, view, request.ignore_backoff);
 }
 
 // Fills `state.matches` with the matches that are still valid: the target has
--- a/waxwing/placement.h
+++ b/waxwing/placement.h
@@ -69,8 +69,7 @@
   std::uint64_t random = 0;
   // Also considers targets in backoff, because no other target is usable.
   bool ignore_backoff = false;
-  // Origin of the stream that the request continues, or null.
-  const stream_origin* origin = nullptr;
+  stream_needs stream;
 };
 
 struct placement {
--- a/waxwing/stream_builds.h
+++ b/waxwing/stream_builds.h
@@ -3,14 +3,39 @@
 // A target's build is the version of its software. What two builds write does
 // not fit together, so a stream that a caller has received in part may go on
 // only at targets of its build. Targets do not check this.
+//
+// A caller may take a stream up at any VM, also after the one that began it is
+// gone. While all targets of a service have had one build for longer than a
+// stream lives, every VM knows the build of its streams. Otherwise the VM that
+// begins a stream sends a record of its origin to a few other VMs, the record
+// keepers, chosen by rendezvous hashing, and the VM at which the stream is
+// taken up asks them. A stream whose build nobody knows is not continued.
+//
+// A VM may conclude that a stream without a record was begun at the only build
+// that it knows, because no VM begins streams at a new build before
+// kBuildSettleTime has passed since it learned of the build, and each VM knows
+// since when its list of targets is complete.
+//
+// Designed for: releases that replace targets one by one while VMs end alone,
+// in series or many at once; 6 to 350 VMs.
 
 #ifndef WAXWING_STREAM_BUILDS_H_
 #define WAXWING_STREAM_BUILDS_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
+#include "waxwing/hash.h"
+#include "waxwing/membership.h"
 #include "waxwing/target_view.h"
+#include "waxwing/types.h"
 
 namespace waxwing {
 
@@ -29,6 +54,123 @@
 // known build fits only the same incarnation of the same target.
 bool MayContinueAt(const stream_origin& origin, const target_view& view);
 
+// What a request needs of its target because of the stream that it carries.
+struct stream_needs {
+  // Origin of the stream that the request continues, or null.
+  const stream_origin* origin = nullptr;
+  // The request begins a stream that may be taken up later.
+  bool begins_resumable = false;
+};
+
+// True if the target may run the request. As a last resort, a stream may begin
+// at a build that has not settled.
+bool FitsStream(const stream_needs& needs,
+                const target_view& view,
+                bool is_last_resort);
+
+// --- The builds of a service. All times are of a clock that keeps running
+// while the VM is suspended.
+
+// Time from when a VM learns of a build until it begins streams there. Longer
+// than kMaxListAge plus the time for a record to reach its keepers.
+inline constexpr milliseconds kBuildSettleTime{4'000};
+// A VM whose list of targets was confirmed longer ago sends records.
+inline constexpr milliseconds kMaxListAge{2'500};
+
+struct known_build {
+  // When this VM may begin streams there, and the earliest time at which any VM
+  // may have begun one.
+  instant usable_since;
+  instant possible_since;
+  // When a target of the build was last listed.
+  instant last_listed;
+};
+
+struct build_history {
+  // Empty before the service's first targets are listed.
+  std::optional<instant> observed_since;
+  std::map<std::string, known_build, std::less<>> builds;
+};
+
+// Targets of a service, by build.
+using build_counts = std::map<std::string, std::size_t, std::less<>>;
+
+// Updates the history from the targets that are listed at `now`. Builds that
+// are new in `listed` were added after `complete_until`, up to which time the
+// list before was complete; empty if that is not known. A build that is not
+// listed for `stream_lifetime` is forgotten.
+void ObserveBuilds(build_history& history,
+                   const build_counts& listed,
+                   std::optional<instant> complete_until,
+                   duration stream_lifetime,
+                   instant now);
+
+// Returns the build at which every stream that may still be taken up was begun,
+// if there is only one. The list of targets is complete until
+// `complete_until`.
+std::optional<std::string> SoleBuild(const build_history& history,
+                                     std::optional<instant> complete_until,
+                                     duration stream_lifetime,
+                                     instant now);
+
+// True if the origins of streams must be recorded, because other VMs may not
+// be able to conclude them.
+bool NeedsRecords(const build_history& history,
+                  std::optional<instant> complete_until,
+                  duration stream_lifetime,
+                  instant now);
+
+// --- Records of origins.
+
+// Identifies a stream by the account and the caller's attempt that brought its
+// first event, so that no account can name a stream of another one.
+using stream_key = hash128;
+stream_key StreamKey(std::string_view account, std::string_view request_id);
+
+struct stream_record {
+  stream_origin origin;
+  // Attempt of the VM that began the stream, counted from 1. Of two records the
+  // one with the higher attempt counts.
+  std::uint32_t attempt = 0;
+  instant began;
+};
+
+// Beyond this number, the oldest records are dropped.
+inline constexpr std::size_t kMaxStreamRecords = 32'768;
+
+struct stream_table {
+  std::map<stream_key, stream_record> records;
+  // Keys in the order in which they were added.
+  std::deque<std::pair<instant, stream_key>> added;
+};
+
+// Returns true if the record is news.
+bool RecordStream(stream_table& table,
+                  const stream_key& key,
+                  const stream_record& record,
+                  instant now);
+
+// Null if there is no record.
+const stream_record* FindStream(const stream_table& table,
+                                const stream_key& key);
+
+// Drops records that were added more than `stream_lifetime` ago.
+void AgeStreams(stream_table& table, duration stream_lifetime, instant now);
+
+// VMs that keep a copy of each record, besides the one that began the stream,
+// and VMs that are asked for one: more, since VMs disagree about the members
+// and keepers are replaced when VMs come and go.
+inline constexpr std::size_t kRecordCopies = 3;
+inline constexpr std::size_t kRecordQueries = 8;
+// Record keepers of a deployment. Limits the links of a VM to others.
+inline constexpr std::size_t kMaxRecordKeepers = 24;
+
+// Returns at most `count` other VMs that keep the record of a stream, best
+// first, spread over the availability zones.
+std::vector<std::string> ChooseRecordKeepers(const membership& table,
+                                             const stream_key& key,
+                                             std::size_t count);
+
 }  // namespace waxwing
 
 #endif  // WAXWING_STREAM_BUILDS_H_
--- a/waxwing/target_view.h
+++ b/waxwing/target_view.h
@@ -78,6 +78,9 @@
   bool has_stated_invalid_rate = false;
   // This VM gets no permit for it before this time.
   instant no_permit_until;
+  // Its build is new to this VM, so no stream that can be taken up again begins
+  // there yet.
+  bool is_build_new = false;
   // Its weights are too old for any new request.
   bool has_outdated_weights = false;
   // About to load other weights, which aborts its running requests.
