Find a stream's origin before the request's service is used

A stream that is taken up goes on at the service that began it, but the suspect keys, the retry credit and the prefix chain of the request were those of the service drawn for it by weight. The new test of a route that is split between two services passes with either order: the service of the target was right already.

--- a/testing/stream_build_test.cc
+++ b/testing/stream_build_test.cc
@@ -24,15 +24,22 @@
   // Engines by build, in the order in which they were added.
   std::vector<std::string> builds;
 
-  void AddEngine(std::string_view build) {
+  void AddEngine(std::string_view build, std::string_view service = "llm") {
     targets.push_back(StartTarget(context, BreakAfterFirstEvent));
     builds.emplace_back(build);
-    PutEngine(targets.size() - 1, "ready");
+    PutObject(*store, "servers", "e" + std::to_string(targets.size() - 1),
+              EntryTargetRecord(targets.back()->Address(), service, 1, "ready",
+                                build));
   }
-  void PutEngine(std::size_t index, std::string_view state) {
-    PutObject(*store, "servers", "e" + std::to_string(index),
-              EntryTargetRecord(targets[index]->Address(), "llm", 1, state,
-                                builds[index]));
+  // Adds a route that is split evenly between two services of engines.
+  void PutSplitConfig() {
+    boost::json::object split =
+        EntryRoute("split", "/split/", "streaming", "llm", 2, true);
+    split["backends"] = boost::json::array{
+        boost::json::object{{"service", "llm"}, {"weight", 1}},
+        boost::json::object{{"service", "llm-2"}, {"weight", 1}}};
+    PutObject(*store, "config", "main",
+              EntryConfig(2, boost::json::array{std::move(split)}));
   }
   // Lets each engine end after the first event of its first stream.
   void EndAfterFirstEvent() {
@@ -219,6 +226,23 @@
   EXPECT_EQ(f.BuildOf("next"), "");
 }
 
+TEST(StreamBuild, StreamOfASplitRouteGoesOnAtItsService) {
+  build_fixture f;
+  f.PutSplitConfig();
+  f.AddEngine("v1");
+  f.AddEngine("v1", "llm-2");
+  f.Start(2);
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string first = "r" + std::to_string(f.next_id);
+    ASSERT_TRUE(f.Send("/split/x"));
+    const std::string next = "r" + std::to_string(f.next_id);
+    const auto response =
+        f.Send("/split/x", {{"Last-Event-Id", "1"}, {"Resumes", first}});
+    EXPECT_TRUE(response && response->status == 200) << next;
+    EXPECT_EQ(f.EnginesOf(next), f.EnginesOf(first)) << next;
+  }
+}
+
 TEST(StreamBuild, AccountCannotTakeUpAStreamOfAnother) {
   EXPECT_NE(StreamKey("shop", "r1"), StreamKey("bank", "r1"));
   EXPECT_NE(StreamKey("shop", "r1"), StreamKey("shopr", "1"));
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -372,10 +372,6 @@
                     refused->retry_after);
     co_return;
   }
-  run.fingerprint = FingerprintOf(run);
-  PreparePrompt(run);
-  FindSuspectKeys(run);
-  CreditRetryBudget(run);
   WatchCaller(exchange, [&run] {
     run.caller_gone = true;
     Abort(run.abort);
@@ -387,6 +383,10 @@
       co_await Refuse(run, 503, "unknown_stream", RetryAfter(run));
     co_return;
   }
+  run.fingerprint = FingerprintOf(run);
+  PreparePrompt(run);
+  FindSuspectKeys(run);
+  CreditRetryBudget(run);
   const forward_outcome outcome = co_await RunWithRetries(run);
   ForgetRunningStream(run);
   LogOutcome(run, outcome);
