Client: return a complete response that is read after a stall

What callers saw: Fetch() and SkipResponse() failed with kTimeout, "the response does not end", although the whole response lay in the socket's buffer. That happened when the process or its event loop was held up while the end of the body arrived, until after the time limit. Platform requests, ticketing, the agent's orders and ctl use Fetch(); the entry uses SkipResponse() to get past responses to other requests.

Evidence: both new tests fail without the change, on:

http_test.cc:228: Failure Value of: response Actual: false Expected: true the response does not end http_test.cc:213: 4 [ FAILED ] Http.FetchReturnsACompleteResponseThatIsReadAfterAStall http_test.cc:253: Failure Value of: skipped Actual: false Expected: true the response does not end http_test.cc:236: 4 [ FAILED ] Http.SkipResponseFindsTheNextResponseThatIsReadAfterAStall

The tests have both lengths.

Why the fix works: the first read after the limit notes how many bytes have arrived by then, in the client's buffer and in the socket's. The count is of parsed bytes, chunk headers included, so a target cannot stretch it. What is read after the limit is thus bounded by the buffers.

--- a/testing/endless_response_test.cc
+++ b/testing/endless_response_test.cc
@@ -145,6 +145,38 @@
   }
 }
 
+TEST(EndlessResponse, BodyThatNeverPausesIsEndedByTheTimeLimit) {
+  const std::string beginning =
+      "HTTP/1.1 200 OK\r\nContent-Length: 60000000\r\n\r\n";
+  const endless_script script{"", beginning, std::string(kFillerBytes, 'x')};
+  const http_call_options options{milliseconds(50), false};
+  for (const bool is_skipped : {false, true}) {
+    SCOPED_TRACE(is_skipped ? "SkipResponse" : "Fetch");
+    asio::io_context context;
+    endless_target target(context, script);
+    const http_pool pool = MakeHttpPool(context.get_executor(), {});
+    const http_request request;
+    const endpoint address = target.Address();
+    std::optional<http_error> error;
+    if (is_skipped) {
+      auto call = RunToEnd(context, StartCall(pool, address, request, options));
+      ASSERT_TRUE(call) << call.error().detail;
+      const auto skipped =
+          RunToEnd(context, SkipResponse(pool, *call, options.header_timeout));
+      if (!skipped)
+        error = skipped.error();
+    } else {
+      const auto response =
+          RunToEnd(context, Fetch(pool, address, request, options));
+      if (!response)
+        error = response.error();
+    }
+    ASSERT_TRUE(error);
+    EXPECT_EQ(error->failure, http_failure::kTimeout) << error->detail;
+    target.acceptor.close();
+  }
+}
+
 struct endless_fixture : entry_fixture {
   std::unique_ptr<endless_target> target;
 
--- a/testing/http_test.cc
+++ b/testing/http_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio.hpp>
+#include <thread>
 
 #include "testing/event_loop.h"
 #include "waxwing/http_client.h"
@@ -181,6 +182,83 @@
   EXPECT_TRUE(response.error().maybe_sent);
 }
 
+// Accepts a connection and answers with `beginning`, then with `rest`, and then
+// stalls the event loop for longer than `limit`.
+asio::awaitable<void> RespondAndStall(asio::ip::tcp::acceptor& acceptor,
+                                      std::string beginning,
+                                      std::string rest,
+                                      milliseconds limit) {
+  auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+  std::string bytes(4096, '\0');
+  co_await socket.async_read_some(asio::buffer(bytes), asio::use_awaitable);
+  co_await asio::async_write(socket, asio::buffer(beginning),
+                             asio::use_awaitable);
+  asio::steady_timer timer(acceptor.get_executor(), limit / 6);
+  co_await timer.async_wait(asio::use_awaitable);
+  asio::write(socket, asio::buffer(rest));
+  std::this_thread::sleep_for(limit);
+}
+
+// The rest of a body that takes one read, and one that takes several.
+constexpr std::size_t kRestLengths[] = {4, 8 * 1024};
+
+std::string BeginResponse(std::size_t length) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(length) +
+         "\r\n\r\n";
+}
+
+TEST(Http, FetchReturnsACompleteResponseThatIsReadAfterAStall) {
+  constexpr milliseconds kLimit{300};
+  for (const std::size_t length : kRestLengths) {
+    SCOPED_TRACE(length);
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context,
+                                     {asio::ip::make_address("127.0.0.1"), 0});
+    const std::string rest(length, 'x');
+    asio::co_spawn(context,
+                   RespondAndStall(acceptor, BeginResponse(4 + length) + "half",
+                                   rest, kLimit),
+                   asio::detached);
+    const http_pool pool = MakeHttpPool(context.get_executor(), {});
+    const http_call_options options{kLimit, false};
+    const http_request request;
+    const endpoint address{"127.0.0.1", acceptor.local_endpoint().port()};
+    const auto response =
+        RunToEnd(context, Fetch(pool, address, request, options));
+    ASSERT_TRUE(response) << response.error().detail;
+    EXPECT_EQ(response->body, "half" + rest);
+  }
+}
+
+TEST(Http, SkipResponseFindsTheNextResponseThatIsReadAfterAStall) {
+  constexpr milliseconds kLimit{300};
+  for (const std::size_t length : kRestLengths) {
+    SCOPED_TRACE(length);
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context,
+                                     {asio::ip::make_address("127.0.0.1"), 0});
+    asio::co_spawn(
+        context,
+        RespondAndStall(acceptor, BeginResponse(4 + length) + "half",
+                        std::string(length, 'x') + BeginResponse(4) + "next",
+                        kLimit),
+        asio::detached);
+    const http_pool pool = MakeHttpPool(context.get_executor(), {});
+    const http_call_options options{kLimit, false};
+    const http_request request;
+    const endpoint address{"127.0.0.1", acceptor.local_endpoint().port()};
+    auto call = RunToEnd(context, StartCall(pool, address, request, options));
+    ASSERT_TRUE(call) << call.error().detail;
+    const auto skipped = RunToEnd(context, SkipResponse(pool, *call, kLimit));
+    ASSERT_TRUE(skipped) << skipped.error().detail;
+    std::string body;
+    const auto more =
+        RunToEnd(context, ReadSomeBody(pool, *call, kLimit, body));
+    ASSERT_TRUE(more) << more.error().detail;
+    EXPECT_EQ(body, "next");
+  }
+}
+
 TEST(Http, HandlerThatThrowsGivesStatus500) {
   asio::io_context context;
   auto server = *StartHttpServer(context.get_executor(), {"127.0.0.1", 0}, {},
--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -34,6 +34,8 @@
   endpoint address;
   // The connection may return to the pool after the call.
   bool reusable = true;
+  // Bytes that ReadSomeBody() has taken from the connection and parsed.
+  std::size_t parsed_bytes = 0;
 
   explicit http_call_state(beast::tcp_stream s) : stream(std::move(s)) {}
 };
@@ -215,6 +217,35 @@
   co_return out;
 }
 
+struct body_limit {
+  instant time;
+  // Once `time` was seen to have passed: the count of parsed bytes up to which
+  // the response may still be read.
+  std::optional<std::size_t> last_byte;
+};
+
+// Reads the next part of a body. After the limit only what has already arrived
+// is read: a response that was complete in time is not lost if this process
+// stalls, but one that goes on is ended.
+asio::awaitable<tl::expected<bool, http_error>> ReadSomeBodyUntil(
+    const http_pool& pool,
+    http_call& call,
+    body_limit& limit,
+    std::string& out) {
+  detail::http_call_state& state = *call.state;
+  if (!limit.last_byte && std::chrono::steady_clock::now() >= limit.time) {
+    beast::error_code ignored;
+    limit.last_byte = state.parsed_bytes + state.buffer.size() +
+                      state.stream.socket().available(ignored);
+  }
+  const auto more =
+      co_await ReadSomeBody(pool, call, TimeUntil(limit.time), out);
+  const bool goes_on = more && *more;
+  if (goes_on && limit.last_byte && state.parsed_bytes > *limit.last_byte)
+    co_return tl::unexpected(TimedOut());
+  co_return more;
+}
+
 }  // namespace
 
 http_pool MakeHttpPool(asio::any_io_executor executor,
@@ -289,6 +320,7 @@
     parser.get().body().more = true;
     auto [error, bytes] = co_await http::async_read_some(
         state.stream, state.buffer, parser, kUseTuple);
+    state.parsed_bytes += bytes;
     if (error && error != http::error::need_buffer) {
       if (error == beast::error::timeout)
         pool.state->idle.erase(state.address);
@@ -310,13 +342,10 @@
 SkipResponse(const http_pool& pool, http_call& call, milliseconds timeout) {
   detail::http_call_state& state = *call.state;
   state.reusable = false;
-  const instant limit = std::chrono::steady_clock::now() + timeout;
+  body_limit limit{std::chrono::steady_clock::now() + timeout};
   std::string discarded;
   while (true) {
-    if (std::chrono::steady_clock::now() >= limit)
-      co_return tl::unexpected(TimedOut());
-    const auto more =
-        co_await ReadSomeBody(pool, call, TimeUntil(limit), discarded);
+    const auto more = co_await ReadSomeBodyUntil(pool, call, limit, discarded);
     if (!more)
       co_return tl::unexpected(more.error());
     if (!*more)
@@ -325,7 +354,7 @@
   }
   state.parser.emplace();
   state.parser->body_limit(pool.state->limits.max_response_bytes);
-  state.stream.expires_after(TimeUntil(limit));
+  state.stream.expires_after(TimeUntil(limit.time));
   auto [error, bytes] = co_await http::async_read_header(
       state.stream, state.buffer, *state.parser, kUseTuple);
   if (error)
@@ -377,11 +406,10 @@
   if (!call)
     co_return tl::unexpected(call.error());
   http_response response = call->head;
-  const instant limit =
-      std::chrono::steady_clock::now() + options.header_timeout;
+  body_limit limit{std::chrono::steady_clock::now() + options.header_timeout};
   while (true) {
     const auto more =
-        co_await ReadSomeBody(pool, *call, TimeUntil(limit), response.body);
+        co_await ReadSomeBodyUntil(pool, *call, limit, response.body);
     if (!more)
       co_return tl::unexpected(more.error());
     if (!*more)
@@ -389,8 +417,6 @@
     if (response.body.size() > options.max_body_bytes)
       co_return tl::unexpected(http_error{http_failure::kMalformed, true,
                                           "the response body is too long"});
-    if (std::chrono::steady_clock::now() >= limit)
-      co_return tl::unexpected(TimedOut());
   }
 }
 
