Tests: count the busiest window in one place

The count stood three times, in the tests of permits, of stated rates and in the soak. It is now BusiestWindow() in testing/busiest_window.h.

--- a/testing/entry_soak_test.cc
+++ b/testing/entry_soak_test.cc
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <random>
 
+#include "testing/busiest_window.h"
 #include "testing/event_loop.h"
 #include "testing/platform_standin.h"
 #include "testing/processes.h"
@@ -592,12 +593,7 @@
     std::vector<clock::time_point> arrivals;
     std::copy_if(all.begin(), all.end(), std::back_inserter(arrivals),
                  [&](clock::time_point each) { return each > start; });
-    std::size_t busiest = 0;
-    for (std::size_t first = 0, last = 0; last < arrivals.size(); ++last) {
-      while (arrivals[last] - arrivals[first] > kRateWindow)
-        ++first;
-      busiest = std::max(busiest, last - first + 1);
-    }
+    const std::size_t busiest = BusiestWindow(arrivals, kRateWindow);
     const auto window_seconds = kRateWindow.count() / 1'000;
     EXPECT_LE(busiest, kStatedRate * window_seconds * 3 / 2 + 5);
     // The first target has left.
--- a/testing/send_permits_test.cc
+++ b/testing/send_permits_test.cc
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "testing/busiest_window.h"
 #include "waxwing/send_permits.h"
 
 namespace waxwing {
@@ -119,16 +120,6 @@
 
   std::size_t Issuer() { return FactsOf(vms[0]).issuer; }
 
-  std::size_t Busiest() {
-    std::sort(arrivals.begin(), arrivals.end());
-    std::size_t busiest = 0;
-    for (std::size_t first = 0, last = 0; last < arrivals.size(); ++last) {
-      while (arrivals[last] - arrivals[first] > kWindow)
-        ++first;
-      busiest = std::max(busiest, last - first + 1);
-    }
-    return busiest;
-  }
   double Allowed() const {
     return kTolerance * std::max(rate, kMinPermitRate) * kWindow.count() +
            kExtraRequests;
@@ -143,7 +134,9 @@
       for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
         simulation s(vms, rate, seed);
         run(s);
-        EXPECT_LE(static_cast<double>(s.Busiest()), s.Allowed())
+        const std::size_t busiest =
+            testing_support::BusiestWindow(s.arrivals, kWindow);
+        EXPECT_LE(static_cast<double>(busiest), s.Allowed())
             << vms << " VMs, rate " << rate << ", seed " << seed;
       }
     }
--- a/testing/target_rate_test.cc
+++ b/testing/target_rate_test.cc
@@ -5,6 +5,7 @@
 #include <map>
 
 #include "platform/workers.h"
+#include "testing/busiest_window.h"
 #include "testing/entry_fixture.h"
 #include "waxwing/target_rate.h"
 
@@ -68,16 +69,6 @@
 // The largest number of requests in any window of this length counts.
 constexpr seconds kWindow{4};
 
-std::size_t BusiestWindow(const std::vector<instant>& arrivals) {
-  std::size_t busiest = 0;
-  for (std::size_t first = 0, last = 0; last < arrivals.size(); ++last) {
-    while (arrivals[last] - arrivals[first] > kWindow)
-      ++first;
-    busiest = std::max(busiest, last - first + 1);
-  }
-  return busiest;
-}
-
 std::size_t AllowedInWindow(double rate) {
   return static_cast<std::size_t>(1.5 * rate * kWindow.count() + 5);
 }
@@ -211,8 +202,8 @@
     served += response && response->status == 200 ? 1 : 0;
     f.context.run_for(kSendPeriod);
   }
-  EXPECT_LE(BusiestWindow(arrivals), AllowedInWindow(kRate));
-  EXPECT_GE(BusiestWindow(arrivals), 4u);
+  EXPECT_LE(BusiestWindow(arrivals, kWindow), AllowedInWindow(kRate));
+  EXPECT_GE(BusiestWindow(arrivals, kWindow), 4u);
   EXPECT_EQ(served, sent);
 }
 
