Reject the stream of a target that has started again since it was chosen

What callers may see: a stream whose target starts again under its ID with another build while the request is on its way or waits there holds events of two builds, although this VM has read the new record by then.

Cause: the record was looked at when the target was chosen, and not again before the first event of an attempt went to the caller or became the origin of the stream.

Evidence: StreamBuild.StreamEndsIfItsNextTargetIsFoundToHaveAnotherBuild and StreamBuild.OriginIsTheBuildKnownWhenTheFirstEventComes failed before, with and without a birth time in the records.

Why it works: before the first event of each attempt the target's record is compared with the one by which it was chosen; if it has changed, the attempt is broken and nothing of it is delivered. Before a stream is resumed within its response, a restart that was read shortly after the stream began counts as doubt, as it does when a caller takes it up. What stays: a restart whose record is read after the first event, later than 1.5 s after the request was sent.

--- a/testing/stream_build_test.cc
+++ b/testing/stream_build_test.cc
@@ -263,5 +263,82 @@
   EXPECT_EQ(state.stream_queries.size(), 0u);
 }
 
+bool IsResumed(const http_request& request) {
+  return !FindHeader(request.headers, "Last-Event-Id").empty();
+}
+
+// Targets that start again under their IDs.
+struct restart_fixture : entry_fixture {
+  void Put(std::size_t index, std::string_view build, int born) {
+    boost::json::object record =
+        boost::json::parse(EntryTargetRecord(targets[index]->Address(), "llm",
+                                             1, "ready", build))
+            .as_object();
+    if (born > 0)
+      record["born"] = born;
+    PutObject(*store, "servers", "e" + std::to_string(index),
+              boost::json::serialize(record));
+  }
+  void Add(std::string_view build, int born) {
+    targets.push_back(StartTarget(context, BreakAfterFirstEvent));
+    Put(targets.size() - 1, build, born);
+  }
+  // The target accepts streams only in part, so that they begin elsewhere.
+  void RefuseNewStreams(std::size_t index) {
+    targets[index]->script = [](const http_request& request) {
+      return IsResumed(request) ? BreakAfterFirstEvent(request)
+                                : RefuseAsNotExecuted(request);
+    };
+  }
+  // Writes the target's next record when it gets a request, which it starts
+  // once the record is known.
+  void RestartAtRequest(std::size_t index, std::string build, int born) {
+    const auto script = targets[index]->script;
+    targets[index]->script = [=, this](const http_request& request) {
+      scripted_response out = script(request);
+      if (out.pieces.size() > 1) {
+        Put(index, build, born);
+        out.delay = milliseconds(150);
+      }
+      return out;
+    };
+  }
+  std::ptrdiff_t ResumedAt(std::size_t index) const {
+    return std::count_if(targets[index]->requests.begin(),
+                         targets[index]->requests.end(), IsResumed);
+  }
+};
+
+// Values of `born` before and after a restart; 0 if records have none.
+constexpr std::pair<int, int> kBirths[] = {{0, 0}, {1, 2}};
+
+TEST(StreamBuild, StreamEndsIfItsNextTargetIsFoundToHaveAnotherBuild) {
+  for (const auto& [born, born_again] : kBirths) {
+    restart_fixture f;
+    f.Add("v1", born);
+    f.Add("v1", born);
+    f.RefuseNewStreams(1);
+    f.RestartAtRequest(1, "v2", born_again);
+    f.Start(2);
+    const auto response = f.Send(kResumablePath);
+    EXPECT_FALSE(response && response->body.find("two") != std::string::npos)
+        << born;
+  }
+}
+
+TEST(StreamBuild, OriginIsTheBuildKnownWhenTheFirstEventComes) {
+  for (const auto& [born, born_again] : kBirths) {
+    restart_fixture f;
+    f.caller_deadline_ms = 1'400;
+    f.Add("v1", born);
+    f.Add("v1", born);
+    f.RefuseNewStreams(1);
+    f.RestartAtRequest(0, "v2", born_again);
+    f.Start(2);
+    f.Send(kResumablePath);
+    EXPECT_EQ(f.ResumedAt(1), 0) << born;
+  }
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -286,6 +286,7 @@
                 ToMs(std::chrono::steady_clock::now() - attempt.started)}});
     if (outcome == forward_outcome::kDone ||
         outcome == forward_outcome::kCallerGone ||
+        (run.stream_started && IsOriginInDoubt(run)) ||
         !MayRetryElsewhere(run, outcome))
       co_return outcome;
     run.failed_target = static_cast<int>(attempt.chosen.target);
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -154,9 +154,10 @@
 
 // Relays complete events; the caller never gets a part of one.
 asio::awaitable<bool> DeliverEvents(forward_run& run,
-                                    const dispatch& attempt,
+                                    dispatch& attempt,
                                     const http_call& call,
                                     std::string_view events) {
+  attempt.has_delivered = true;
   if (!run.origin)
     run.origin = OriginAt(attempt);
   const instant now = std::chrono::steady_clock::now();
@@ -176,6 +177,19 @@
   co_return co_await WriteStream(run.exchange, events);
 }
 
+// Returns the outcome of an attempt at a target that may have started again
+// before it ran the request.
+forward_outcome RejectRestartedTarget(forward_run& run,
+                                      const dispatch& attempt) {
+  Count(run.state->stats, "waxwing_restarted_targets_rejected_total");
+  LogWarning("target_restarted",
+             {{"request", run.request.id},
+              {"target", attempt.target.record.id},
+              {"build", attempt.target.record.build},
+              {"incarnation", attempt.target.record.incarnation}});
+  return forward_outcome::kBroken;
+}
+
 asio::awaitable<forward_outcome> RelayStream(forward_run& run,
                                              dispatch& attempt,
                                              http_call& call) {
@@ -194,6 +208,9 @@
     MarkPrefilled(*run.state, attempt);
     if (!*more)
       break;
+    if (run.matched_route->can_resume && !attempt.has_delivered &&
+        HasRestarted(*run.state, attempt))
+      co_return RejectRestartedTarget(run, attempt);
     std::string_view rest = buffer;
     std::string events;
     for (auto event = ConsumeEvent(rest); !event.empty();
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -135,8 +135,9 @@
   bool is_prefilled = false;
   // The connection to the target broke after the request may have been sent.
   bool connection_broke = false;
-  // The target has begun to respond.
+  // The target has begun to respond, and the caller has an event of it.
   bool has_response = false;
+  bool has_delivered = false;
 };
 
 // --- entry_forward.cc
@@ -210,6 +211,14 @@
 // a part of it.
 void RecordStreamStart(forward_run& run, const dispatch& attempt);
 
+// True if the target has started again, or has another build, by a record that
+// was read after it was chosen for the attempt.
+bool HasRestarted(const entry_state& state, const dispatch& attempt);
+
+// True if the stream may have begun at a later start of its target than the one
+// that was known when the request was sent.
+bool IsOriginInDoubt(const forward_run& run);
+
 // Call when the request has ended.
 void ForgetRunningStream(forward_run& run);
 
--- a/waxwing/entry_streams.cc
+++ b/waxwing/entry_streams.cc
@@ -106,19 +106,21 @@
 // True if the stream may have begun at another start of its target than the one
 // in the record, which had not been read yet.
 bool IsInDoubt(const entry_state& state, const stream_record& record) {
-  const auto listed = state.targets.find(record.origin.target);
-  if (listed != state.targets.end()) {
-    const listed_target& target = listed->second;
-    return static_cast<std::uint64_t>(target.record.incarnation) !=
-                       record.origin.incarnation ||
-                   target.record.build != record.origin.build
-               ? record.began + kRestartNoticeDelay > target.listed_at
-               : false;
-  }
-  const auto removed = state.removed_targets.find(record.origin.target);
-  return removed != state.removed_targets.end() &&
-         static_cast<std::uint64_t>(removed->second.incarnation) !=
-             record.origin.incarnation;
+  const stream_origin& origin = record.origin;
+  const auto removed = state.removed_targets.find(origin.target);
+  if (removed != state.removed_targets.end() &&
+      static_cast<std::uint64_t>(removed->second.incarnation) !=
+          origin.incarnation)
+    return true;
+  const auto listed = state.targets.find(origin.target);
+  if (listed == state.targets.end())
+    return false;
+  const target_record& current = listed->second.record;
+  const bool has_changed =
+      static_cast<std::uint64_t>(current.incarnation) != origin.incarnation ||
+      current.build != origin.build;
+  return has_changed &&
+         record.began + kRestartNoticeDelay > listed->second.listed_at;
 }
 
 // What other VMs know of a stream.
@@ -249,6 +251,21 @@
     SendToKeepers(run.state, key, record);
 }
 
+bool HasRestarted(const entry_state& state, const dispatch& attempt) {
+  const target_record& expected = attempt.target.record;
+  const auto listed = state.targets.find(expected.id);
+  return listed != state.targets.end() &&
+         (listed->second.record.incarnation != expected.incarnation ||
+          listed->second.record.build != expected.build);
+}
+
+bool IsOriginInDoubt(const forward_run& run) {
+  const auto running = run.state->running_streams.find(
+      StreamKey(run.account.name, run.request.id));
+  return running != run.state->running_streams.end() &&
+         IsInDoubt(*run.state, running->second);
+}
+
 void ForgetRunningStream(forward_run& run) {
   run.state->running_streams.erase(StreamKey(run.account.name, run.request.id));
 }
