Ignore an earlier start of a target in the copy from which the store returned

What callers may see: after the store has returned from an older copy, a target that had started again under its ID is listed with its earlier start, whose build is another, until it writes its record again; streams of the earlier build go on there.

Cause: only targets that this VM had removed were recognized as outdated in the copy.

Evidence: StreamBuild.OlderCopyOfTheStoreDoesNotReplaceALaterStart failed before (the stream went on at the target, whose incarnation was taken back from 2 to 1).

Why it works: while changes are lost, a record with an earlier birth time than the listed one is skipped like that of a removed target; a live target writes its own again.

--- a/testing/stream_build_test.cc
+++ b/testing/stream_build_test.cc
@@ -340,5 +340,27 @@
   }
 }
 
+TEST(StreamBuild, OlderCopyOfTheStoreDoesNotReplaceALaterStart) {
+  restart_fixture f;
+  f.store->era = 1;
+  f.Add("v1", 1);
+  f.Add("v1", 1);
+  f.RefuseNewStreams(1);
+  f.Start(2);
+  entry_state& state = *f.running.state;
+  const store_copy copy = CopyStore(*f.store);
+  f.Put(1, "v2", 2);
+  ASSERT_TRUE(f.RunUntil(
+      [&] { return state.targets.at("e1").record.incarnation == 2; }));
+  RestoreStore(*f.store, copy);
+  ASSERT_TRUE(f.RunUntil([&] {
+    return state.store_era == 2 &&
+           state.watches.at(object_kind::kTargets).is_listed;
+  }));
+  EXPECT_EQ(state.targets.at("e1").record.incarnation, 2);
+  f.Send(kResumablePath);
+  EXPECT_EQ(f.ResumedAt(1), 0);
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -345,6 +345,9 @@
 // True if this incarnation of the target was removed recently.
 bool WasRemoved(const entry_state& state, const target_record& record);
 
+// True if the record is of an earlier incarnation than the listed target's.
+bool IsEarlierStart(const entry_state& state, const target_record& record);
+
 // Removes a target from the list; it gets no new requests.
 void DropTarget(entry_state& state, const std::string& id);
 
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -253,6 +253,12 @@
   }
 }
 
+bool IsEarlierStart(const entry_state& state, const target_record& record) {
+  const auto found = state.targets.find(record.id);
+  return found != state.targets.end() &&
+         record.incarnation < found->second.record.incarnation;
+}
+
 bool WasRemoved(const entry_state& state, const target_record& record) {
   const auto found = state.removed_targets.find(record.id);
   return found != state.removed_targets.end() &&
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -95,9 +95,10 @@
     return;
   }
   // The copy from which the store returned may still list a target that has
-  // left. A live one writes its record again, which is a change.
+  // left, or an earlier start of one. A live one writes its record again, which
+  // is a change.
   if (state.watches[object_kind::kTargets].has_lost_changes &&
-      WasRemoved(state, *parsed)) {
+      (WasRemoved(state, *parsed) || IsEarlierStart(state, *parsed))) {
     LogInfo("target_record_outdated",
             {{"target", object.name}, {"revision", object.revision}});
     return;
