Do not use a target that has started again while its permit was awaited

What callers may see: a stream goes on at a target that this VM already knows to run another build, because the choice was made before a wait of up to 100 ms for a permit.

Cause: after the wait the target was recognized by its ID and its index in the list, which the next start of it usually gets again.

Evidence: StreamBuild.TargetThatRestartsWhileItsPermitIsAwaitedIsNotUsed failed before (one resumed request reached the target).

--- a/testing/stream_build_test.cc
+++ b/testing/stream_build_test.cc
@@ -362,5 +362,69 @@
   EXPECT_EQ(f.ResumedAt(1), 0);
 }
 
+// Two VMs, the second of which issues the permits of the target `limited`.
+struct permit_wait_fixture : zone_fixture {
+  std::string limited;
+
+  permit_wait_fixture() : zone_fixture(2) {
+    WaitUntilSettled();
+    for (int i = 0; limited.empty(); ++i) {
+      const std::string id = "x" + std::to_string(i);
+      if (ChoosePermitIssuer(Own().membership_agent.state->members, id, "a") ==
+          "vm-1")
+        limited = id;
+    }
+    AddTarget(limited, "llm", [](const http_request& request) {
+      if (IsResumed(request))
+        return BreakAfterFirstEvent(request);
+      return scripted_response{{PlainResponse(
+          503, IdOf(request), "", "Not-Executed: 1\r\nServer-Limit: 50\r\n")}};
+    });
+    AddTarget("e0", "llm", BreakAfterFirstEvent);
+    RunUntil([&] {
+      return Own().targets.size() == 2 && Issuer().targets.size() == 2;
+    });
+    const instant now = std::chrono::steady_clock::now();
+    for (entry_state* state : {&Own(), &Issuer()})
+      state->placement.targets[state->targets.at(limited).index].rate = {
+          50.0, 1, now};
+    Issuer().permit_buckets[limited] = {3.0, now, now - seconds(60), now};
+  }
+  entry_state& Own() const { return *vms[0].state; }
+  entry_state& Issuer() const { return *vms[1].state; }
+};
+
+TEST(StreamBuild, TargetThatRestartsWhileItsPermitIsAwaitedIsNotUsed) {
+  permit_wait_fixture f;
+  auto& handler = f.Issuer().membership_agent.state->on_replication_message;
+  bool was_asked = false;
+  handler = [&, original = handler](const peer_link& link,
+                                    wire::messageUnion& message) {
+    // The stream has begun at the other target.
+    if (message.Aspermit_request() && !f.targets[1]->requests.empty() &&
+        !std::exchange(was_asked, true)) {
+      target_record changed = f.Own().targets.at(f.limited).record;
+      changed.build = "v2";
+      changed.incarnation = 2;
+      AddOrUpdateTarget(f.Own(), changed);
+    }
+    original(link, message);
+  };
+  http_request request;
+  request.method = "POST";
+  request.target = std::string(kResumablePath);
+  request.headers = {{"Host", "calls.example"},
+                     {"Request-Id", "r1"},
+                     {"Deadline-Ms", "1400"},
+                     {"Authorization", "Token key-1"}};
+  const http_call_options options{milliseconds(2'000), false};
+  RunToEnd(f.context,
+           Fetch(f.pool, f.Own().caller_server.address, request, options));
+  EXPECT_TRUE(was_asked);
+  EXPECT_EQ(std::count_if(f.targets[0]->requests.begin(),
+                          f.targets[0]->requests.end(), IsResumed),
+            0);
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/entry_permits.cc
+++ b/waxwing/entry_permits.cc
@@ -80,10 +80,13 @@
   co_return co_await AskIssuer(state, issuer, std::move(ask));
 }
 
-// Returns the view of a target unless it has been dropped meanwhile.
+// Returns the view of a target unless it has been dropped or has started again
+// meanwhile.
 target_view* FindView(entry_state& state, const listed_target& target) {
   const auto found = state.targets.find(target.record.id);
-  if (found == state.targets.end() || found->second.index != target.index)
+  if (found == state.targets.end() || found->second.index != target.index ||
+      found->second.record.incarnation != target.record.incarnation ||
+      found->second.record.build != target.record.build)
     return nullptr;
   return &state.placement.targets[target.index];
 }
