A stream of which only the end is left is complete when it is taken up

Cause: RelayStream took every stream that has brought no event for broken.

Evidence: StreamResume.StreamOfWhichOnlyTheEndIsLeftIsComplete failed before (502 after two attempts). A stream that was not resumed and has no event is still not complete, which another test checks.

--- a/testing/stream_build_test.cc
+++ b/testing/stream_build_test.cc
@@ -426,5 +426,39 @@
             0);
 }
 
+// A stream of one event; resumed after it, nothing is left.
+scripted_response StreamOneEvent(const http_request& request) {
+  if (request.target.starts_with("/api/"))
+    return {{PlainResponse(404, "", "{}")}};
+  if (IsResumed(request))
+    return {{StreamHead(IdOf(request)), StreamEnd()}};
+  return {{StreamHead(IdOf(request)), StreamEvent(1, "one"), StreamEnd()}};
+}
+
+TEST(StreamResume, StreamOfWhichOnlyTheEndIsLeftIsComplete) {
+  entry_fixture f;
+  f.AddTarget("e0", "llm", StreamOneEvent);
+  f.Start(1);
+  ASSERT_TRUE(f.Send(kResumablePath));
+  const auto response =
+      f.Send(kResumablePath, {{"Last-Event-Id", "1"}, {"Resumes", "r1"}});
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->status, 200u);
+  EXPECT_EQ(response->body, "");
+  EXPECT_EQ(f.targets[0]->requests.size(), 2u);
+}
+
+TEST(StreamResume, StreamThatWasNotResumedAndHasNoEventIsNotComplete) {
+  entry_fixture f;
+  f.AddTarget("e0", "llm", [](const http_request& request) {
+    if (request.target.starts_with("/api/"))
+      return scripted_response{{PlainResponse(404, "", "{}")}};
+    return scripted_response{{StreamHead(IdOf(request)), StreamEnd()}};
+  });
+  f.Start(1);
+  const auto response = f.Send(kResumablePath);
+  EXPECT_TRUE(response && response->status == 502u);
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -152,6 +152,16 @@
   co_return delivered ? forward_outcome::kDone : forward_outcome::kCallerGone;
 }
 
+asio::awaitable<bool> DeliverHead(forward_run& run, const http_call& call) {
+  run.stream_started = true;
+  run.time_to_first_byte = std::chrono::steady_clock::now() - run.arrived;
+  Observe(run.state->stats, "waxwing_ttft_seconds", *run.time_to_first_byte);
+  http_response head{
+      call.head.status,
+      run.state->protocol.filter_response_headers(call.head.headers), ""};
+  co_return co_await BeginStream(run.exchange, std::move(head));
+}
+
 // Relays complete events; the caller never gets a part of one.
 asio::awaitable<bool> DeliverEvents(forward_run& run,
                                     dispatch& attempt,
@@ -164,16 +174,8 @@
   if (run.stream_started)
     run.longest_pause = std::max(run.longest_pause, now - run.last_delivery);
   run.last_delivery = now;
-  if (!run.stream_started) {
-    run.stream_started = true;
-    run.time_to_first_byte = now - run.arrived;
-    Observe(run.state->stats, "waxwing_ttft_seconds", *run.time_to_first_byte);
-    http_response head{
-        call.head.status,
-        run.state->protocol.filter_response_headers(call.head.headers), ""};
-    if (!co_await BeginStream(run.exchange, std::move(head)))
-      co_return false;
-  }
+  if (!run.stream_started && !co_await DeliverHead(run, call))
+    co_return false;
   co_return co_await WriteStream(run.exchange, events);
 }
 
@@ -206,11 +208,11 @@
     if (!attempt.is_prefilled)
       RecordCachedSegments(run, attempt);
     MarkPrefilled(*run.state, attempt);
-    if (!*more)
-      break;
     if (run.matched_route->can_resume && !attempt.has_delivered &&
         HasRestarted(*run.state, attempt))
       co_return RejectRestartedTarget(run, attempt);
+    if (!*more)
+      break;
     std::string_view rest = buffer;
     std::string events;
     for (auto event = ConsumeEvent(rest); !event.empty();
@@ -233,13 +235,17 @@
     if (is_late)
       co_return forward_outcome::kTimedOut;
   }
-  if (!buffer.empty() || !run.stream_started ||
+  // Of a stream that is taken up after its last event, only the end is left.
+  const bool has_begun = run.stream_started || IsTakenUp(run);
+  if (!buffer.empty() || !has_begun ||
       co_await IsCutByEnd(run, attempt, call)) {
     attempt.connection_broke = true;
     co_return forward_outcome::kBroken;
   }
   MarkSurvived(run, attempt);
-  const bool delivered = co_await EndStream(run.exchange);
+  const bool delivered =
+      (run.stream_started || co_await DeliverHead(run, call)) &&
+      co_await EndStream(run.exchange);
   co_return delivered ? forward_outcome::kDone : forward_outcome::kCallerGone;
 }
 
