Conclude the build of a stream from the first start of the system on

These callers don't name the attempt that began the stream, so no record could be found either.

Now a VM that starts with the whole system (setting bootstrap) knows that there were no streams before. On the other hand, a VM whose list of targets went unconfirmed for 4 s, or whose store has lost changes, starts to watch anew: in that time a build may have come, begun streams and gone. Both are unit tests of the pure module.

--- a/testing/stream_build_test.cc
+++ b/testing/stream_build_test.cc
@@ -426,6 +426,61 @@
             0);
 }
 
+// Times of a build history, in seconds.
+constexpr seconds kLifetime{30};
+instant At(double time) {
+  return instant{} + seconds(1'000) +
+         std::chrono::duration_cast<duration>(
+             std::chrono::duration<double>(time));
+}
+
+TEST(BuildHistory, VmThatStartsLaterKnowsNothingOfEarlierStreams) {
+  build_history later;
+  build_history first = MakeFirstHistory();
+  for (build_history* history : {&later, &first})
+    ObserveBuilds(*history, {{"v1", 2}}, At(0), kLifetime, At(0));
+  EXPECT_EQ(SoleBuild(first, At(0), kLifetime, At(1)), "v1");
+  EXPECT_FALSE(SoleBuild(later, At(0), kLifetime, At(1)));
+  ObserveBuilds(later, {{"v1", 2}}, At(1), kLifetime, At(1));
+  EXPECT_EQ(SoleBuild(later, At(29), kLifetime, At(30)), "v1");
+  EXPECT_TRUE(NeedsRecords(later, At(28), kLifetime, At(29)));
+  EXPECT_FALSE(NeedsRecords(later, At(29), kLifetime, At(30)));
+}
+
+TEST(BuildHistory, BuildThatCameAndWentInAGapMayHaveStreams) {
+  build_history history = MakeFirstHistory();
+  ObserveBuilds(history, {{"v1", 2}}, At(0), kLifetime, At(0));
+  ObserveBuilds(history, {{"v1", 2}}, At(3), kLifetime, At(3));
+  EXPECT_EQ(SoleBuild(history, At(3), kLifetime, At(3)), "v1");
+  ObserveBuilds(history, {{"v1", 2}}, At(8), kLifetime, At(8));
+  EXPECT_FALSE(SoleBuild(history, At(8), kLifetime, At(8)));
+  // After the store has lost changes, it is not known how long the gap was.
+  history = MakeFirstHistory();
+  ObserveBuilds(history, {{"v1", 2}}, At(0), kLifetime, At(0));
+  ObserveBuilds(history, {{"v1", 2}}, std::nullopt, kLifetime, At(1));
+  ObserveBuilds(history, {{"v1", 2}}, At(2), kLifetime, At(2));
+  EXPECT_FALSE(SoleBuild(history, At(2), kLifetime, At(2)));
+}
+
+TEST(BuildHistory, NewBuildHasNoStreamsUntilItHasSettled) {
+  build_history history = MakeFirstHistory();
+  ObserveBuilds(history, {{"v1", 2}}, At(0), kLifetime, At(0));
+  ObserveBuilds(history, {{"v1", 2}, {"v2", 1}}, At(1), kLifetime, At(2));
+  EXPECT_TRUE(NeedsRecords(history, At(2), kLifetime, At(2)));
+  EXPECT_EQ(SoleBuild(history, At(4), kLifetime, At(4.9)), "v1");
+  EXPECT_FALSE(SoleBuild(history, At(4), kLifetime, At(5)));
+  EXPECT_EQ(history.builds.at("v2").usable_since, At(6));
+}
+
+TEST(BuildHistory, StaleListConcludesNothing) {
+  build_history history = MakeFirstHistory();
+  ObserveBuilds(history, {{"v1", 2}}, At(0), kLifetime, At(0));
+  EXPECT_TRUE(SoleBuild(history, At(0), kLifetime, At(3.9)));
+  EXPECT_FALSE(SoleBuild(history, At(0), kLifetime, At(4)));
+  EXPECT_FALSE(SoleBuild(history, std::nullopt, kLifetime, At(0)));
+  EXPECT_TRUE(NeedsRecords(history, At(0), kLifetime, At(2.5)));
+}
+
 // A stream of one event; resumed after it, nothing is left.
 scripted_response StreamOneEvent(const http_request& request) {
   if (request.target.starts_with("/api/"))
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -176,6 +176,7 @@
   LogInfo("entry_started", {{"vm", options.vm},
                             {"zone", options.zone},
                             {"callers", ToText(options.callers)},
+                            {"first_start", options.is_first_start},
                             {"store", ToText(options.store)}});
   return entry{state};
 }
--- a/waxwing/entry.h
+++ b/waxwing/entry.h
@@ -76,6 +76,8 @@
   std::size_t max_descriptors = 4'096;
   vm_resources resources;
   entry_bounds bounds;
+  // The whole system starts for the first time, so there is no earlier state.
+  bool is_first_start = false;
 };
 
 struct entry_state;
--- a/waxwing/entry_streams.cc
+++ b/waxwing/entry_streams.cc
@@ -179,13 +179,14 @@
         services.insert(service.service);
     }
   }
+  const bool is_first_config = state.stream_lifetime == duration{};
   state.stream_lifetime =
       std::max<duration>(kMinStreamLifetime, longest * kAttemptsPerStream);
   for (const std::string& service : services)
-    state.builds.try_emplace(service);
-  std::erase_if(state.builds, [&](const auto& entry) {
-    return !services.contains(entry.first);
-  });
+    state.builds.try_emplace(service,
+                             is_first_config && state.options.is_first_start
+                                 ? MakeFirstHistory()
+                                 : build_history());
 }
 
 void ObserveTargetBuilds(entry_state& state) {
--- a/waxwing/stream_builds.cc
+++ b/waxwing/stream_builds.cc
@@ -37,6 +37,12 @@
 
 }  // namespace
 
+build_history MakeFirstHistory() {
+  build_history out;
+  out.observed_since = instant::min();
+  return out;
+}
+
 void ObserveBuilds(build_history& history,
                    const build_counts& listed,
                    std::optional<instant> complete_until,
@@ -45,8 +51,14 @@
   if (!history.observed_since && listed.empty())
     return;
   const bool is_first = !history.observed_since.has_value();
-  if (is_first)
+  // In a longer gap, a build can have settled, begun streams and gone.
+  const bool has_gap =
+      history.complete_until &&
+      (!complete_until ||
+       *complete_until >= *history.complete_until + kBuildSettleTime);
+  if (is_first || has_gap)
     history.observed_since = now;
+  history.complete_until = complete_until;
   for (auto& [name, build] : history.builds) {
     if (listed.contains(name))
       build.last_listed = now;
--- a/waxwing/stream_builds.h
+++ b/waxwing/stream_builds.h
@@ -87,14 +87,21 @@
 };
 
 struct build_history {
-  // Empty before the service's first targets are listed.
+  // Since when no build can have come and gone unseen. Empty before the
+  // service's first targets are listed.
   std::optional<instant> observed_since;
+  // Up to when the list was complete at the last update.
+  std::optional<instant> complete_until;
   std::map<std::string, known_build, std::less<>> builds;
 };
 
 // Targets of a service, by build.
 using build_counts = std::map<std::string, std::size_t, std::less<>>;
 
+// Returns the history of a service at the first start of the whole system,
+// before which there were no streams.
+build_history MakeFirstHistory();
+
 // Updates the history from the targets that are listed at `now`. Builds that
 // are new in `listed` were added after `complete_until`, up to which time the
 // list before was complete; empty if that is not known. A build that is not
