Placement: probe targets that are avoided by their error rate

Seen by callers and targets: after faults that had ended, each VM sent all of its requests to one of four equal targets.

Cause: a target's error rate changes only by its own responses. Above the expected rate it costs more than the others, so it gets no requests and no responses that could lower the rate. The state of all views, logged every 100 ms in such a run (temporary log line, not part of this commit), shows it. The targets' last own failure came 5.86 s after the start. From 5.91 s until the end of the requests at 10.9 s every VM sent to one target only, and the error rates of the three others stayed the same, without any backoff, pause or stated rate:

vm-0 t0 last dispatch at 5.88 s, error rate 0.228 t1 5.60 s, 0.336 t2 10.90 s, 0.000 t3 5.60 s, 0.170 vm-1 t0 5.40 s, 0.115 t1 5.88 s, 0.211 t2 10.90 s, 0.000 t3 5.30 s, 0.329 vm-2 t0 10.91 s, 0.000 t1 5.80 s, 0.261 t2 5.70 s, 0.207 t3 5.40 s, 0.209 vm-3 t0 10.92 s, 0.000 t1 5.91 s, 0.214 t2 5.61 s, 0.159 t3 5.51 s, 0.270 vm-4 t0 5.88 s, 0.324 t1 5.78 s, 0.354 t2 10.89 s, 0.000 t3 5.38 s, 0.269

Each VM does this by itself, whatever the number of VMs.

Fix: from `next_probe` on the error rate costs nothing, as long as no more requests await a response than have succeeded since the last failure. A probe thus takes the target's usual turn among equals and the target is not flooded, however many VMs probe it. A failed probe doubles the time to the next one, from 0.5 to 8 s. The penalty is computed for each decision and no longer every 100 ms, since it changes with each request.

Not changed: VMs do not tell each other of error rates, so a VM that sends a target a request every 4 s may avoid it for up to 48 s after a long fault (calculated).

--- a/testing/entry_policy_test.cc
+++ b/testing/entry_policy_test.cc
@@ -92,11 +92,11 @@
   target_view healthy;
   target_view partially_failing;
   for (int i = 0; i < 200; ++i) {
-    RecordResponse(healthy, i % 20 == 0);
-    RecordResponse(partially_failing, i % 2 == 0);
+    RecordResponse(healthy, i % 20 == 0, instant{}, instant{});
+    RecordResponse(partially_failing, i % 2 == 0, instant{}, instant{});
   }
-  EXPECT_EQ(ErrorPenalty(healthy), duration::zero());
-  EXPECT_GT(ErrorPenalty(partially_failing), milliseconds(200));
+  EXPECT_EQ(ErrorPenalty(healthy, instant{}), duration::zero());
+  EXPECT_GT(ErrorPenalty(partially_failing, instant{}), milliseconds(200));
 }
 
 TEST(Rollout, LoadsOldestVersionsFirstInSmallBatches) {
@@ -346,8 +346,8 @@
     };
     request.transfer_time_per_token = std::chrono::microseconds(3);
   }
-  engine_choice Choose() {
-    return *ChooseEngine(targets, caches, request, instant{});
+  engine_choice Choose(instant now = instant{}) {
+    return *ChooseEngine(targets, caches, request, now);
   }
   void AddReplica(std::uint32_t target) {
     RecordCached(caches, cached_segments[0].key, target, 1,
@@ -364,6 +364,18 @@
     EXPECT_EQ(e.Choose().target, home);
 }
 
+TEST(EngineChoice, HomeThatHasFailedGetsAProbeWithinSeconds) {
+  engine_set e(9);
+  const std::uint32_t home = e.Choose().target;
+  const instant now = instant{} + seconds(100);
+  for (int i = 0; i < 20; ++i)
+    RecordResponse(e.targets[home], true, now, now);
+  EXPECT_NE(e.Choose(now).target, home);
+  EXPECT_EQ(e.Choose(now + seconds(1)).target, home);
+  RecordSent(e.targets[home], now + seconds(1));
+  EXPECT_NE(e.Choose(now + seconds(1)).target, home);
+}
+
 TEST(EngineChoice, PrefersTheReplicaUntilItIsBusy) {
   engine_set e(9);
   const std::uint32_t replica = (e.Choose().target + 4) % 9;
--- a/testing/placement_test.cc
+++ b/testing/placement_test.cc
@@ -116,6 +116,148 @@
   EXPECT_EQ(send(40), 10);
 }
 
+// VMs that each send requests to four equal targets, some of which fail.
+struct failing_targets {
+  std::size_t vms = 1;
+  // Of each VM.
+  double requests_per_second = 0;
+  // Shares of requests that fail until `fault_end`: of the first target and of
+  // the others.
+  double first_fails = 0;
+  double others_fail = 0;
+  instant fault_end;
+};
+
+constexpr instant kFaultStart = instant{} + seconds(100);
+
+// Returns for each target when requests arrived there, from kFaultStart to
+// `end`.
+std::vector<std::vector<instant>> SimulateFault(const failing_targets& plan,
+                                                instant end) {
+  constexpr milliseconds kServiceTime{20};
+  struct sent_request {
+    std::size_t vm;
+    placement chosen;
+    instant sent;
+    bool fails;
+  };
+  std::vector<placement_state> states(plan.vms, MakeState(4));
+  std::vector<std::vector<instant>> arrivals(4);
+  std::deque<sent_request> running;
+  const prefix_chain no_prompt;
+  std::mt19937_64 random(1);
+  const duration interval = FromSeconds(
+      1 / (plan.requests_per_second * static_cast<double>(plan.vms)));
+  for (instant now = kFaultStart; now < end; now += interval) {
+    while (!running.empty() && running.front().sent + kServiceTime <= now) {
+      const sent_request& done = running.front();
+      const instant ended = done.sent + kServiceTime;
+      target_view& view = states[done.vm].targets[done.chosen.target];
+      RecordFinished(states[done.vm], done.chosen);
+      RecordContact(view, ended);
+      RecordResponse(view, done.fails, done.sent, ended);
+      running.pop_front();
+    }
+    const std::size_t vm = random() % plan.vms;
+    const placement_request request{&no_prompt, "model", "v1", -1, random()};
+    const auto chosen = Place(states[vm], request, now);
+    RecordDispatch(states[vm], *chosen, 0);
+    RecordSent(states[vm].targets[chosen->target], now);
+    arrivals[chosen->target].push_back(now);
+    const double share =
+        chosen->target == 0 ? plan.first_fails : plan.others_fail;
+    const bool fails = now < plan.fault_end &&
+                       std::uniform_real_distribution<>()(random) < share;
+    running.push_back({vm, *chosen, now, fails});
+  }
+  return arrivals;
+}
+
+double CountBetween(const std::vector<instant>& arrivals,
+                    instant start,
+                    instant end) {
+  return static_cast<double>(
+      std::lower_bound(arrivals.begin(), arrivals.end(), end) -
+      std::lower_bound(arrivals.begin(), arrivals.end(), start));
+}
+
+// Requests per second of each VM: many, and so few that a target gets one only
+// every 4 s.
+constexpr double kVmRates[] = {20, 1};
+
+TEST(Placement, TargetThatFailedInAFaultGetsItsPartSecondsAfterItsEnd) {
+  constexpr double kMinRequests = 200;
+  for (const std::size_t vms : {1, 6, 80, 295}) {
+    for (const double rate : kVmRates) {
+      for (const seconds fault : {seconds(2), seconds(12)}) {
+        for (const double others_fail : {0.0, 0.3}) {
+          failing_targets plan{vms, rate};
+          plan.first_fails = others_fail > 0 ? others_fail : 1;
+          plan.others_fail = others_fail;
+          plan.fault_end = kFaultStart + fault;
+          const double requests_per_second = rate * static_cast<double>(vms);
+          const duration length =
+              FromSeconds(std::max(5.0, kMinRequests / requests_per_second));
+          const instant start =
+              plan.fault_end + std::min(2 * fault, kMaxProbeDelay);
+          const auto arrivals = SimulateFault(plan, start + length);
+          const double mean = requests_per_second * ToSeconds(length) / 4;
+          for (const auto& each : arrivals)
+            EXPECT_NEAR(CountBetween(each, start, start + length), mean,
+                        0.3 * mean)
+                << vms << " VMs, " << rate << " requests/s, fault of "
+                << fault.count() << " s, " << others_fail
+                << " of the others' requests fail";
+        }
+      }
+    }
+  }
+}
+
+TEST(Placement, TargetThatIsWellAgainIsNotFlooded) {
+  constexpr milliseconds kWindow{200};
+  for (const std::size_t vms : {1, 6, 80, 295}) {
+    for (const double rate : kVmRates) {
+      failing_targets plan{vms, rate};
+      plan.first_fails = 1;
+      plan.fault_end = kFaultStart + seconds(12);
+      const instant end = plan.fault_end + kMaxProbeDelay + seconds(1);
+      const auto arrivals = SimulateFault(plan, end)[0];
+      const double mean =
+          rate * static_cast<double>(vms) / 4 * ToSeconds(kWindow);
+      double busiest = 0;
+      for (instant at = plan.fault_end; at < end; at += milliseconds(10))
+        busiest = std::max(busiest, CountBetween(arrivals, at, at + kWindow));
+      EXPECT_LE(busiest, 2 * mean + 2)
+          << vms << " VMs, " << rate << " requests/s";
+    }
+  }
+}
+
+TEST(Placement, TargetThatKeepsFailingStaysAvoided) {
+  constexpr seconds kSettling{100};
+  constexpr double kMinRequests = 4'000;
+  constexpr double kMaxShare = 0.25;
+  for (const std::size_t vms : {1, 6, 80, 295}) {
+    for (const double rate : kVmRates) {
+      for (const double first_fails : {0.5, 1.0}) {
+        failing_targets plan{vms, rate};
+        plan.first_fails = first_fails;
+        plan.fault_end = instant::max();
+        const double requests_per_second = rate * static_cast<double>(vms);
+        const duration length =
+            FromSeconds(std::max(20.0, kMinRequests / requests_per_second));
+        const instant start = kFaultStart + kSettling;
+        const auto arrivals = SimulateFault(plan, start + length);
+        EXPECT_LE(CountBetween(arrivals[0], start, start + length),
+                  kMaxShare * requests_per_second * ToSeconds(length) / 4)
+            << vms << " VMs, " << rate << " requests/s, " << first_fails
+            << " of the requests fail";
+      }
+    }
+  }
+}
+
 TEST(Prefix, DifferentScopesHaveDifferentHashes) {
   std::set<std::uint64_t> seen;
   std::size_t total = 0;
--- a/waxwing/engine_choice.cc
+++ b/waxwing/engine_choice.cc
@@ -222,7 +222,7 @@
     const double backlog = view.own_prefill_backlog +
                            view.others_waiting * kBacklogTokensPerWaiting +
                            InFlight(view) * kBacklogTokensPerRunning;
-    option.cost = view.added_cost +
+    option.cost = view.added_cost + ErrorPenalty(view, now) +
                   PrefillTime(view, backlog + prefill_tokens) +
                   request.transfer_time_per_token * option.fetched_tokens *
                       (is_cross_zone ? kCrossZoneFactor : 1);
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -275,7 +275,8 @@
   if (!IsCurrent(state, attempt))
     return;
   if (outcome == forward_outcome::kDone || outcome == forward_outcome::kFailed)
-    RecordResponse(view, outcome == forward_outcome::kFailed);
+    RecordResponse(view, outcome == forward_outcome::kFailed, attempt.started,
+                   now);
   if (outcome == forward_outcome::kDone) {
     RecordSuccess(view, now - attempt.started);
   } else if (outcome == forward_outcome::kFailed) {
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -351,8 +351,8 @@
 // Removes a target from the list; it gets no new requests.
 void DropTarget(entry_state& state, const std::string& id);
 
-// Updates the costs of all targets by zone, error rate, responsiveness, weights
-// and rollouts, and drops targets whose `drop_at` has passed.
+// Updates the costs of all targets by zone, responsiveness, weights and
+// rollouts, and drops targets whose `drop_at` has passed.
 void RefreshTargets(entry_state& state, instant now);
 
 // Returns the time left for a request to start on the target's weights, or
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -295,7 +295,6 @@
     // No version can be expected of an engine that states none, so it might run
     // a request on any weights.
     view.has_outdated_weights = LacksWeights(state, target.record);
-    view.added_cost += ErrorPenalty(view);
     if (IsUnresponsive(view, now))
       view.added_cost += kUnresponsiveCost;
     if (now < view.others_paused_until)
--- a/waxwing/placement.cc
+++ b/waxwing/placement.cc
@@ -92,7 +92,8 @@
 double CostOf(const placement_state& state,
               const placement_request& request,
               std::uint32_t target,
-              double cached_tokens) {
+              double cached_tokens,
+              instant now) {
   const target_view& view = state.targets[target];
   const int queued = target < state.queued_by_target.size()
                          ? state.queued_by_target[target]
@@ -100,7 +101,8 @@
   const double uncached_tokens =
       std::max(0.0, request.chain->tokens - cached_tokens);
   double cost =
-      ToSeconds(ExpectedWait(view, queued)) + ToSeconds(view.added_cost) +
+      ToSeconds(ExpectedWait(view, queued)) +
+      ToSeconds(view.added_cost + ErrorPenalty(view, now)) +
       kRecomputeWeight * uncached_tokens / view.prefill_tokens_per_second;
   // The target that has just failed is chosen only if there is no other.
   if (static_cast<int>(target) == request.failed_target)
@@ -155,7 +157,7 @@
         assumed_cached = std::max(
             assumed_cached, kAssumedCachedShare[rank] * request.chain->tokens);
     }
-    option.cost = CostOf(state, request, i, assumed_cached);
+    option.cost = CostOf(state, request, i, assumed_cached, now);
     if (!found || option.cost < best.cost ||
         (option.cost == best.cost &&
          PrecedesAmongEquals(state, request, i, best.target)))
--- a/waxwing/target_view.cc
+++ b/waxwing/target_view.cc
@@ -20,6 +20,10 @@
 // Penalty per unit of error rate above the expected one: roughly the cost of a
 // target that fails all of its requests.
 constexpr milliseconds kFullErrorPenalty{1'000};
+constexpr duration kMinProbeDelay = milliseconds(500);
+constexpr double kSendIntervalSmoothing = 0.1;
+// Longer times between two requests count as this long.
+constexpr duration kMaxSendInterval = seconds(4);
 
 }  // namespace
 
@@ -63,14 +67,35 @@
                                      kMaxEvictionHorizon);
 }
 
-void RecordResponse(target_view& view, bool is_error) {
+void RecordResponse(target_view& view,
+                    bool is_error,
+                    instant sent,
+                    instant now) {
   view.error_rate = view.error_rate * (1 - kErrorSmoothing) +
                     (is_error ? kErrorSmoothing : 0);
+  if (view.error_rate <= kExpectedErrorRate) {
+    view.probe_delay = {};
+    view.probe_successes = 0;
+    return;
+  }
+  view.probe_successes = is_error ? 0 : view.probe_successes + 1;
+  // A request that was sent before the probe was due is not a probe.
+  if (!is_error || sent < view.next_probe)
+    return;
+  view.probe_delay = std::clamp(
+      view.probe_delay * 2, std::max(kMinProbeDelay, view.mean_send_interval),
+      std::max<duration>(kMaxProbeDelay,
+                         view.mean_send_interval * kMaxSkippedSends));
+  view.next_probe = now + view.probe_delay;
 }
 
-duration ErrorPenalty(const target_view& view) {
+duration ErrorPenalty(const target_view& view, instant now) {
   const double excess = std::max(0.0, view.error_rate - kExpectedErrorRate);
-  return std::chrono::duration_cast<duration>(kFullErrorPenalty * excess);
+  const bool may_get_probe =
+      now >= view.next_probe && view.awaiting_response <= view.probe_successes;
+  return may_get_probe
+             ? duration::zero()
+             : std::chrono::duration_cast<duration>(kFullErrorPenalty * excess);
 }
 
 void RecordPause(target_view& view, duration pause, instant now) {
@@ -147,9 +172,25 @@
       service_time * kServiceTimeSmoothing);
 }
 
+namespace {
+
+void UpdateSendInterval(target_view& view, duration interval) {
+  interval = std::min(interval, kMaxSendInterval);
+  if (view.mean_send_interval == duration::zero())
+    view.mean_send_interval = interval;
+  view.mean_send_interval = std::chrono::duration_cast<duration>(
+      view.mean_send_interval * (1 - kSendIntervalSmoothing) +
+      interval * kSendIntervalSmoothing);
+}
+
+}  // namespace
+
 void RecordSent(target_view& view, instant now) {
   if (view.awaiting_response++ == 0)
     view.no_data_since = now;
+  if (view.error_rate <= kExpectedErrorRate && view.last_sent != instant{})
+    UpdateSendInterval(view, now - view.last_sent);
+  view.last_sent = now;
 }
 
 void RecordContact(target_view& view, instant now) {
--- a/waxwing/target_view.h
+++ b/waxwing/target_view.h
@@ -67,8 +67,18 @@
   int consecutive_failures = 0;
   instant last_failure;
   // Moving average of the share of responses that are the target's own
-  // failures.
+  // failures. Above the expected rate the target is avoided, and probed from
+  // `next_probe` on.
   double error_rate = 0;
+  instant next_probe;
+  // Time from the last failed probe to the next one, and the successful
+  // responses since the last failure.
+  duration probe_delay{};
+  int probe_successes = 0;
+  // When this VM last sent a request, and the moving average of the time
+  // between two requests while the target is not avoided.
+  instant last_sent;
+  duration mean_send_interval{};
   // The target wants no requests of this VM before this time, and has asked
   // another VM to send it none.
   instant paused_until;
@@ -132,12 +142,24 @@
 // ignored, because it is no new evidence.
 void RecordFailure(target_view& view, instant sent, instant now);
 
-// Updates the error rate; `is_error` if the response was a failure of the
-// target's own.
-void RecordResponse(target_view& view, bool is_error);
-
-// Placement cost of a target whose error rate is above the expected one.
-duration ErrorPenalty(const target_view& view);
+// Longest time until the next probe of a target, or the time in which this VM
+// would send it kMaxSkippedSends requests, whichever is longer.
+inline constexpr seconds kMaxProbeDelay{8};
+inline constexpr int kMaxSkippedSends = 12;
+
+// Updates the error rate from the response to a request sent at `sent`;
+// `is_error` if it was a failure of the target's own. A failed probe doubles
+// the time to the next one.
+void RecordResponse(target_view& view,
+                    bool is_error,
+                    instant sent,
+                    instant now);
+
+// Placement cost of a target whose error rate is above the expected one. It is
+// zero while the target may get a probe: a request that it gets on equal terms
+// with the other targets. At first a probe must succeed before the next one is
+// sent; each success allows one more at a time.
+duration ErrorPenalty(const target_view& view, instant now);
 
 // Records that the target wants no requests of this VM for `pause`. A shorter
 // pause does not end a longer one.
