--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -269,6 +269,7 @@
               {{"request", run.request.id},
                {"target", attempt.target.record.id},
                {"end", NameOf(outcome)},
+               {"failure", attempt.failure},
                {"sends", run.sends},
                {"trial", was_trial},
                {"survived", listing.listed.has_survived},
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -104,6 +104,7 @@
 forward_outcome FailureOutcome(const forward_run& run,
                                dispatch& attempt,
                                const http_error& error) {
+  attempt.failure = std::string(NameOf(error.failure)) + ": " + error.detail;
   attempt.connection_broke =
       error.maybe_sent && (error.failure == http_failure::kClosed ||
                            error.failure == http_failure::kConnect);
@@ -320,6 +321,7 @@
     if (!facts->target.empty() && facts->target != attempt.target.record.id &&
         IsCurrent(*run.state, attempt))
       DropTarget(*run.state, attempt.target.record.id);
+    attempt.failure = "refused by target";
     co_return forward_outcome::kNotRun;
   }
   ++run.possible_runs;
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -133,6 +133,8 @@
   // weights are outdated.
   std::optional<duration> time_to_start;
   bool is_prefilled = false;
+  // For the log: why the target's response is missing or incomplete.
+  std::string failure;
   // The connection to the target broke after the request may have been sent.
   bool connection_broke = false;
   // The target has begun to respond, and the caller has an event of it.
