Forward requests to other VMs while no target is reached

Cause: what one VM sees of a target was taken for the state of the target, and a VM could serve by its own targets only.

A VM now judges by its new connections whether it reaches targets (target_reach.h, a pure module). A request that gets no connection for long, or at two targets, and all requests while the VM is cut off or has lost a service, go to another VM, over HTTP, with a statement that has a MAC under the VMs' key. It decides once the service, the time left, the counting in the retry budget and the origin of a stream. A VM never forwards what was forwarded to it; it declines if it reaches no target or knows an older configuration. Only then, or without a connection, another VM is tried for a request that must not be repeated. Attempts that are silent at unreached targets are abandoned if they may be repeated. Probes find the end of the cut. A VM that reaches no other target either no longer reports that targets have ended.

--- a/testing/vm_without_targets_test.cc
+++ b/testing/vm_without_targets_test.cc
@@ -4,6 +4,7 @@
 
 #include "testing/entry_fixture.h"
 #include "testing/target_path.h"
+#include "waxwing/forwarded_request.h"
 
 namespace testing_support {
 namespace {
@@ -47,8 +48,7 @@
       SetCut(path, kind);
   }
 
-  tl::expected<http_response, http_error> SendTo(std::size_t vm,
-                                                 std::string_view path) {
+  http_request MakeRequest(std::string_view path, http_headers extra = {}) {
     http_request request;
     request.method = "POST";
     request.target = std::string(path);
@@ -56,9 +56,33 @@
                        {"Request-Id", "r" + std::to_string(next_id++)},
                        {"Deadline-Ms", std::to_string(caller_deadline_ms)},
                        {"Authorization", "Token key-1"}};
+    for (http_header& header : extra)
+      request.headers.push_back(std::move(header));
+    return request;
+  }
+
+  asio::awaitable<tl::expected<http_response, http_error>> Call(
+      std::size_t vm,
+      http_request request) {
     const http_call_options options{milliseconds(2'000), false};
-    return RunToEnd(context, Fetch(pool, vms[vm].state->caller_server.address,
-                                   request, options));
+    co_return co_await Fetch(pool, vms[vm].state->caller_server.address,
+                             request, options);
+  }
+
+  tl::expected<http_response, http_error> SendTo(std::size_t vm,
+                                                 std::string_view path,
+                                                 http_headers extra = {}) {
+    return RunToEnd(context, Call(vm, MakeRequest(path, std::move(extra))));
+  }
+
+  // The number of requests that targets have received, by their ID.
+  std::map<std::string, int> Arrivals() const {
+    std::map<std::string, int> out;
+    for (const auto& target : targets) {
+      for (const http_request& request : target->requests)
+        ++out[IdOf(request)];
+    }
+    return out;
   }
 
   // Sends requests to a VM for some time, on all routes in turn. Returns how
@@ -96,5 +120,170 @@
                                            path_cut::kResetting,
                                            path_cut::kRefusingNew));
 
+// Requests of the first second after a cut, which are sent all the time.
+TEST_P(VmWithoutTargets, RequestsOfTheFirstSecondAreServed) {
+  cut_fixture f(3);
+  f.ServedOf(0, milliseconds(300));
+  f.Cut(0, GetParam());
+  constexpr int kRequests = 40;
+  constexpr milliseconds kPeriod{25};
+  int served = 0;
+  int ended = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    asio::co_spawn(
+        f.context,
+        f.Call(0, f.MakeRequest(i % 2 ? kIdempotentPath : kNonIdempotentPath)),
+        [&](const std::exception_ptr&, const auto& response) {
+          served += response && response->status == 200;
+          ++ended;
+        });
+    f.context.restart();
+    f.context.run_for(kPeriod);
+  }
+  f.RunUntil([&] { return ended == kRequests; });
+  EXPECT_GE(served, 0.9 * kRequests);
+}
+
+TEST_P(VmWithoutTargets, IsBackWithinTwoSecondsOfTheEndOfTheCut) {
+  cut_fixture f(3);
+  f.Cut(0, GetParam());
+  f.ServedOf(0, milliseconds(1'500));
+  f.Cut(0, path_cut::kNone);
+  EXPECT_TRUE(f.RunUntil([&] {
+    return !ReachesTooFewTargets(*f.vms[0].state, "panel") &&
+           !ReachesTooFewTargets(*f.vms[0].state, "llm");
+  }));
+  EXPECT_EQ(f.SendTo(0, kNonIdempotentPath)->status, 200u);
+}
+
+TEST_P(VmWithoutTargets, NonIdempotentRequestsRunOnceAtMost) {
+  cut_fixture f(3);
+  f.Cut(0, GetParam());
+  int served = 0;
+  for (int i = 0; i < 40; ++i) {
+    const auto response = f.SendTo(0, kNonIdempotentPath);
+    served += response && response->status == 200;
+  }
+  int arrived = 0;
+  for (const auto& [id, count] : f.Arrivals()) {
+    EXPECT_LE(count, 1) << id;
+    arrived += count;
+  }
+  EXPECT_EQ(arrived, served);
+}
+
+TEST(VmsWithoutTargets, CallersOfAllButOneAreServed) {
+  cut_fixture f(4);
+  for (const std::size_t vm : {0, 1, 2})
+    f.Cut(vm, path_cut::kResetting);
+  for (const std::size_t vm : {0, 1, 2})
+    f.ServedOf(vm, milliseconds(500));
+  for (const std::size_t vm : {0, 1, 2}) {
+    const auto [served, sent] = f.ServedOf(vm, milliseconds(300));
+    EXPECT_GE(served, 0.95 * sent) << "VM " << vm;
+  }
+}
+
+TEST(VmsWithoutTargets,
+     WithoutAnyVmThatReachesTargetsRequestsAreRefusedAtOnce) {
+  cut_fixture f(3);
+  for (const std::size_t vm : {0, 1, 2})
+    f.Cut(vm, path_cut::kHanging);
+  for (const std::size_t vm : {0, 1, 2})
+    f.ServedOf(vm, milliseconds(1'000));
+  const auto arrivals = f.Arrivals();
+  for (int i = 0; i < 20; ++i) {
+    const instant sent = std::chrono::steady_clock::now();
+    const auto response = f.SendTo(0, kNonIdempotentPath);
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 503u);
+    EXPECT_LT(std::chrono::steady_clock::now() - sent, milliseconds(200));
+  }
+  EXPECT_EQ(f.Arrivals(), arrivals);
+}
+
+TEST(VmsWithoutTargets, ForwardedRequestIsCancelledWhenItsCallerLeaves) {
+  cut_fixture f(2);
+  f.Cut(0, path_cut::kResetting);
+  f.ServedOf(0, milliseconds(500));
+  int started = 0;
+  for (const auto& target : f.targets)
+    target->script = [&](const http_request& request) {
+      ++started;
+      scripted_response out = RespondOk(request);
+      out.delay = milliseconds(5'000);
+      return out;
+    };
+  asio::ip::tcp::socket caller(f.context);
+  const endpoint address = f.vms[0].state->caller_server.address;
+  caller.connect({asio::ip::make_address(address.host), address.port});
+  asio::write(caller,
+              asio::buffer(std::string("POST /status/x HTTP/1.1\r\nHost: "
+                                       "calls.example\r\nRequest-Id: "
+                                       "leaves\r\nAuthorization: Token "
+                                       "key-1\r\nContent-Length: 0\r\n\r\n")));
+  ASSERT_TRUE(f.RunUntil([&] { return started > 0; }));
+  caller.close();
+  EXPECT_TRUE(f.RunUntil([&] {
+    return std::all_of(f.vms.begin(), f.vms.end(), [](const entry& vm) {
+      return ActiveExchanges(vm.state->caller_server) == 0;
+    });
+  }));
+}
+
+TEST(VmsWithoutTargets, CallersCanNotClaimToBeVms) {
+  cut_fixture f(2);
+  http_request request = f.MakeRequest(kIdempotentPath);
+  AddForwarded(request, {"vm-1", "llm", 1, milliseconds(5'000)}, "guessed key");
+  const auto forged = RunToEnd(f.context, f.Call(0, request));
+  EXPECT_EQ(forged->status, 200u);
+  EXPECT_EQ(f.targets[0]->requests.size(), 0u) << "an engine has run it";
+  for (const auto& target : f.targets) {
+    for (const http_request& arrived : target->requests)
+      EXPECT_EQ(FindHeader(arrived.headers, kForwardedHeader), "");
+  }
+}
+
+TEST(VmsWithoutTargets, ForwardedRequestKeepsItsServiceDeadlineAndOrigin) {
+  http_request request;
+  const stream_origin origin{"llm", "v2", "engine-1", 7};
+  AddForwarded(request, {"vm-1", "llm", 3, milliseconds(250), true, 12, origin},
+               "key");
+  const auto read = TakeForwarded(request, "key");
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->service, "llm");
+  EXPECT_EQ(read->config_version, 3);
+  EXPECT_EQ(read->time_left, milliseconds(250));
+  EXPECT_TRUE(read->is_counted);
+  EXPECT_EQ(read->resume_after, 12u);
+  EXPECT_EQ(read->origin, origin);
+  EXPECT_EQ(FindHeader(request.headers, kForwardedHeader), "");
+  AddForwarded(request, *read, "key");
+  request.body = "changed";
+  EXPECT_FALSE(TakeForwarded(request, "key"));
+}
+
+// A VM that is cut off must not make others hold back requests.
+TEST(VmsWithoutTargets, ResetConnectionsAreNotReportedAsEndsOfTargets) {
+  cut_fixture f(2);
+  for (const auto& target : f.targets)
+    target->script = [](const http_request& request) {
+      scripted_response out = RespondOk(request);
+      out.delay = milliseconds(500);
+      return out;
+    };
+  int ended = 0;
+  constexpr int kRequests = 6;
+  for (int i = 0; i < kRequests; ++i)
+    asio::co_spawn(f.context, f.Call(0, f.MakeRequest(kIdempotentPath)),
+                   [&](const std::exception_ptr&, const auto&) { ++ended; });
+  f.context.restart();
+  f.context.run_for(milliseconds(200));
+  f.Cut(0, path_cut::kResetting);
+  f.RunUntil([&] { return ended == kRequests; });
+  for (const entry& vm : f.vms)
+    EXPECT_TRUE(vm.state->suspects.ends.empty());
+}
+
 }  // namespace
 }  // namespace testing_support
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -85,7 +85,7 @@
   options.vm = state->options.vm;
   options.zone = state->options.zone;
   options.address = state->options.peers;
-  options.router = state->options.callers;
+  options.router = state->caller_server.address;
   options.request_capacity = RequestCapacity(state->options.resources);
   options.seeds = state->options.seeds;
   options.key = state->options.key;
@@ -137,6 +137,7 @@
             [state] { return RunCachePublisher(state); });
   Supervise(state->root, "feed", [state] { return RunReplication(state); });
   Supervise(state->root, "peers", [state] { return RunPeerBootstrap(state); });
+  Supervise(state->root, "reach", [state] { return RunReachProbes(state); });
   Supervise(state->root, "refresh", [state] { return RefreshLoop(state); });
 }
 
@@ -154,8 +155,7 @@
 tl::expected<entry, std::string> StartEntry(asio::any_io_executor executor,
                                             const entry_options& options,
                                             const protocol_adapter& protocol) {
-  auto state = std::make_shared<entry_state>();
-  state->executor = executor;
+  auto state = std::make_shared<entry_state>(executor);
   state->options = options;
   state->protocol = protocol;
   state->started = SuspendAwareNow();
@@ -168,10 +168,10 @@
   state->random.seed(RandomId());
   state->lease.self = options.vm;
   state->lease.incarnation = RandomId();
-  if (auto result = StartMembership(state); !result)
-    return tl::unexpected(result.error());
   if (auto result = StartListeners(state); !result)
     return tl::unexpected(result.error());
+  if (auto result = StartMembership(state); !result)
+    return tl::unexpected(result.error());
   StartTasks(state);
   LogInfo("entry_started", {{"vm", options.vm},
                             {"zone", options.zone},
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -40,6 +40,17 @@
              : -1;
 }
 
+constexpr std::string_view kLeaving = "leaving";
+constexpr std::string_view kNoConfig = "no_config";
+constexpr std::string_view kOlderConfig = "older_config";
+constexpr std::string_view kNoTargetReached = "no_target_reached";
+
+// True if another VM might serve a request that this one refuses.
+bool IsReasonOfVm(std::string_view reason) {
+  return reason == kLeaving || reason == kNoConfig || reason == kOlderConfig ||
+         reason == kNoTargetReached;
+}
+
 asio::awaitable<void> Refuse(forward_run& run,
                              unsigned status,
                              std::string_view reason,
@@ -58,6 +69,8 @@
        {"sends", run.sends}});
   http_response response = run.state->protocol.write_error_response(
       run.request, status, reason, retry_after);
+  if (run.forwarded && IsReasonOfVm(reason))
+    response.headers.push_back({std::string(kDeclinedHeader), "1"});
   co_await Respond(run.exchange, std::move(response));
 }
 
@@ -92,9 +105,9 @@
 // refused.
 std::optional<refusal> ResolveRequest(forward_run& run) {
   if (run.state->is_closed)
-    return refusal{503, "leaving", kMinRetryAfter};
+    return refusal{503, kLeaving, kMinRetryAfter};
   if (!CanServe(*run.state))
-    return refusal{503, "no_config", kNoConfigRetryAfter};
+    return refusal{503, kNoConfig, kNoConfigRetryAfter};
   run.matched_route = FindRoute(*run.table, run.request.host,
                                 PathOf(run.exchange.request.target));
   if (!run.matched_route)
@@ -105,11 +118,24 @@
       return refusal{401, "unknown_key", {}};
     run.account = found->second;
   }
+  if (run.forwarded) {
+    if (run.table->version < run.forwarded->config_version)
+      return refusal{503, kOlderConfig, kNoConfigRetryAfter};
+    run.request.time_left = run.forwarded->time_left;
+    run.request.resume_after = run.forwarded->resume_after;
+    run.last_event_id = run.request.resume_after.value_or(0);
+  }
   run.deadline =
       run.arrived +
       std::min(run.request.time_left.value_or(kMaxWaitWithoutDeadline),
                run.matched_route->timeout);
   run.service = ChooseService(*run.matched_route, run.state->random());
+  if (run.forwarded) {
+    run.service = run.forwarded->service;
+    run.origin = run.forwarded->origin;
+    if (ReachesTooFewTargets(*run.state, run.service))
+      return refusal{503, kNoTargetReached, kNoConfigRetryAfter};
+  }
   return std::nullopt;
 }
 
@@ -132,6 +158,9 @@
 }
 
 void CreditRetryBudget(forward_run& run) {
+  if (run.is_counted)
+    return;
+  run.is_counted = true;
   entry_state& state = *run.state;
   const std::size_t vms = CountServingVms(state);
   const double allowance = state.options.bounds.retry_allowance;
@@ -241,8 +270,22 @@
 asio::awaitable<forward_outcome> RunWithRetries(forward_run& run) {
   forward_outcome outcome = forward_outcome::kNotRun;
   while (true) {
-    if (!co_await WaitForDispatchSlot(run))
+    if (ShouldForward(run)) {
+      const forward_outcome at_peer = co_await RunAtPeers(run);
+      const bool is_hopeless =
+          HasLostAll(run.state->reach, run.state->placement.targets,
+                     run.service) ||
+          (run.is_declined && ReachesTooFewTargets(*run.state, run.service));
+      if (at_peer != forward_outcome::kNotRun || is_hopeless)
+        co_return at_peer;
+      run.peers_failed = true;
+    }
+    CreditRetryBudget(run);
+    if (!co_await WaitForDispatchSlot(run)) {
+      if (ShouldForward(run) && !run.caller_gone)
+        continue;
       co_return run.caller_gone ? forward_outcome::kCallerGone : outcome;
+    }
     if (!co_await AdmitSuspect(run)) {
       ReleaseWindowTokens(run, std::nullopt);
       co_return run.caller_gone ? forward_outcome::kCallerGone : outcome;
@@ -287,10 +330,17 @@
                 ToMs(std::chrono::steady_clock::now() - attempt.started)}});
     if (outcome == forward_outcome::kDone ||
         outcome == forward_outcome::kCallerGone ||
-        (run.stream_started && IsOriginInDoubt(run)) ||
-        !MayRetryElsewhere(run, outcome))
+        (run.stream_started && IsOriginInDoubt(run)))
       co_return outcome;
+    if (attempt.is_unreached)
+      ObserveUnreached(run, attempt);
+    // Without a connection nothing has arrived, so forwarding is no retry.
     run.failed_target = static_cast<int>(attempt.chosen.target);
+    if (attempt.is_unreached && ShouldForward(run) && run.sends < kMaxSends &&
+        std::chrono::steady_clock::now() < run.deadline)
+      continue;
+    if (!MayRetryElsewhere(run, outcome))
+      co_return outcome;
     Count(run.state->stats, "waxwing_retries_total");
   }
 }
@@ -311,6 +361,7 @@
        {"resumes", run.request.resumed_request},
        {"resume_after", ResumePoint(run)},
        {"sends", run.sends},
+       {"from", run.forwarded ? run.forwarded->vm : std::string()},
        {"first_ms", ToMs(run.time_to_first_byte.value_or(took))},
        {"pause_ms", ToMs(run.longest_pause)},
        {"took_ms", ToMs(took)},
@@ -362,6 +413,7 @@
   run.arrived = std::chrono::steady_clock::now();
   Count(state->stats, "waxwing_requests_total");
   ++state->caller_load.requests;
+  run.forwarded = TakeForwarded(exchange.request, state->options.key);
   auto request = state->protocol.read_request(exchange.request);
   if (!request) {
     co_await Refuse(run, 400, request.error(), {});
@@ -369,6 +421,7 @@
   }
   run.request = std::move(*request);
   run.last_event_id = run.request.resume_after.value_or(0);
+  run.is_counted = run.forwarded && run.forwarded->is_counted;
   if (const auto refused = ResolveRequest(run)) {
     co_await Refuse(run, refused->status, refused->reason,
                     refused->retry_after);
@@ -380,7 +433,7 @@
     if (run.waiter)
       run.waiter->wakeup.cancel();
   });
-  if (IsTakenUp(run) && !co_await FindOrigin(run)) {
+  if (IsTakenUp(run) && !run.origin && !co_await FindOrigin(run)) {
     if (!run.caller_gone)
       co_await Refuse(run, 503, "unknown_stream", RetryAfter(run));
     co_return;
@@ -388,7 +441,6 @@
   run.fingerprint = FingerprintOf(run);
   PreparePrompt(run);
   FindSuspectKeys(run);
-  CreditRetryBudget(run);
   const forward_outcome outcome = co_await RunWithRetries(run);
   ForgetRunningStream(run);
   LogOutcome(run, outcome);
--- a/waxwing/entry_queue.cc
+++ b/waxwing/entry_queue.cc
@@ -69,7 +69,8 @@
     return;
   dispatch_queue& queue = found->second;
   const instant now = std::chrono::steady_clock::now();
-  if (ShortestPause(state.placement.targets, service, now)) {
+  if (ShortestPause(state.placement.targets, service, now) ||
+      ReachesTooFewTargets(state, service)) {
     while (!queue.requests.empty())
       RefuseAt(queue, queue.requests.size() - 1);
   }
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -45,16 +45,18 @@
     if (!run.caller_gone)
       run.abort = {};
     run.start = {};
-    if (!DependsOnWeights(run, attempt))
-      return;
     const target_record& record = attempt.target.record;
-    run.start = {run.request.id,
-                 record.id,
-                 record.model,
-                 record.weights_version,
-                 attempt.started,
-                 attempt.time_to_start && !MayRepeat(*run.matched_route),
-                 &run.abort};
+    run.start.request_id = run.request.id;
+    run.start.target = record.id;
+    run.start.sent_at = attempt.started;
+    run.start.abort = &run.abort;
+    run.start.may_repeat = MayRepeat(*run.matched_route);
+    if (DependsOnWeights(run, attempt)) {
+      run.start.model = record.model;
+      run.start.weights_version = record.weights_version;
+      run.start.has_target_deadline =
+          attempt.time_to_start && !run.start.may_repeat;
+    }
     run.state->pending_starts.insert(&run.start);
   }
   ~pending_start_listing() { run.state->pending_starts.erase(&run.start); }
@@ -66,27 +68,15 @@
   run.state->pending_starts.erase(&run.start);
 }
 
-// Counts the bytes of a response that are held in memory, for the lifetime of
-// this object.
-struct held_bytes {
-  entry_state& state;
-  std::size_t shared = 0;
-
-  explicit held_bytes(entry_state& s) : state(s) {}
-  ~held_bytes() { state.held_response_bytes -= shared; }
-  held_bytes(const held_bytes&) = delete;
-  held_bytes& operator=(const held_bytes&) = delete;
+}  // namespace
 
-  // Returns false if the response is too long to be held.
-  bool Update(std::size_t size) {
-    state.held_response_bytes -= shared;
-    shared = size > kOwnHeldBytes ? size - kOwnHeldBytes : 0;
-    state.held_response_bytes += shared;
-    return shared == 0 || state.held_response_bytes <= kMaxHeldBytes;
-  }
-};
+bool held_bytes::Update(std::size_t size) {
+  state.held_response_bytes -= shared;
+  shared = size > kOwnHeldBytes ? size - kOwnHeldBytes : 0;
+  state.held_response_bytes += shared;
+  return shared == 0 || state.held_response_bytes <= kMaxHeldBytes;
+}
 
-// Returns the outcome of a response that is too long.
 forward_outcome RejectLongResponse(forward_run& run, std::size_t size) {
   Count(run.state->stats, "waxwing_responses_too_long_total");
   LogWarning("response_too_long", {{"request", run.request.id},
@@ -96,20 +86,37 @@
   return forward_outcome::kBroken;
 }
 
+asio::awaitable<bool> DeliverHead(forward_run& run, const http_call& call) {
+  run.stream_started = true;
+  run.time_to_first_byte = std::chrono::steady_clock::now() - run.arrived;
+  Observe(run.state->stats, "waxwing_ttft_seconds", *run.time_to_first_byte);
+  http_response head{
+      call.head.status,
+      run.state->protocol.filter_response_headers(call.head.headers), ""};
+  co_return co_await BeginStream(run.exchange, std::move(head));
+}
+
+namespace {
+
 bool IsPastDeadline(const forward_run& run) {
   return std::chrono::steady_clock::now() >= run.deadline;
 }
 
 // Returns the outcome of an attempt that failed with `error`.
-forward_outcome FailureOutcome(const forward_run& run,
+forward_outcome FailureOutcome(forward_run& run,
                                dispatch& attempt,
                                const http_error& error) {
   attempt.failure = std::string(NameOf(error.failure)) + ": " + error.detail;
-  attempt.connection_broke =
-      error.maybe_sent && (error.failure == http_failure::kClosed ||
-                           error.failure == http_failure::kConnect);
+  attempt.connection_broke = error.maybe_sent && !run.start.is_cut_off &&
+                             (error.failure == http_failure::kClosed ||
+                              error.failure == http_failure::kConnect);
   if (run.caller_gone)
     return forward_outcome::kCallerGone;
+  if (run.start.is_cut_off) {
+    run.possible_runs_at_gone += error.maybe_sent ? 1 : 0;
+    return error.maybe_sent ? forward_outcome::kBroken
+                            : forward_outcome::kNotRun;
+  }
   if (run.start.is_withdrawn)
     return error.maybe_sent ? forward_outcome::kWithdrawn
                             : forward_outcome::kNotRun;
@@ -153,16 +160,6 @@
   co_return delivered ? forward_outcome::kDone : forward_outcome::kCallerGone;
 }
 
-asio::awaitable<bool> DeliverHead(forward_run& run, const http_call& call) {
-  run.stream_started = true;
-  run.time_to_first_byte = std::chrono::steady_clock::now() - run.arrived;
-  Observe(run.state->stats, "waxwing_ttft_seconds", *run.time_to_first_byte);
-  http_response head{
-      call.head.status,
-      run.state->protocol.filter_response_headers(call.head.headers), ""};
-  co_return co_await BeginStream(run.exchange, std::move(head));
-}
-
 // Relays complete events; the caller never gets a part of one.
 asio::awaitable<bool> DeliverEvents(forward_run& run,
                                     dispatch& attempt,
@@ -206,6 +203,7 @@
     if (!more)
       co_return FailureOutcome(run, attempt, more.error());
     MarkStarted(run);
+    run.state->last_target_data = std::chrono::steady_clock::now();
     if (!attempt.is_prefilled)
       RecordCachedSegments(run, attempt);
     MarkPrefilled(*run.state, attempt);
@@ -250,6 +248,22 @@
   co_return delivered ? forward_outcome::kDone : forward_outcome::kCallerGone;
 }
 
+// Records that a call has failed before any response, if that shows that the
+// target is not reached.
+void NoteUnreached(forward_run& run,
+                   dispatch& attempt,
+                   const http_error& error) {
+  const bool is_own_end =
+      run.caller_gone || run.start.is_withdrawn || run.start.is_cut_off;
+  attempt.is_unreached = !error.maybe_sent && !run.start.is_withdrawn;
+  // Targets also reset connections beyond their limit, but then others respond.
+  const bool is_reset = error.failure == http_failure::kClosed &&
+                        run.state->last_target_data < attempt.started;
+  if (is_own_end || (error.failure != http_failure::kConnect && !is_reset))
+    return;
+  ObserveNoConnection(*run.state, attempt.target.record.id, attempt.started);
+}
+
 // Reads responses from the connection up to the one to this request.
 asio::awaitable<tl::expected<response_info, http_error>>
 FindOwnResponse(forward_run& run, const dispatch& attempt, http_call& call) {
@@ -293,6 +307,7 @@
   auto call = co_await StartCall(run.state->pool, attempt.target.record.address,
                                  message, options);
   if (!call) {
+    NoteUnreached(run, attempt, call.error());
     if (call.error().maybe_sent) {
       ++run.possible_runs;
       if (call.error().failure == http_failure::kConnect)
@@ -300,6 +315,9 @@
     }
     co_return FailureOutcome(run, attempt, call.error());
   }
+  run.state->last_target_data = std::chrono::steady_clock::now();
+  if (call->is_on_new_connection)
+    ObserveConnection(*run.state, attempt.target.record.id);
   const auto facts = co_await FindOwnResponse(run, attempt, *call);
   if (!facts) {
     ++run.possible_runs;
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "waxwing/entry_state.h"
+#include "waxwing/forwarded_request.h"
 #include "waxwing/hash.h"
 #include "waxwing/stream_builds.h"
 
@@ -73,6 +74,17 @@
   int sends = 0;
   int possible_runs = 0;
   int possible_runs_at_gone = 0;
+  // Set if another VM has forwarded the request to this one.
+  std::optional<forwarded_request> forwarded;
+  // Targets to which no connection came about.
+  int unreached = 0;
+  // The request is forwarded, whatever this VM has found out from others.
+  bool prefers_peer = false;
+  // Other VMs were tried; none of them could serve the request.
+  bool is_declined = false;
+  bool peers_failed = false;
+  // Counted in the retry budget.
+  bool is_counted = false;
   // Index of the last target that failed, which is not tried next; or -1.
   int failed_target = -1;
   // The caller has received the head of a stream, and its events up to
@@ -137,6 +149,8 @@
   std::string failure;
   // The connection to the target broke after the request may have been sent.
   bool connection_broke = false;
+  // No connection to the target came about.
+  bool is_unreached = false;
   // The target has begun to respond, and the caller has an event of it.
   bool has_response = false;
   bool has_delivered = false;
@@ -268,8 +282,42 @@
                                         const dispatch& attempt,
                                         const http_call& call);
 
+// --- entry_peers.cc
+
+// Records that the request got no connection to its target.
+void ObserveUnreached(forward_run& run, const dispatch& attempt);
+
+// True if the request should be sent to another VM instead of a target.
+bool ShouldForward(const forward_run& run);
+
+// Sends the request to other VMs until one has run it, and relays its response.
+boost::asio::awaitable<forward_outcome> RunAtPeers(forward_run& run);
+
 // --- entry_relay.cc
 
+// Counts the bytes of a response that are held in memory, for the lifetime of
+// this object.
+struct held_bytes {
+  entry_state& state;
+  std::size_t shared = 0;
+
+  explicit held_bytes(entry_state& s) : state(s) {}
+  ~held_bytes() { state.held_response_bytes -= shared; }
+  held_bytes(const held_bytes&) = delete;
+  held_bytes& operator=(const held_bytes&) = delete;
+
+  // Returns false if the response is too long to be held.
+  bool Update(std::size_t size);
+};
+
+// Returns the outcome of a response that is too long.
+forward_outcome RejectLongResponse(forward_run& run, std::size_t size);
+
+// Sends the head of a stream to the caller. Returns false if the caller has
+// disconnected.
+boost::asio::awaitable<bool> DeliverHead(forward_run& run,
+                                         const http_call& call);
+
 // Sends the request to the target and relays its response.
 boost::asio::awaitable<forward_outcome> RunAtTarget(forward_run& run,
                                                     dispatch& attempt);
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -24,6 +24,7 @@
 #include "waxwing/lease.h"
 #include "waxwing/metrics.h"
 #include "waxwing/pacing.h"
+#include "waxwing/peer_choice.h"
 #include "waxwing/peer_link.h"
 #include "waxwing/placement.h"
 #include "waxwing/replication.h"
@@ -33,6 +34,7 @@
 #include "waxwing/store_era.h"
 #include "waxwing/stream_builds.h"
 #include "waxwing/supervisor.h"
+#include "waxwing/target_reach.h"
 #include "waxwing/vm_selection.h"
 
 namespace waxwing {
@@ -163,7 +165,8 @@
   std::vector<dispatch_waiter*> waiters;
 };
 
-// A request that was sent to an engine and has not started there.
+// A request that was sent to a target and has not started there. `model` and
+// `weights_version` are set if it depends on the target's weights.
 struct pending_start {
   std::string request_id;
   std::string target;
@@ -177,6 +180,9 @@
   // Closes the connection to the engine.
   http_abort* abort = nullptr;
   bool is_withdrawn = false;
+  bool may_repeat = false;
+  // This VM does not reach the target.
+  bool is_cut_off = false;
 };
 
 // A coroutine that waits for a permit. Owned by the coroutine frame.
@@ -235,6 +241,9 @@
 };
 
 struct entry_state {
+  explicit entry_state(boost::asio::any_io_executor e)
+      : executor(e), probes_due(e) {}
+
   boost::asio::any_io_executor executor;
   entry_options options;
   protocol_adapter protocol;
@@ -286,6 +295,15 @@
   // By model.
   std::map<std::string, weights_history, std::less<>> desired_weights;
   std::set<pending_start*> pending_starts;
+  target_reach reach;
+  // When any target last sent data to this VM.
+  instant last_target_data;
+  // Targets to which a connection is being tried.
+  std::set<std::string, std::less<>> probing;
+  // Expires when targets are to be probed.
+  boost::asio::steady_timer probes_due;
+  // VMs to which requests are forwarded.
+  peer_loads peers;
   // By target, at its permit issuer.
   std::map<std::string, permit_bucket, std::less<>> permit_buckets;
   // By number of the request for the permit.
@@ -486,6 +504,24 @@
                        const wire::stream_queryT& query);
 void HandleStreamReply(entry_state& state, const wire::stream_replyT& reply);
 
+// --- entry_peers.cc
+
+// Record that a new connection to a target was established, or that one which
+// was begun at `started` was not.
+void ObserveConnection(entry_state& state, std::string_view target);
+void ObserveNoConnection(entry_state& state,
+                         std::string_view target,
+                         instant started);
+
+// True if requests to a service should be forwarded to other VMs.
+bool ReachesTooFewTargets(const entry_state& state, std::string_view service);
+
+// True if this VM gets a connection to another target, or there is none.
+boost::asio::awaitable<bool> ReachesOthers(entry_ptr state, std::string target);
+
+// Probes targets that can't be reached, and those that are silent.
+boost::asio::awaitable<void> RunReachProbes(entry_ptr state);
+
 // --- entry_era.cc
 
 // Records the era that a response of the store, or a peer's message, states.
--- a/waxwing/entry_suspects.cc
+++ b/waxwing/entry_suspects.cc
@@ -366,6 +366,9 @@
   const target_record target = attempt.target.record;
   if (!IsExpectedToRun(state, target) || !co_await HasEnded(run.state, target))
     co_return;
+  // A VM that is cut off can't tell whether the target has ended.
+  if (!co_await ReachesOthers(run.state, target.id))
+    co_return;
   if (!run.doubt->has_survived)
     ++run.ends_in_doubt;
   ReportEnd(state, target);
--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -217,35 +217,6 @@
   co_return out;
 }
 
-struct body_limit {
-  instant time;
-  // Once `time` was seen to have passed: the count of parsed bytes up to which
-  // the response may still be read.
-  std::optional<std::size_t> last_byte;
-};
-
-// Reads the next part of a body. After the limit only what has already arrived
-// is read: a response that was complete in time is not lost if this process
-// stalls, but one that goes on is ended.
-asio::awaitable<tl::expected<bool, http_error>> ReadSomeBodyUntil(
-    const http_pool& pool,
-    http_call& call,
-    body_limit& limit,
-    std::string& out) {
-  detail::http_call_state& state = *call.state;
-  if (!limit.last_byte && std::chrono::steady_clock::now() >= limit.time) {
-    beast::error_code ignored;
-    limit.last_byte = state.parsed_bytes + state.buffer.size() +
-                      state.stream.socket().available(ignored);
-  }
-  const auto more =
-      co_await ReadSomeBody(pool, call, TimeUntil(limit.time), out);
-  const bool goes_on = more && *more;
-  if (goes_on && limit.last_byte && state.parsed_bytes > *limit.last_byte)
-    co_return tl::unexpected(TimedOut());
-  co_return more;
-}
-
 }  // namespace
 
 http_pool MakeHttpPool(asio::any_io_executor executor,
@@ -300,8 +271,10 @@
   auto response = co_await SendRequest(*connected, request,
                                        pool.state->limits.max_response_bytes,
                                        options.header_timeout);
-  if (response)
+  if (response) {
     response->was_sent_before = was_sent;
+    response->is_on_new_connection = true;
+  }
   co_return response;
 }
 
@@ -338,6 +311,25 @@
   co_return false;
 }
 
+asio::awaitable<tl::expected<bool, http_error>> ReadSomeBodyUntil(
+    const http_pool& pool,
+    http_call& call,
+    body_limit& limit,
+    std::string& out) {
+  detail::http_call_state& state = *call.state;
+  if (!limit.last_byte && std::chrono::steady_clock::now() >= limit.time) {
+    beast::error_code ignored;
+    limit.last_byte = state.parsed_bytes + state.buffer.size() +
+                      state.stream.socket().available(ignored);
+  }
+  const auto more =
+      co_await ReadSomeBody(pool, call, TimeUntil(limit.time), out);
+  const bool goes_on = more && *more;
+  if (goes_on && limit.last_byte && state.parsed_bytes > *limit.last_byte)
+    co_return tl::unexpected(TimedOut());
+  co_return more;
+}
+
 asio::awaitable<tl::expected<void, http_error>>
 SkipResponse(const http_pool& pool, http_call& call, milliseconds timeout) {
   detail::http_call_state& state = *call.state;
@@ -383,6 +375,28 @@
       : connect_result::kNoResponse;
 }
 
+asio::awaitable<bool> AcceptsConnection(const http_pool& pool,
+                                        endpoint address,
+                                        milliseconds timeout) {
+  // Time within which a connection that is not meant to work is closed.
+  constexpr milliseconds kStableAfter{20};
+  beast::tcp_stream stream(pool.state->executor);
+  beast::error_code code;
+  const asio::ip::tcp::endpoint remote(
+      asio::ip::make_address(address.host, code), address.port);
+  if (code)
+    co_return false;
+  stream.expires_after(timeout);
+  auto [connect_error] = co_await stream.async_connect(remote, kUseTuple);
+  if (connect_error)
+    co_return false;
+  stream.expires_after(kStableAfter);
+  char byte = 0;
+  auto [error, bytes] =
+      co_await stream.async_read_some(asio::buffer(&byte, 1), kUseTuple);
+  co_return !error || error == beast::error::timeout;
+}
+
 void Abort(http_abort& abort) {
   abort.aborted = true;
   const auto call = abort.call.lock();
--- a/waxwing/http_client.h
+++ b/waxwing/http_client.h
@@ -13,6 +13,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <cstddef>
 #include <memory>
+#include <optional>
 
 #include <tl/expected.hpp>
 
@@ -45,6 +46,7 @@
   // The request was first sent on a reused connection that failed, and may have
   // been executed then.
   bool was_sent_before = false;
+  bool is_on_new_connection = false;
   // The response states neither its length nor chunks: it ends with the
   // connection.
   bool ends_with_connection = false;
@@ -95,6 +97,23 @@
     milliseconds timeout,
     std::string& out);
 
+// Until when a body is read with ReadSomeBodyUntil().
+struct body_limit {
+  instant time;
+  // Once `time` was seen to have passed: the count of parsed bytes up to which
+  // the response may still be read.
+  std::optional<std::size_t> last_byte;
+};
+
+// Appends the next part of the body, like ReadSomeBody(). After the limit only
+// what has already arrived is read: a response that was complete in time is not
+// lost if this process stalls, but one that goes on is ended.
+boost::asio::awaitable<tl::expected<bool, http_error>> ReadSomeBodyUntil(
+    const http_pool& pool,
+    http_call& call,
+    body_limit& limit,
+    std::string& out);
+
 // Discards the rest of a response to another request, then reads the header of
 // the next response on the same connection, within `timeout` in all.
 boost::asio::awaitable<tl::expected<void, http_error>>
@@ -108,6 +127,11 @@
                                                   endpoint address,
                                                   milliseconds timeout);
 
+// True if an address accepts a new connection and does not close it at once.
+boost::asio::awaitable<bool> AcceptsConnection(const http_pool& pool,
+                                               endpoint address,
+                                               milliseconds timeout);
+
 // Closes the call's connection; a pending read ends with an error.
 void CancelCall(http_call& call);
 
