Forwarded requests find the VMs that reach targets, in a zone that is cut off

Connections to targets are given up after 250 ms. One connection without an answer starts probes at other targets; four failures in succession are needed to take the VM for cut off, so that two targets that end together do not. Without any other VM, targets that were not tried yet are tried.

--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -70,7 +70,10 @@
   http_response response = run.state->protocol.write_error_response(
       run.request, status, reason, retry_after);
   if (run.forwarded && IsReasonOfVm(reason))
-    response.headers.push_back({std::string(kDeclinedHeader), "1"});
+    response.headers.push_back(
+        {std::string(kDeclinedHeader),
+         std::string(
+             ChooseHint(run.state->peers, std::chrono::steady_clock::now()))});
   co_await Respond(run.exchange, std::move(response));
 }
 
--- a/waxwing/entry_peers.cc
+++ b/waxwing/entry_peers.cc
@@ -20,21 +20,17 @@
 
 namespace {
 
-// VMs to which one request is forwarded at most.
-constexpr int kMaxPeers = 3;
 // Time for the request and the response to pass between two VMs.
 constexpr milliseconds kPeerTransitTime{10};
 constexpr milliseconds kProbePeriod{100};
-constexpr milliseconds kProbeTimeout{300};
+constexpr milliseconds kProbeTimeout{250};
+constexpr milliseconds kConnectTimeout{250};
 constexpr std::size_t kMaxProbes = 8;
 // Time without data from any target, while responses are awaited, after which
 // new connections are tried.
 constexpr milliseconds kSilenceBeforeProbe{200};
 constexpr std::size_t kSilenceProbes = kFailuresToCutOff;
 constexpr milliseconds kSilenceProbePeriod{1'000};
-// A connection attempt that takes longer has probably failed for want of a
-// path, so the request is not tried at further targets.
-constexpr milliseconds kLongConnect{100};
 // Targets to which a request gets no connection before it is forwarded.
 constexpr int kMaxUnreached = 2;
 
@@ -193,6 +189,7 @@
   http_call_options options;
   options.header_timeout = TimeLeft(run);
   options.reuse = MayRepeat(*run.matched_route);
+  options.connect_timeout = kConnectTimeout;
   options.abort = &run.abort;
   auto call = co_await StartCall(state.pool, peer.router,
                                  MakeForwardedRequest(run), options);
@@ -207,13 +204,16 @@
         ? forward_outcome::kTimedOut
         : forward_outcome::kBroken;
   }
-  if (!FindHeader(call->head.headers, kDeclinedHeader).empty()) {
+  const std::string_view hint = FindHeader(call->head.headers, kDeclinedHeader);
+  if (!hint.empty()) {
     RecordDeclined(state.peers, peer.vm, std::chrono::steady_clock::now());
+    RecordHint(state.peers, hint, std::chrono::steady_clock::now());
     run.possible_runs += call->was_sent_before ? 1 : 0;
     CancelCall(*call);
     co_return forward_outcome::kNotRun;
   }
   ++run.possible_runs;
+  RecordServed(state.peers, peer.vm, std::chrono::steady_clock::now());
   const forward_outcome outcome = co_await RelayPeerResponse(run, *call);
   if (outcome != forward_outcome::kDone)
     CancelCall(*call);
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -27,6 +27,10 @@
 // of being sent to the same target again.
 constexpr milliseconds kMaxResendDelay{200};
 
+// A lost packet would be sent again only a second later, so waiting longer is
+// of no use.
+constexpr milliseconds kConnectTimeout{250};
+
 // A target that sends a further event has survived the first one.
 constexpr int kEventsToSurvive = 2;
 
@@ -301,6 +305,7 @@
   options.reuse =
       MayRepeat(*run.matched_route) && !attempt.has_permit && !run.trial;
   options.max_resend_delay = kMaxResendDelay;
+  options.connect_timeout = kConnectTimeout;
   options.abort = &run.abort;
   const pending_start_listing listing(run, attempt);
   ++run.sends;
--- a/waxwing/forwarded_request.h
+++ b/waxwing/forwarded_request.h
@@ -22,7 +22,7 @@
 
 inline constexpr std::string_view kForwardedHeader = "Waxwing-Forwarded";
 // Of a response: the VM has not sent the request to any target, and another VM
-// may be tried.
+// may be tried, best the one that it names (peer_choice.h).
 inline constexpr std::string_view kDeclinedHeader = "Waxwing-Declined";
 
 struct forwarded_request {
--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -144,20 +144,23 @@
                sizeof kUserTimeoutMs);
 }
 
-asio::awaitable<tl::expected<state_ptr, http_error>>
-Connect(const http_pool& pool, const endpoint& address, http_abort* abort) {
+asio::awaitable<tl::expected<state_ptr, http_error>> Connect(
+    const http_pool& pool,
+    const endpoint& address,
+    const http_call_options& options) {
   auto call = std::make_shared<detail::http_call_state>(
       beast::tcp_stream(pool.state->executor));
   call->address = address;
-  if (abort)
-    abort->call = call;
+  if (options.abort)
+    options.abort->call = call;
   beast::error_code code;
   const asio::ip::tcp::endpoint remote(
       asio::ip::make_address(address.host, code), address.port);
   if (code)
     co_return tl::unexpected(
         http_error{http_failure::kConnect, false, code.message()});
-  call->stream.expires_after(pool.state->limits.connect_timeout);
+  call->stream.expires_after(
+      options.connect_timeout.value_or(pool.state->limits.connect_timeout));
   auto [error] = co_await call->stream.async_connect(remote, kUseTuple);
   if (error)
     co_return tl::unexpected(
@@ -258,7 +261,7 @@
         co_return response;
     }
   }
-  auto connected = co_await Connect(pool, address, options.abort);
+  auto connected = co_await Connect(pool, address, options);
   if (!connected) {
     http_error error = connected.error();
     error.maybe_sent = error.maybe_sent || was_sent;
--- a/waxwing/http_client.h
+++ b/waxwing/http_client.h
@@ -80,6 +80,8 @@
   milliseconds max_resend_delay = milliseconds::max();
   // Longest response body that Fetch() accepts.
   std::size_t max_body_bytes = 64 * 1024 * 1024;
+  // Time to connect; that of the pool if it is not set.
+  std::optional<milliseconds> connect_timeout;
 };
 
 // Sends a request and reads the response header.
--- a/waxwing/target_reach.cc
+++ b/waxwing/target_reach.cc
@@ -75,6 +75,8 @@
     return;
   if (!contact.lost_since)
     contact.lost_since = started;
+  if (now - started > kLongConnect)
+    reach.unanswered_since = std::max(reach.unanswered_since, started);
   if (reach.cut_off_since)
     return;
   const service_reach count = CountInSuccession(reach, targets);
@@ -109,8 +111,10 @@
   const bool is_cut_off = reach.cut_off_since.has_value();
   const bool is_recovering = !is_cut_off && reach.recovering_since &&
                              now < *reach.recovering_since + kRecoveryTime;
+  const std::size_t needed =
+      reach.unanswered_since > reach.connected_at ? 1 : kFailuresToProbe;
   const bool is_suspected =
-      !is_cut_off && CountInSuccession(reach, targets).lost >= kFailuresToProbe;
+      !is_cut_off && CountInSuccession(reach, targets).lost >= needed;
   std::vector<std::size_t> chosen;
   std::set<std::string_view> seen_services;
   for (std::size_t i = 0; i < targets.size() && chosen.size() < count; ++i) {
--- a/waxwing/target_reach.h
+++ b/waxwing/target_reach.h
@@ -19,6 +19,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "waxwing/target_view.h"
 #include "waxwing/types.h"
@@ -29,6 +30,8 @@
 inline constexpr std::size_t kFailuresToCutOff = 4;
 // Targets that fail in succession before others are probed.
 inline constexpr std::size_t kFailuresToProbe = 2;
+// The same if a connection got no answer for this long.
+inline constexpr milliseconds kLongConnect{100};
 
 struct target_reach {
   struct contact {
@@ -41,6 +44,8 @@
   // Last successful connection to any target.
   instant connected_at;
   std::optional<instant> cut_off_since;
+  // Start of the last connection attempt without any answer.
+  instant unanswered_since;
   // End of the last cut, until the targets have been probed.
   std::optional<instant> recovering_since;
 };
