--- a/testing/target_path.cc
+++ b/testing/target_path.cc
@@ -102,7 +102,7 @@
 
 std::shared_ptr<target_path> OpenPath(asio::io_context& context,
                                       const waxwing::endpoint& target) {
-  const auto path = std::make_shared<target_path>();
+  auto path = std::make_shared<target_path>();
   path->context = &context;
   path->target = target;
   SetCut(path, path_cut::kNone);
