Read load headers with more figures than are known

Cause: ReadLoad() took exactly three figures and rejected the header as a whole otherwise, so where targets state a fourth one (how long work takes on their machine at the moment) no VM knew any reported load.

Change: figures beyond the known ones are ignored; the fourth goes into a field of its own, empty if it is absent or unreadable. A header without three readable figures is still no load.

Result: PlatformWorkers.ReadsKnownFiguresOfLoadHeaderWithMoreFigures (three, four, five, six figures, unreadable ones) fails without the change.

--- a/testing/platform_test.cc
+++ b/testing/platform_test.cc
@@ -132,6 +132,32 @@
   EXPECT_FALSE(read_head(200, {{"Instance-Load", "a,b,c"}}).current_load);
 }
 
+TEST(PlatformWorkers, ReadsKnownFiguresOfLoadHeaderWithMoreFigures) {
+  const auto read_load = [](std::string text) {
+    return ReadResponseHead({200, {{"Instance-Load", std::move(text)}}, ""})
+        .current_load;
+  };
+  const auto three = read_load("3,1,8");
+  ASSERT_TRUE(three);
+  EXPECT_FALSE(three->slowdown);
+  for (const char* text : {"3,1,8,250", "3,1,8,250,7", "3,1,8,250,x,y"}) {
+    const auto load = read_load(text);
+    ASSERT_TRUE(load) << text;
+    EXPECT_EQ(load->running, 3);
+    EXPECT_EQ(load->waiting, 1);
+    EXPECT_EQ(load->slots, 8);
+    EXPECT_DOUBLE_EQ(load->slowdown.value_or(0), 2.5) << text;
+  }
+  for (const char* text :
+       {"3,1,8,", "3,1,8,x", "3,1,8,-5", "3,1,8,0", "3,1,8,inf", "3,1,8,nan"}) {
+    const auto load = read_load(text);
+    ASSERT_TRUE(load) << text;
+    EXPECT_FALSE(load->slowdown) << text;
+  }
+  for (const char* text : {"3,,8,100", ",,,", "3,1,8x,100", ""})
+    EXPECT_FALSE(read_load(text)) << text;
+}
+
 TEST(PlatformRecords, ParsesTargetRecordWithWeights) {
   const auto read = ReadTargetRecord(
       "i-1",
--- a/waxwing/adapter.h
+++ b/waxwing/adapter.h
@@ -133,6 +133,9 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    // Time that work takes on the target's machine at the moment, relative to
+    // the usual one. Empty if the target does not state it.
+    std::optional<double> slowdown;
   };
   std::optional<load> current_load;
   std::optional<std::int64_t> weights_version;
