Limit the work of client accounts over all VMs

Change: one VM an account, the limiter, keeps the account's token bucket; each request of an account with a limit is charged there before it is sent. Over the limit: 429 with the time to return. What no target ran is returned. A substitute and, alone, each VM itself decide at a part of the rate while the limiter does not respond. Amounts are tokens or requests, as the configuration says.

--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -168,6 +168,18 @@
 struct stream_replyBuilder;
 struct stream_replyT;
 
+struct charge_request;
+struct charge_requestBuilder;
+struct charge_requestT;
+
+struct charge_response;
+struct charge_responseBuilder;
+struct charge_responseT;
+
+struct charge_refund;
+struct charge_refundBuilder;
+struct charge_refundT;
+
 struct frame;
 struct frameBuilder;
 struct frameT;
@@ -205,11 +217,14 @@
   stream_record = 29,
   stream_query = 30,
   stream_reply = 31,
+  charge_request = 32,
+  charge_response = 33,
+  charge_refund = 34,
   MIN = NONE,
-  MAX = stream_reply
+  MAX = charge_refund
 };
 
-inline const message (&EnumValuesmessage())[32] {
+inline const message (&EnumValuesmessage())[35] {
   static const message values[] = {
     message::NONE,
     message::challenge,
@@ -242,13 +257,16 @@
     message::trial_end,
     message::stream_record,
     message::stream_query,
-    message::stream_reply
+    message::stream_reply,
+    message::charge_request,
+    message::charge_response,
+    message::charge_refund
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[33] = {
+  static const char * const names[36] = {
     "NONE",
     "challenge",
     "hello",
@@ -281,13 +299,16 @@
     "stream_record",
     "stream_query",
     "stream_reply",
+    "charge_request",
+    "charge_response",
+    "charge_refund",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::stream_reply)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::charge_refund)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -420,6 +441,18 @@
   static const message enum_value = message::stream_reply;
 };
 
+template<> struct messageTraits<waxwing::wire::charge_request> {
+  static const message enum_value = message::charge_request;
+};
+
+template<> struct messageTraits<waxwing::wire::charge_response> {
+  static const message enum_value = message::charge_response;
+};
+
+template<> struct messageTraits<waxwing::wire::charge_refund> {
+  static const message enum_value = message::charge_refund;
+};
+
 template<typename T> struct messageUnionTraits {
   static const message enum_value = message::NONE;
 };
@@ -548,6 +581,18 @@
   static const message enum_value = message::stream_reply;
 };
 
+template<> struct messageUnionTraits<waxwing::wire::charge_requestT> {
+  static const message enum_value = message::charge_request;
+};
+
+template<> struct messageUnionTraits<waxwing::wire::charge_responseT> {
+  static const message enum_value = message::charge_response;
+};
+
+template<> struct messageUnionTraits<waxwing::wire::charge_refundT> {
+  static const message enum_value = message::charge_refund;
+};
+
 struct messageUnion {
   message type;
   void *value;
@@ -826,6 +871,30 @@
     return type == message::stream_reply ?
       reinterpret_cast<const waxwing::wire::stream_replyT *>(value) : nullptr;
   }
+  waxwing::wire::charge_requestT *Ascharge_request() {
+    return type == message::charge_request ?
+      reinterpret_cast<waxwing::wire::charge_requestT *>(value) : nullptr;
+  }
+  const waxwing::wire::charge_requestT *Ascharge_request() const {
+    return type == message::charge_request ?
+      reinterpret_cast<const waxwing::wire::charge_requestT *>(value) : nullptr;
+  }
+  waxwing::wire::charge_responseT *Ascharge_response() {
+    return type == message::charge_response ?
+      reinterpret_cast<waxwing::wire::charge_responseT *>(value) : nullptr;
+  }
+  const waxwing::wire::charge_responseT *Ascharge_response() const {
+    return type == message::charge_response ?
+      reinterpret_cast<const waxwing::wire::charge_responseT *>(value) : nullptr;
+  }
+  waxwing::wire::charge_refundT *Ascharge_refund() {
+    return type == message::charge_refund ?
+      reinterpret_cast<waxwing::wire::charge_refundT *>(value) : nullptr;
+  }
+  const waxwing::wire::charge_refundT *Ascharge_refund() const {
+    return type == message::charge_refund ?
+      reinterpret_cast<const waxwing::wire::charge_refundT *>(value) : nullptr;
+  }
 };
 
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
@@ -4535,6 +4604,326 @@
 
 flatbuffers::Offset<stream_reply> Createstream_reply(flatbuffers::FlatBufferBuilder &_fbb, const stream_replyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct charge_requestT : public flatbuffers::NativeTable {
+  typedef charge_request TableType;
+  uint64_t number = 0;
+  std::string account{};
+  double amount = 0.0;
+  int64_t config_version = 0;
+  double per_second = 0.0;
+  double burst = 0.0;
+  bool is_substitute = false;
+};
+
+struct charge_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef charge_requestT NativeTableType;
+  typedef charge_requestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_ACCOUNT = 6,
+    VT_AMOUNT = 8,
+    VT_CONFIG_VERSION = 10,
+    VT_PER_SECOND = 12,
+    VT_BURST = 14,
+    VT_IS_SUBSTITUTE = 16
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *account() const {
+    return GetPointer<const flatbuffers::String *>(VT_ACCOUNT);
+  }
+  double amount() const {
+    return GetField<double>(VT_AMOUNT, 0.0);
+  }
+  int64_t config_version() const {
+    return GetField<int64_t>(VT_CONFIG_VERSION, 0);
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  double burst() const {
+    return GetField<double>(VT_BURST, 0.0);
+  }
+  bool is_substitute() const {
+    return GetField<uint8_t>(VT_IS_SUBSTITUTE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_ACCOUNT) &&
+           verifier.VerifyString(account()) &&
+           VerifyField<double>(verifier, VT_AMOUNT, 8) &&
+           VerifyField<int64_t>(verifier, VT_CONFIG_VERSION, 8) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<double>(verifier, VT_BURST, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_SUBSTITUTE, 1) &&
+           verifier.EndTable();
+  }
+  charge_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(charge_requestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<charge_request> Pack(flatbuffers::FlatBufferBuilder &_fbb, const charge_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct charge_requestBuilder {
+  typedef charge_request Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(charge_request::VT_NUMBER, number, 0);
+  }
+  void add_account(flatbuffers::Offset<flatbuffers::String> account) {
+    fbb_.AddOffset(charge_request::VT_ACCOUNT, account);
+  }
+  void add_amount(double amount) {
+    fbb_.AddElement<double>(charge_request::VT_AMOUNT, amount, 0.0);
+  }
+  void add_config_version(int64_t config_version) {
+    fbb_.AddElement<int64_t>(charge_request::VT_CONFIG_VERSION, config_version, 0);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(charge_request::VT_PER_SECOND, per_second, 0.0);
+  }
+  void add_burst(double burst) {
+    fbb_.AddElement<double>(charge_request::VT_BURST, burst, 0.0);
+  }
+  void add_is_substitute(bool is_substitute) {
+    fbb_.AddElement<uint8_t>(charge_request::VT_IS_SUBSTITUTE, static_cast<uint8_t>(is_substitute), 0);
+  }
+  explicit charge_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<charge_request> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<charge_request>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<charge_request> Createcharge_request(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> account = 0,
+    double amount = 0.0,
+    int64_t config_version = 0,
+    double per_second = 0.0,
+    double burst = 0.0,
+    bool is_substitute = false) {
+  charge_requestBuilder builder_(_fbb);
+  builder_.add_burst(burst);
+  builder_.add_per_second(per_second);
+  builder_.add_config_version(config_version);
+  builder_.add_amount(amount);
+  builder_.add_number(number);
+  builder_.add_account(account);
+  builder_.add_is_substitute(is_substitute);
+  return builder_.Finish();
+}
+
+struct charge_request::Traits {
+  using type = charge_request;
+  static auto constexpr Create = Createcharge_request;
+};
+
+inline flatbuffers::Offset<charge_request> Createcharge_requestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *account = nullptr,
+    double amount = 0.0,
+    int64_t config_version = 0,
+    double per_second = 0.0,
+    double burst = 0.0,
+    bool is_substitute = false) {
+  auto account__ = account ? _fbb.CreateString(account) : 0;
+  return waxwing::wire::Createcharge_request(
+      _fbb,
+      number,
+      account__,
+      amount,
+      config_version,
+      per_second,
+      burst,
+      is_substitute);
+}
+
+flatbuffers::Offset<charge_request> Createcharge_request(flatbuffers::FlatBufferBuilder &_fbb, const charge_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct charge_responseT : public flatbuffers::NativeTable {
+  typedef charge_response TableType;
+  uint64_t number = 0;
+  bool is_decided = false;
+  int32_t wait_ms = -1;
+};
+
+struct charge_response FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef charge_responseT NativeTableType;
+  typedef charge_responseBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_IS_DECIDED = 6,
+    VT_WAIT_MS = 8
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool is_decided() const {
+    return GetField<uint8_t>(VT_IS_DECIDED, 0) != 0;
+  }
+  int32_t wait_ms() const {
+    return GetField<int32_t>(VT_WAIT_MS, -1);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_DECIDED, 1) &&
+           VerifyField<int32_t>(verifier, VT_WAIT_MS, 4) &&
+           verifier.EndTable();
+  }
+  charge_responseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(charge_responseT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<charge_response> Pack(flatbuffers::FlatBufferBuilder &_fbb, const charge_responseT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct charge_responseBuilder {
+  typedef charge_response Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(charge_response::VT_NUMBER, number, 0);
+  }
+  void add_is_decided(bool is_decided) {
+    fbb_.AddElement<uint8_t>(charge_response::VT_IS_DECIDED, static_cast<uint8_t>(is_decided), 0);
+  }
+  void add_wait_ms(int32_t wait_ms) {
+    fbb_.AddElement<int32_t>(charge_response::VT_WAIT_MS, wait_ms, -1);
+  }
+  explicit charge_responseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<charge_response> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<charge_response>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<charge_response> Createcharge_response(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool is_decided = false,
+    int32_t wait_ms = -1) {
+  charge_responseBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_wait_ms(wait_ms);
+  builder_.add_is_decided(is_decided);
+  return builder_.Finish();
+}
+
+struct charge_response::Traits {
+  using type = charge_response;
+  static auto constexpr Create = Createcharge_response;
+};
+
+flatbuffers::Offset<charge_response> Createcharge_response(flatbuffers::FlatBufferBuilder &_fbb, const charge_responseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct charge_refundT : public flatbuffers::NativeTable {
+  typedef charge_refund TableType;
+  std::string account{};
+  double amount = 0.0;
+  bool is_substitute = false;
+};
+
+struct charge_refund FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef charge_refundT NativeTableType;
+  typedef charge_refundBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ACCOUNT = 4,
+    VT_AMOUNT = 6,
+    VT_IS_SUBSTITUTE = 8
+  };
+  const flatbuffers::String *account() const {
+    return GetPointer<const flatbuffers::String *>(VT_ACCOUNT);
+  }
+  double amount() const {
+    return GetField<double>(VT_AMOUNT, 0.0);
+  }
+  bool is_substitute() const {
+    return GetField<uint8_t>(VT_IS_SUBSTITUTE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ACCOUNT) &&
+           verifier.VerifyString(account()) &&
+           VerifyField<double>(verifier, VT_AMOUNT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_SUBSTITUTE, 1) &&
+           verifier.EndTable();
+  }
+  charge_refundT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(charge_refundT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<charge_refund> Pack(flatbuffers::FlatBufferBuilder &_fbb, const charge_refundT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct charge_refundBuilder {
+  typedef charge_refund Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_account(flatbuffers::Offset<flatbuffers::String> account) {
+    fbb_.AddOffset(charge_refund::VT_ACCOUNT, account);
+  }
+  void add_amount(double amount) {
+    fbb_.AddElement<double>(charge_refund::VT_AMOUNT, amount, 0.0);
+  }
+  void add_is_substitute(bool is_substitute) {
+    fbb_.AddElement<uint8_t>(charge_refund::VT_IS_SUBSTITUTE, static_cast<uint8_t>(is_substitute), 0);
+  }
+  explicit charge_refundBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<charge_refund> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<charge_refund>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<charge_refund> Createcharge_refund(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> account = 0,
+    double amount = 0.0,
+    bool is_substitute = false) {
+  charge_refundBuilder builder_(_fbb);
+  builder_.add_amount(amount);
+  builder_.add_account(account);
+  builder_.add_is_substitute(is_substitute);
+  return builder_.Finish();
+}
+
+struct charge_refund::Traits {
+  using type = charge_refund;
+  static auto constexpr Create = Createcharge_refund;
+};
+
+inline flatbuffers::Offset<charge_refund> Createcharge_refundDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *account = nullptr,
+    double amount = 0.0,
+    bool is_substitute = false) {
+  auto account__ = account ? _fbb.CreateString(account) : 0;
+  return waxwing::wire::Createcharge_refund(
+      _fbb,
+      account__,
+      amount,
+      is_substitute);
+}
+
+flatbuffers::Offset<charge_refund> Createcharge_refund(flatbuffers::FlatBufferBuilder &_fbb, const charge_refundT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct frameT : public flatbuffers::NativeTable {
   typedef frame TableType;
   waxwing::wire::messageUnion message{};
@@ -4648,6 +5037,15 @@
   const waxwing::wire::stream_reply *message_as_stream_reply() const {
     return message_type() == waxwing::wire::message::stream_reply ? static_cast<const waxwing::wire::stream_reply *>(message()) : nullptr;
   }
+  const waxwing::wire::charge_request *message_as_charge_request() const {
+    return message_type() == waxwing::wire::message::charge_request ? static_cast<const waxwing::wire::charge_request *>(message()) : nullptr;
+  }
+  const waxwing::wire::charge_response *message_as_charge_response() const {
+    return message_type() == waxwing::wire::message::charge_response ? static_cast<const waxwing::wire::charge_response *>(message()) : nullptr;
+  }
+  const waxwing::wire::charge_refund *message_as_charge_refund() const {
+    return message_type() == waxwing::wire::message::charge_refund ? static_cast<const waxwing::wire::charge_refund *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -4784,6 +5182,18 @@
   return message_as_stream_reply();
 }
 
+template<> inline const waxwing::wire::charge_request *frame::message_as<waxwing::wire::charge_request>() const {
+  return message_as_charge_request();
+}
+
+template<> inline const waxwing::wire::charge_response *frame::message_as<waxwing::wire::charge_response>() const {
+  return message_as_charge_response();
+}
+
+template<> inline const waxwing::wire::charge_refund *frame::message_as<waxwing::wire::charge_refund>() const {
+  return message_as_charge_refund();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -6206,6 +6616,114 @@
       _sole_build);
 }
 
+inline charge_requestT *charge_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<charge_requestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void charge_request::UnPackTo(charge_requestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = account(); if (_e) _o->account = _e->str(); }
+  { auto _e = amount(); _o->amount = _e; }
+  { auto _e = config_version(); _o->config_version = _e; }
+  { auto _e = per_second(); _o->per_second = _e; }
+  { auto _e = burst(); _o->burst = _e; }
+  { auto _e = is_substitute(); _o->is_substitute = _e; }
+}
+
+inline flatbuffers::Offset<charge_request> charge_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const charge_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcharge_request(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<charge_request> Createcharge_request(flatbuffers::FlatBufferBuilder &_fbb, const charge_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const charge_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _account = _o->account.empty() ? 0 : _fbb.CreateString(_o->account);
+  auto _amount = _o->amount;
+  auto _config_version = _o->config_version;
+  auto _per_second = _o->per_second;
+  auto _burst = _o->burst;
+  auto _is_substitute = _o->is_substitute;
+  return waxwing::wire::Createcharge_request(
+      _fbb,
+      _number,
+      _account,
+      _amount,
+      _config_version,
+      _per_second,
+      _burst,
+      _is_substitute);
+}
+
+inline charge_responseT *charge_response::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<charge_responseT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void charge_response::UnPackTo(charge_responseT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = is_decided(); _o->is_decided = _e; }
+  { auto _e = wait_ms(); _o->wait_ms = _e; }
+}
+
+inline flatbuffers::Offset<charge_response> charge_response::Pack(flatbuffers::FlatBufferBuilder &_fbb, const charge_responseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcharge_response(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<charge_response> Createcharge_response(flatbuffers::FlatBufferBuilder &_fbb, const charge_responseT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const charge_responseT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _is_decided = _o->is_decided;
+  auto _wait_ms = _o->wait_ms;
+  return waxwing::wire::Createcharge_response(
+      _fbb,
+      _number,
+      _is_decided,
+      _wait_ms);
+}
+
+inline charge_refundT *charge_refund::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<charge_refundT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void charge_refund::UnPackTo(charge_refundT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = account(); if (_e) _o->account = _e->str(); }
+  { auto _e = amount(); _o->amount = _e; }
+  { auto _e = is_substitute(); _o->is_substitute = _e; }
+}
+
+inline flatbuffers::Offset<charge_refund> charge_refund::Pack(flatbuffers::FlatBufferBuilder &_fbb, const charge_refundT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createcharge_refund(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<charge_refund> Createcharge_refund(flatbuffers::FlatBufferBuilder &_fbb, const charge_refundT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const charge_refundT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _account = _o->account.empty() ? 0 : _fbb.CreateString(_o->account);
+  auto _amount = _o->amount;
+  auto _is_substitute = _o->is_substitute;
+  return waxwing::wire::Createcharge_refund(
+      _fbb,
+      _account,
+      _amount,
+      _is_substitute);
+}
+
 inline frameT *frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<frameT>();
   UnPackTo(_o.get(), _resolver);
@@ -6364,6 +6882,18 @@
       auto ptr = reinterpret_cast<const waxwing::wire::stream_reply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::charge_request: {
+      auto ptr = reinterpret_cast<const waxwing::wire::charge_request *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::charge_response: {
+      auto ptr = reinterpret_cast<const waxwing::wire::charge_response *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case message::charge_refund: {
+      auto ptr = reinterpret_cast<const waxwing::wire::charge_refund *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6507,6 +7037,18 @@
       auto ptr = reinterpret_cast<const waxwing::wire::stream_reply *>(obj);
       return ptr->UnPack(resolver);
     }
+    case message::charge_request: {
+      auto ptr = reinterpret_cast<const waxwing::wire::charge_request *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::charge_response: {
+      auto ptr = reinterpret_cast<const waxwing::wire::charge_response *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case message::charge_refund: {
+      auto ptr = reinterpret_cast<const waxwing::wire::charge_refund *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6638,6 +7180,18 @@
       auto ptr = reinterpret_cast<const waxwing::wire::stream_replyT *>(value);
       return Createstream_reply(_fbb, ptr, _rehasher).Union();
     }
+    case message::charge_request: {
+      auto ptr = reinterpret_cast<const waxwing::wire::charge_requestT *>(value);
+      return Createcharge_request(_fbb, ptr, _rehasher).Union();
+    }
+    case message::charge_response: {
+      auto ptr = reinterpret_cast<const waxwing::wire::charge_responseT *>(value);
+      return Createcharge_response(_fbb, ptr, _rehasher).Union();
+    }
+    case message::charge_refund: {
+      auto ptr = reinterpret_cast<const waxwing::wire::charge_refundT *>(value);
+      return Createcharge_refund(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6768,6 +7322,18 @@
       value = new waxwing::wire::stream_replyT(*reinterpret_cast<waxwing::wire::stream_replyT *>(u.value));
       break;
     }
+    case message::charge_request: {
+      value = new waxwing::wire::charge_requestT(*reinterpret_cast<waxwing::wire::charge_requestT *>(u.value));
+      break;
+    }
+    case message::charge_response: {
+      value = new waxwing::wire::charge_responseT(*reinterpret_cast<waxwing::wire::charge_responseT *>(u.value));
+      break;
+    }
+    case message::charge_refund: {
+      value = new waxwing::wire::charge_refundT(*reinterpret_cast<waxwing::wire::charge_refundT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6930,6 +7496,21 @@
       delete ptr;
       break;
     }
+    case message::charge_request: {
+      auto ptr = reinterpret_cast<waxwing::wire::charge_requestT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::charge_response: {
+      auto ptr = reinterpret_cast<waxwing::wire::charge_responseT *>(value);
+      delete ptr;
+      break;
+    }
+    case message::charge_refund: {
+      auto ptr = reinterpret_cast<waxwing::wire::charge_refundT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/testing/platform_test.cc
+++ b/testing/platform_test.cc
@@ -188,5 +188,29 @@
   EXPECT_TRUE(read->account_of_key.at("k").is_isolated);
 }
 
+TEST(PlatformRecords, ParsesAccountLimits) {
+  const auto read = ReadConfig(
+      R"({"version":1,"tenants":[
+          {"name":"a","api_keys":["k"],"unit":"tokens","plain_tokens":200,
+           "rate_per_s":500.5,"burst":900},
+          {"name":"b","api_keys":["l"],"rate_per_s":3,"burst":2},
+          {"name":"c","api_keys":["m"],"rate_per_s":0,"burst":2},
+          {"name":"d","api_keys":["n"]}]})");
+  ASSERT_TRUE(read) << read.error();
+  EXPECT_EQ(read->account_of_key.at("k").limit,
+            (account_limit{500.5, 900, true, 200}));
+  EXPECT_EQ(read->account_of_key.at("l").limit,
+            (account_limit{3, 2, false, 1}));
+  EXPECT_FALSE(read->account_of_key.at("m").limit);
+  EXPECT_FALSE(read->account_of_key.at("n").limit);
+  EXPECT_EQ(read->limits_by_account.size(), 2u);
+}
+
+TEST(PlatformRecords, RejectsConfigurationWithInvalidAccountLimit) {
+  EXPECT_FALSE(ReadConfig(
+      R"({"version":1,"tenants":[{"name":"a","api_keys":["k"],
+          "rate_per_s":"many"}]})"));
+}
+
 }  // namespace
 }  // namespace waxwing::platform
--- a/waxwing/agent_links.cc
+++ b/waxwing/agent_links.cc
@@ -131,7 +131,10 @@
          type == wire::message::trial_end ||
          type == wire::message::stream_record ||
          type == wire::message::stream_query ||
-         type == wire::message::stream_reply;
+         type == wire::message::stream_reply ||
+         type == wire::message::charge_request ||
+         type == wire::message::charge_response ||
+         type == wire::message::charge_refund;
 }
 
 void HandleAgentFrame(agent_state& state,
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -65,6 +65,8 @@
        {"resumes", run.request.resumed_request},
        {"resume_after", ResumePoint(run)},
        {"route", run.matched_route ? run.matched_route->name : std::string()},
+       {"account", run.account.name},
+       {"retry_ms", retry_after ? ToMs(*retry_after) : -1},
        {"config", run.table->version},
        {"sends", run.sends}});
   http_response response = run.state->protocol.write_error_response(
@@ -441,10 +443,18 @@
       co_await Refuse(run, 503, "unknown_stream", RetryAfter(run));
     co_return;
   }
+  if (const auto refused = co_await ChargeAccount(run)) {
+    if (!run.caller_gone)
+      co_await Refuse(run, refused->status, refused->reason,
+                      refused->retry_after);
+    co_return;
+  }
   run.fingerprint = FingerprintOf(run);
   PreparePrompt(run);
   FindSuspectKeys(run);
   const forward_outcome outcome = co_await RunWithRetries(run);
+  if (run.possible_runs == 0)
+    RefundCharge(run);
   ForgetRunningStream(run);
   LogOutcome(run, outcome);
   Observe(state->stats, "waxwing_request_seconds",
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -255,6 +255,12 @@
           HandleStreamQuery(*locked, link, *query);
         else if (const auto* reply = message.Asstream_reply())
           HandleStreamReply(*locked, *reply);
+        else if (const auto* charge = message.Ascharge_request())
+          HandleChargeRequest(*locked, link, *charge);
+        else if (const auto* charged = message.Ascharge_response())
+          HandleChargeResponse(*locked, *charged);
+        else if (const auto* refund = message.Ascharge_refund())
+          HandleChargeRefund(*locked, *refund);
         else
           HandleSuspectMessage(*locked, link, message);
       };
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -42,6 +42,14 @@
   std::vector<suspect_key> keys;
 };
 
+// What a request has been charged to its account, and which VM keeps the
+// bucket.
+struct account_charge {
+  std::string vm;
+  charge_role role = charge_role::kLimiter;
+  double amount = 0;
+};
+
 // A request of a caller while it is being forwarded.
 struct forward_run {
   entry_ptr state;
@@ -61,6 +69,7 @@
   // Targets that ended while they may have been running this request.
   int ends_in_doubt = 0;
   std::optional<send_refusal> refused;
+  std::optional<account_charge> charge;
   prefix_chain chain;
   // The prompt's segments with their cache keys, by weights version.
   std::map<std::string, std::vector<cached_segment>, std::less<>>
@@ -245,6 +254,21 @@
 boost::asio::awaitable<std::optional<target_choice>> ChoosePermittedTarget(
     forward_run& run);
 
+// --- entry_accounts.cc
+
+// Charges the request to its account, if that has a limit. Returns why the
+// request is refused, if it is.
+struct charge_refusal {
+  unsigned status = 0;
+  std::string_view reason;
+  duration retry_after{};
+};
+boost::asio::awaitable<std::optional<charge_refusal>> ChargeAccount(
+    forward_run& run);
+
+// Returns the charge of a request that has not run.
+void RefundCharge(forward_run& run);
+
 // --- entry_suspects.cc
 
 // Determines what the request has in common with others.
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "waxwing/account_limits.h"
 #include "waxwing/agent.h"
 #include "waxwing/cache_map.h"
 #include "waxwing/cache_saves.h"
@@ -240,6 +241,29 @@
       : wakeup(executor) {}
 };
 
+// A coroutine that waits for the response of an account's limiter. Owned by the
+// coroutine frame.
+struct charge_waiter {
+  boost::asio::steady_timer wakeup;
+  // Empty if the limiter has not decided.
+  std::optional<charge_decision> decision;
+
+  explicit charge_waiter(boost::asio::any_io_executor executor)
+      : wakeup(executor) {}
+};
+
+// Limits of accounts: the buckets that this VM keeps in each role, by account,
+// and its requests to other VMs.
+struct account_charges {
+  std::map<charge_role, std::map<std::string, account_bucket, std::less<>>>
+      buckets;
+  // By number of the request.
+  std::map<std::uint64_t, charge_waiter*> waiters;
+  std::uint64_t next_number = 1;
+  // VMs that have not responded are not asked before this time.
+  std::map<std::string, instant, std::less<>> silent_until;
+};
+
 struct entry_state {
   explicit entry_state(boost::asio::any_io_executor e)
       : executor(e), probes_due(e) {}
@@ -309,6 +333,7 @@
   // By number of the request for the permit.
   std::map<std::uint64_t, permit_waiter*> permit_waiters;
   std::uint64_t next_permit_number = 1;
+  account_charges charges;
   suspect_table suspects;
   std::set<const doubtful_attempt*> doubtful_attempts;
   // By target.
@@ -467,6 +492,20 @@
 void HandlePermitResponse(entry_state& state,
                           const wire::permit_responseT& response);
 
+// --- entry_accounts.cc
+
+// Drops the buckets of accounts that have no limit any more.
+void UpdateAccountLimits(entry_state& state);
+
+// Handle a VM's request to charge an account, the response to one of this VM,
+// and the return of a charge.
+void HandleChargeRequest(entry_state& state,
+                         const peer_link& link,
+                         const wire::charge_requestT& request);
+void HandleChargeResponse(entry_state& state,
+                          const wire::charge_responseT& response);
+void HandleChargeRefund(entry_state& state, const wire::charge_refundT& refund);
+
 // --- entry_suspects.cc
 
 // Handles a message of a peer about ends, survivals, holds or trials.
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -77,6 +77,7 @@
   SetLimits(state.caller_server, limits);
   UpdateCacheStores(state);
   UpdateResumableServices(state);
+  UpdateAccountLimits(state);
   LogInfo("config_in_force", {{"version", state.table->version},
                               {"revision", object.revision},
                               {"services", state.table->services.size()},
--- a/waxwing/membership.cc
+++ b/waxwing/membership.cc
@@ -164,7 +164,8 @@
 
 std::string ChooseVmForTask(const membership& table,
                             std::string_view key,
-                            std::string_view zone) {
+                            std::string_view zone,
+                            std::string_view absent) {
   const std::uint64_t hash = Hash64(key);
   const member* best = nullptr;
   const auto weight = [&](const member& m) {
@@ -174,7 +175,8 @@
   for (const auto& [vm, record] : table.members) {
     const bool is_candidate = record.data.status == member_status::kAlive ||
                               record.data.status == member_status::kLeaving;
-    if (is_candidate && (!best || weight(record.data) > weight(*best)))
+    if (is_candidate && vm != absent &&
+        (!best || weight(record.data) > weight(*best)))
       best = &record.data;
   }
   return best ? best->vm : std::string();
--- a/waxwing/membership.h
+++ b/waxwing/membership.h
@@ -104,10 +104,11 @@
 std::uint64_t TableHash(const membership& table);
 
 // The VM that runs the task `key`: an alive or leaving VM of `zone`, or of any
-// zone if there is none. Empty if there is none at all.
+// zone if there is none, other than `absent`. Empty if there is none at all.
 std::string ChooseVmForTask(const membership& table,
                             std::string_view key,
-                            std::string_view zone);
+                            std::string_view zone,
+                            std::string_view absent = "");
 
 // At most `count` alive VMs of `zone`, best first by rendezvous hashing of
 // `key`. This VM itself always counts as alive.
--- a/waxwing/route_table.h
+++ b/waxwing/route_table.h
@@ -76,12 +76,26 @@
   double link_mbps = 0;
 };
 
+// A limit on the work of an account over all VMs: in any period at most
+// `per_second` times its length, plus `burst`.
+struct account_limit {
+  double per_second = 0;
+  double burst = 0;
+  // Requests count their tokens, or this many if they state none. Otherwise
+  // each request counts 1.
+  bool counts_tokens = false;
+  double plain_request_tokens = 0;
+
+  bool operator==(const account_limit&) const = default;
+};
+
 struct account_info {
   std::string name;
   // Replaces the route's priority.
   std::optional<int> priority;
   // Shares no cache entry with any other account.
   bool is_isolated = false;
+  std::optional<account_limit> limit;
 };
 
 // Limits on the requests of callers.
@@ -102,6 +116,8 @@
   bool has_accounts = false;
   // By account key.
   std::map<std::string, account_info, std::less<>> account_of_key;
+  // By account, of those that have one.
+  std::map<std::string, account_limit, std::less<>> limits_by_account;
   caller_limits limits;
 };
 
