Let runs finish before a load of weights if the long streams can't be resumed

Cause: each order to load weights broke off the target's running streams, on the assumption that they are resumed elsewhere.

Change: runs may finish if, by the timeouts of the service's routes, the streams that can't be resumed are the long ones.

Test: Rollout.RunsMayFinishIfTheLongStreamsCannotBeResumed.

--- a/testing/entry_policy_test.cc
+++ b/testing/entry_policy_test.cc
@@ -155,6 +155,27 @@
 }
 
 // Announcements in quick succession must not hold up the loads.
+TEST(Rollout, RunsMayFinishIfTheLongStreamsCannotBeResumed) {
+  const auto lets_finish = [](bool long_resumes, bool short_resumes) {
+    route_table table;
+    for (const auto& [timeout, can_resume] :
+         {std::pair(12'000, long_resumes), std::pair(4'000, short_resumes)}) {
+      route added;
+      added.kind = route_kind::kStream;
+      added.timeout = milliseconds(timeout);
+      added.can_resume = can_resume;
+      added.services = {{"llm", 1}};
+      AddRoute(table, added);
+    }
+    return LetsRunsFinish(table, "llm");
+  };
+  EXPECT_TRUE(lets_finish(false, true));
+  EXPECT_TRUE(lets_finish(false, false));
+  EXPECT_FALSE(lets_finish(true, false));
+  EXPECT_FALSE(lets_finish(true, true));
+  EXPECT_FALSE(LetsRunsFinish(route_table(), "llm"));
+}
+
 TEST(Rollout, LeadTimeCountsFromTheFirstNewerVersion) {
   weights_history history;
   const instant start = instant{} + seconds(100);
--- a/waxwing/entry_rollout.cc
+++ b/waxwing/entry_rollout.cc
@@ -150,16 +150,23 @@
   order.holder = state->options.vm;
   order.fence = state->lease.record.fencing_token;
   order.precondition = current->orders_accepted;
-  order.load_mode = weights_load_mode::kAbort;
+  const auto target = state->targets.find(load.target);
+  if (target == state->targets.end())
+    co_return;
+  order.load_mode = LetsRunsFinish(*state->table, target->second.record.service)
+                        ? weights_load_mode::kDrain
+                        : weights_load_mode::kAbort;
   Count(state->stats, "waxwing_weights_orders_total");
   const order_outcome outcome = co_await state->protocol.send_weights_order(
       state->pool, load.address, order, kOrderTimeout);
-  LogInfo("weights_ordered", {{"target", load.target},
-                              {"version", load.desired_version},
-                              {"from", current->weights_version},
-                              {"fence", order.fence},
-                              {"running", current->running},
-                              {"outcome", static_cast<int>(outcome)}});
+  LogInfo("weights_ordered",
+          {{"target", load.target},
+           {"version", load.desired_version},
+           {"from", current->weights_version},
+           {"fence", order.fence},
+           {"running", current->running},
+           {"finish", order.load_mode == weights_load_mode::kDrain},
+           {"outcome", static_cast<int>(outcome)}});
 }
 
 // Returns the rank of this VM among those that may take over the role from its
--- a/waxwing/rollout.cc
+++ b/waxwing/rollout.cc
@@ -101,6 +101,24 @@
   return outdated;
 }
 
+bool LetsRunsFinish(const route_table& table, std::string_view service) {
+  milliseconds longest_resumable{0};
+  milliseconds longest_other{0};
+  for (const auto& [host, routes] : table.routes) {
+    for (const route& entry : routes) {
+      const bool is_served = std::any_of(
+          entry.services.begin(), entry.services.end(),
+          [&](const weighted_service& to) { return to.service == service; });
+      if (!is_served || entry.kind != route_kind::kStream)
+        continue;
+      milliseconds& longest =
+          entry.can_resume ? longest_resumable : longest_other;
+      longest = std::max(longest, entry.timeout);
+    }
+  }
+  return longest_other > longest_resumable;
+}
+
 bool IsOrderDue(const rollout_progress& progress,
                 const std::string& target,
                 std::int64_t desired_version,
--- a/waxwing/rollout.h
+++ b/waxwing/rollout.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "waxwing/route_table.h"
 #include "waxwing/types.h"
 
 namespace waxwing {
@@ -96,6 +97,12 @@
     std::int64_t desired_version,
     std::size_t rounds = 1);
 
+// True if the running requests of a service's targets may finish before these
+// load other weights. Streams that are broken off are resumed elsewhere, if
+// their routes allow that. If the streams that can't be resumed are the long
+// ones, by the timeouts of their routes, too many would be lost.
+bool LetsRunsFinish(const route_table& table, std::string_view service);
+
 // The orders that the holder of the leased role has sent for one model.
 struct rollout_progress {
   struct sent_order {
