Streams are taken up at their build after all VMs have ended

Cause: where streams began was known to VMs' memory alone.

Change: while a service has had more than one build within the life of a stream, each VM keeps the builds and the origins of its running streams in the store, written when a stream begins, at most every 150 ms. A VM that finds nothing with others reads all objects.

--- a/testing/entry_fixture.h
+++ b/testing/entry_fixture.h
@@ -125,7 +125,10 @@
 struct zone_fixture : entry_fixture {
   std::vector<entry> vms;
 
-  explicit zone_fixture(std::size_t count) {
+  explicit zone_fixture(std::size_t count) { StartVms(count); }
+  ~zone_fixture() { StopVms(); }
+
+  void StartVms(std::size_t count) {
     for (std::size_t i = 0; i < count; ++i) {
       entry_options options;
       options.vm = "vm-" + std::to_string(i);
@@ -137,9 +140,10 @@
                                 platform::MakeProtocolAdapter()));
     }
   }
-  ~zone_fixture() {
+  void StopVms() {
     for (entry& vm : vms)
       StopEntry(vm);
+    vms.clear();
   }
 
   bool IsZoneWatcher(const entry& vm) const {
--- a/waxwing/adapter.h
+++ b/waxwing/adapter.h
@@ -271,7 +271,14 @@
 };
 
 // The kinds of objects that the entry reads and writes.
-enum class object_kind { kConfig, kTargets, kWeights, kLease, kHolds };
+enum class object_kind {
+  kConfig,
+  kTargets,
+  kWeights,
+  kLease,
+  kHolds,
+  kStreams,
+};
 
 // Access to the object store.
 struct object_store {
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -130,6 +130,7 @@
   Supervise(state->root, "watch_holds",
             [state] { return WatchKind(state, object_kind::kHolds); });
   Supervise(state->root, "holds", [state] { return RunHoldWriter(state); });
+  Supervise(state->root, "streams", [state] { return RunStreamWriter(state); });
   Supervise(state->root, "weights", [state] { return RunRollout(state); });
   Supervise(state->root, "caches",
             [state] { return SubscribeToCaches(state); });
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -33,6 +33,7 @@
 #include "waxwing/rollout.h"
 #include "waxwing/send_permits.h"
 #include "waxwing/store_era.h"
+#include "waxwing/stored_streams.h"
 #include "waxwing/stream_builds.h"
 #include "waxwing/supervisor.h"
 #include "waxwing/target_reach.h"
@@ -264,6 +265,20 @@
   std::map<std::string, instant, std::less<>> silent_until;
 };
 
+// What this VM keeps in the store about its streams, and what it has read of
+// the other VMs' (stored_streams.h).
+struct stream_storage {
+  // The stored object of this VM.
+  std::uint64_t revision = 0;
+  stored_streams written;
+  instant written_at;
+  // Streams of this VM's previous run.
+  std::map<stream_key, stored_stream> inherited;
+  // When the objects of all VMs were last read completely.
+  std::optional<instant> read_at;
+  bool is_reading = false;
+};
+
 struct entry_state {
   explicit entry_state(boost::asio::any_io_executor e)
       : executor(e), probes_due(e) {}
@@ -350,6 +365,7 @@
   // How long a stream can be taken up after it has begun.
   duration stream_lifetime{};
   stream_table stream_records;
+  stream_storage stream_store;
   // Streams that this VM has begun and that have not ended.
   std::map<stream_key, stream_record> running_streams;
   // By number of the query.
@@ -543,6 +559,16 @@
                        const wire::stream_queryT& query);
 void HandleStreamReply(entry_state& state, const wire::stream_replyT& reply);
 
+// --- entry_stored_streams.cc
+
+// Writes the origins of running streams to the store while services have
+// several builds.
+boost::asio::awaitable<void> RunStreamWriter(entry_ptr state);
+
+// Reads what all VMs have stored about their streams, unless that has been done
+// just now. Returns false if the store does not respond.
+boost::asio::awaitable<bool> ReadStoredStreamsOfAll(entry_ptr state);
+
 // --- entry_peers.cc
 
 // Record that a new connection to a target was established, or that one which
--- a/waxwing/entry_streams.cc
+++ b/waxwing/entry_streams.cc
@@ -119,8 +119,14 @@
   const bool has_changed =
       static_cast<std::uint64_t>(current.incarnation) != origin.incarnation ||
       current.build != origin.build;
-  return has_changed &&
-         record.began + kRestartNoticeDelay > listed->second.listed_at;
+  if (!has_changed)
+    return false;
+  // The VM that began the stream may not have known the target's next start,
+  // which this VM lists since its own.
+  if (record.is_stored &&
+      current.incarnation <= ToUnix(record.began) + ToMs(kMaxClockDifference))
+    return true;
+  return record.began + kRestartNoticeDelay > listed->second.listed_at;
 }
 
 // What other VMs know of a stream.
@@ -271,6 +277,45 @@
   run.state->running_streams.erase(StreamKey(run.account.name, run.request.id));
 }
 
+namespace {
+
+// What is known of the origin of a stream that is taken up.
+struct origin_findings {
+  std::optional<stream_record> record;
+  std::optional<std::string> sole_build;
+  // For logs and metrics.
+  std::string_view source;
+
+  bool IsKnown() const { return record || sole_build; }
+};
+
+// Returns what this VM knows. `only_service` is empty if the stream can be of
+// several services.
+origin_findings FindOriginHere(const entry_state& state,
+                               const stream_key& key,
+                               std::string_view only_service) {
+  if (const stream_record* known = FindStream(state.stream_records, key))
+    return {*known, std::nullopt, known->is_stored ? "store" : "own"};
+  if (!only_service.empty() && !NeedsRecordsOf(state, only_service))
+    return {std::nullopt, SoleBuildOf(state, only_service), "sole_build"};
+  return {};
+}
+
+asio::awaitable<origin_findings> AskKeepersForOrigin(entry_ptr state,
+                                                     stream_key key,
+                                                     std::string only_service) {
+  const stream_findings found = co_await AskKeepers(state, key, only_service);
+  if (found.record)
+    co_return origin_findings{found.record, std::nullopt, "keeper"};
+  origin_findings out;
+  out.source = "concluded";
+  if (!only_service.empty())
+    out.sole_build = ConcludeBuild(*state, only_service, found);
+  co_return out;
+}
+
+}  // namespace
+
 asio::awaitable<bool> FindOrigin(forward_run& run) {
   entry_state& state = *run.state;
   const stream_key key =
@@ -279,24 +324,16 @@
       run.matched_route->services.size() == 1
           ? std::string_view(run.matched_route->services.front().service)
           : std::string_view();
-  std::optional<stream_record> record;
-  std::optional<std::string> sole_build;
-  std::string_view source = "own";
-  if (const stream_record* known = FindStream(state.stream_records, key)) {
-    record = *known;
-  } else if (!only_service.empty() && !NeedsRecordsOf(state, only_service)) {
-    sole_build = SoleBuildOf(state, only_service);
-    source = "sole_build";
-  } else {
-    const stream_findings findings =
-        co_await AskKeepers(run.state, key, std::string(only_service));
-    record = findings.record;
-    source = "keeper";
-    if (!record && !only_service.empty()) {
-      sole_build = ConcludeBuild(state, only_service, findings);
-      source = "concluded";
-    }
+  origin_findings found = FindOriginHere(state, key, only_service);
+  if (!found.IsKnown())
+    found =
+        co_await AskKeepersForOrigin(run.state, key, std::string(only_service));
+  if (!found.IsKnown() && co_await ReadStoredStreamsOfAll(run.state)) {
+    found = FindOriginHere(state, key, only_service);
+    if (!found.IsKnown() && !only_service.empty())
+      found = {std::nullopt, SoleBuildOf(state, only_service), "store"};
   }
+  const auto& [record, sole_build, source] = found;
   if (record && !IsInDoubt(state, *record)) {
     run.origin = record->origin;
     if (RecordStream(state.stream_records, key, *record, SuspendAwareNow()))
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -48,6 +48,8 @@
       return "lease";
     case object_kind::kHolds:
       return "holds";
+    case object_kind::kStreams:
+      return "streams";
   }
   return "unknown";
 }
--- a/waxwing/stream_builds.cc
+++ b/waxwing/stream_builds.cc
@@ -86,6 +86,20 @@
   }
 }
 
+void AddUsedBuild(build_history& history,
+                  const std::string& build,
+                  instant last_listed) {
+  known_build used;
+  used.usable_since = instant::min();
+  used.possible_since = instant::min();
+  used.last_listed = last_listed;
+  const auto [known, is_new] = history.builds.emplace(build, used);
+  if (is_new)
+    return;
+  known->second.possible_since = instant::min();
+  known->second.last_listed = std::max(known->second.last_listed, last_listed);
+}
+
 std::optional<std::string> SoleBuild(const build_history& history,
                                      std::optional<instant> complete_until,
                                      duration stream_lifetime,
--- a/waxwing/stream_builds.h
+++ b/waxwing/stream_builds.h
@@ -112,6 +112,12 @@
                    duration stream_lifetime,
                    instant now);
 
+// Adds a build at which other VMs have begun streams, and which they last saw
+// at `last_listed`.
+void AddUsedBuild(build_history& history,
+                  const std::string& build,
+                  instant last_listed);
+
 // Returns the build at which every stream that may still be taken up was begun,
 // if there is only one. The list of targets is complete until
 // `complete_until`.
@@ -140,6 +146,8 @@
   // one with the higher attempt counts.
   std::uint32_t attempt = 0;
   instant began;
+  // Read from the store after the VM that began the stream had ended.
+  bool is_stored = false;
 };
 
 // Beyond this number, the oldest records are dropped.
--- a/waxwing/types.h
+++ b/waxwing/types.h
@@ -59,6 +59,16 @@
   return std::chrono::duration_cast<milliseconds>(d).count();
 }
 
+// Returns the wall-clock time of a result of SuspendAwareNow(), and the reverse
+// for a time that is not in the future.
+inline unix_ms ToUnix(instant time) {
+  return UnixNow() - ToMs(SuspendAwareNow() - time);
+}
+inline instant FromUnix(unix_ms time) {
+  const unix_ms age = UnixNow() - time;
+  return SuspendAwareNow() - milliseconds(age > 0 ? age : 0);
+}
+
 inline double ToSeconds(duration d) {
   return std::chrono::duration<double>(d).count();
 }
