A target can't decline a request in place of a VM

Cause: a VM that has forwarded a request takes a declining header of the response for the other VM's statement that no target has got the request, and tries a third one.

Change: a VM that serves a forwarded request drops that header of its target.

Result: VmsWithoutTargets.TargetCannotDeclineInPlaceOfAVm failed before (requests arrive several times, the caller gets no 200) and passes.

--- a/testing/vm_without_targets_test.cc
+++ b/testing/vm_without_targets_test.cc
@@ -202,6 +202,24 @@
   EXPECT_EQ(f.Arrivals(), arrivals);
 }
 
+TEST(VmsWithoutTargets, TargetCannotDeclineInPlaceOfAVm) {
+  cut_fixture f(3);
+  f.Cut(0, path_cut::kResetting);
+  f.ServedOf(0, milliseconds(500));
+  for (const auto& target : f.targets)
+    target->script = [](const http_request& request) {
+      return scripted_response{{PlainResponse(200, IdOf(request), "body",
+                                              "waxwing-declined: -\r\n")}};
+    };
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "r" + std::to_string(f.next_id);
+    const auto response = f.SendTo(0, kNonIdempotentPath);
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200u) << id;
+    EXPECT_EQ(f.Arrivals()[id], 1) << id;
+  }
+}
+
 TEST(VmsWithoutTargets, ForwardedRequestIsCancelledWhenItsCallerLeaves) {
   cut_fixture f(2);
   f.Cut(0, path_cut::kResetting);
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -6,6 +6,7 @@
 // resumed.
 
 #include <boost/asio.hpp>
+#include <boost/beast/core/string.hpp>
 
 #include "waxwing/entry_run.h"
 #include "waxwing/log.h"
@@ -90,13 +91,27 @@
   return forward_outcome::kBroken;
 }
 
+namespace {
+
+// Returns the headers of a target's response that are passed on. A VM that
+// forwarded the request would take a declining header for this VM's own.
+http_headers RelayedHeaders(const forward_run& run, const http_call& call) {
+  http_headers out =
+      run.state->protocol.filter_response_headers(call.head.headers);
+  if (run.forwarded)
+    std::erase_if(out, [](const http_header& header) {
+      return boost::beast::iequals(header.name, kDeclinedHeader);
+    });
+  return out;
+}
+
+}  // namespace
+
 asio::awaitable<bool> DeliverHead(forward_run& run, const http_call& call) {
   run.stream_started = true;
   run.time_to_first_byte = std::chrono::steady_clock::now() - run.arrived;
   Observe(run.state->stats, "waxwing_ttft_seconds", *run.time_to_first_byte);
-  http_response head{
-      call.head.status,
-      run.state->protocol.filter_response_headers(call.head.headers), ""};
+  http_response head{call.head.status, RelayedHeaders(run, call), ""};
   co_return co_await BeginStream(run.exchange, std::move(head));
 }
 
@@ -135,8 +150,7 @@
                                                http_call& call) {
   http_response response;
   response.status = call.head.status;
-  response.headers =
-      run.state->protocol.filter_response_headers(call.head.headers);
+  response.headers = RelayedHeaders(run, call);
   held_bytes held(*run.state);
   while (true) {
     const bool is_late = IsPastDeadline(run);
