Streams that callers take up are sent before new requests

Cause: the origins of all 14 were known, but at a full window the newest request goes first, and what is late by what arrives is refused; the streams had come in one moment and were refused after half a second for new requests.

Change: a request that continues a stream goes first, and is not refused for what may arrive: its caller would lose what it has, and what was read for it.

Result: Pacing.StreamsThatAreTakenUpGoFirstAndAreNotRefusedForNewOnes failed before.

--- a/testing/entry_policy_test.cc
+++ b/testing/entry_policy_test.cc
@@ -670,6 +670,24 @@
   EXPECT_TRUE(HasCapacity(window, 50'000));
 }
 
+TEST(Pacing, StreamsThatAreTakenUpGoFirstAndAreNotRefusedForNewOnes) {
+  const instant now = instant{} + seconds(100);
+  prefill_window window;
+  window.size = 10'000;
+  RecordArrival(window, 60'000, now);
+  const queued_request late{1'000, 0, now - seconds(1), now - milliseconds(1),
+                            now + seconds(1)};
+  queued_request taken_up = late;
+  taken_up.is_continuation = true;
+  const std::vector<queued_request> waiting{
+      {1'000, 0, now, now + milliseconds(300), now + seconds(2)},
+      late,
+      taken_up};
+  EXPECT_EQ(PickNextRequest(window, waiting, now), 2u);
+  EXPECT_EQ(FindUndispatchable(window, waiting, now),
+            std::vector<std::size_t>{1});
+}
+
 TEST(Pacing, RequestsThatCanMeetTheirObjectiveGoFirst) {
   const instant now = instant{} + seconds(100);
   const std::vector<queued_request> waiting{
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -221,6 +221,7 @@
   out.tokens = TokensToPrefill({run.chain.tokens, run.chain.head_tokens, 0, 0},
                                expected);
   out.priority = run.account.priority.value_or(run.matched_route->priority);
+  out.is_continuation = IsTakenUp(run);
   out.arrived = run.arrived;
   out.objective_deadline = run.arrived + run.matched_route->latency_objective;
   const duration patience = std::max<duration>(
--- a/waxwing/pacing.cc
+++ b/waxwing/pacing.cc
@@ -117,8 +117,9 @@
   const bool is_late = IsLate(window, request, now);
   const duration age_rank =
       is_late ? duration{} : duration{} - request.arrived.time_since_epoch();
-  return std::tuple(is_late, age_rank, request.objective_deadline,
-                    request.priority, request.arrived);
+  return std::tuple(!request.is_continuation, is_late, age_rank,
+                    request.objective_deadline, request.priority,
+                    request.arrived);
 }
 
 // Tokens that the engines prefill for this VM per second.
@@ -165,8 +166,9 @@
   std::vector<std::size_t> out;
   double tokens_ahead = 0;
   for (const std::size_t i : order) {
-    const double rate =
-        DispatchRate(window) - (IsLate(window, waiting[i], now) ? arriving : 0);
+    const bool is_behind =
+        !waiting[i].is_continuation && IsLate(window, waiting[i], now);
+    const double rate = DispatchRate(window) - (is_behind ? arriving : 0);
     const bool is_hopeless =
         rate <= 0 || IsPastDispatchDeadline(
                          waiting[i], now + FromSeconds(tokens_ahead / rate));
--- a/waxwing/pacing.h
+++ b/waxwing/pacing.h
@@ -57,6 +57,8 @@
   instant objective_deadline;
   // If dispatched after this time, the caller is gone before the response.
   instant dispatch_deadline;
+  // Continues a stream of which the caller has a part.
+  bool is_continuation = false;
 };
 
 // Returns the minimum window of one of `vms` VMs: an equal share of the tokens
@@ -93,8 +95,9 @@
 void RecordPrefillEnded(prefill_window& window, double tokens);
 
 // Returns the index of the request to dispatch next, or std::nullopt if there
-// is none: of the requests that can still meet their objective the newest, else
-// the late one with the earliest objective deadline; among equal ones by
+// is none: first those that continue a stream, so that what its caller has is
+// not lost; of the requests that can still meet their objective the newest,
+// else the late one with the earliest objective deadline; among equal ones by
 // objective deadline and priority.
 std::optional<std::size_t> PickNextRequest(
     const prefill_window& window,
