VMs of a zone tell each other what they have sent, and spread near-equal choices

Cause: with tens of VMs what each knows of a target's load is seconds old and lacks what the others have sent since, and all choose the same targets at the same moment.

Stated slowdowns count for as long as they are fresh. No target is asked for this.

--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -180,6 +180,12 @@
 struct charge_refundBuilder;
 struct charge_refundT;
 
+struct target_work;
+
+struct load_notice;
+struct load_noticeBuilder;
+struct load_noticeT;
+
 struct frame;
 struct frameBuilder;
 struct frameT;
@@ -220,11 +226,12 @@
   charge_request = 32,
   charge_response = 33,
   charge_refund = 34,
+  load_notice = 35,
   MIN = NONE,
-  MAX = charge_refund
+  MAX = load_notice
 };
 
-inline const message (&EnumValuesmessage())[35] {
+inline const message (&EnumValuesmessage())[36] {
   static const message values[] = {
     message::NONE,
     message::challenge,
@@ -260,13 +267,14 @@
     message::stream_reply,
     message::charge_request,
     message::charge_response,
-    message::charge_refund
+    message::charge_refund,
+    message::load_notice
   };
   return values;
 }
 
 inline const char * const *EnumNamesmessage() {
-  static const char * const names[36] = {
+  static const char * const names[37] = {
     "NONE",
     "challenge",
     "hello",
@@ -302,13 +310,14 @@
     "charge_request",
     "charge_response",
     "charge_refund",
+    "load_notice",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamemessage(message e) {
-  if (flatbuffers::IsOutRange(e, message::NONE, message::charge_refund)) return "";
+  if (flatbuffers::IsOutRange(e, message::NONE, message::load_notice)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesmessage()[index];
 }
@@ -453,6 +462,10 @@
   static const message enum_value = message::charge_refund;
 };
 
+template<> struct messageTraits<waxwing::wire::load_notice> {
+  static const message enum_value = message::load_notice;
+};
+
 template<typename T> struct messageUnionTraits {
   static const message enum_value = message::NONE;
 };
@@ -593,6 +606,10 @@
   static const message enum_value = message::charge_refund;
 };
 
+template<> struct messageUnionTraits<waxwing::wire::load_noticeT> {
+  static const message enum_value = message::load_notice;
+};
+
 struct messageUnion {
   message type;
   void *value;
@@ -895,6 +912,14 @@
     return type == message::charge_refund ?
       reinterpret_cast<const waxwing::wire::charge_refundT *>(value) : nullptr;
   }
+  waxwing::wire::load_noticeT *Asload_notice() {
+    return type == message::load_notice ?
+      reinterpret_cast<waxwing::wire::load_noticeT *>(value) : nullptr;
+  }
+  const waxwing::wire::load_noticeT *Asload_notice() const {
+    return type == message::load_notice ?
+      reinterpret_cast<const waxwing::wire::load_noticeT *>(value) : nullptr;
+  }
 };
 
 bool Verifymessage(flatbuffers::Verifier &verifier, const void *obj, message type);
@@ -961,6 +986,81 @@
   using type = request_key;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) target_work FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t target_;
+  uint32_t prefill_tokens_;
+  uint32_t cache_tokens_;
+  uint16_t in_flight_;
+  uint16_t waiting_;
+  uint16_t reported_in_flight_;
+  uint16_t reported_waiting_;
+  uint16_t report_age_ms_;
+  uint16_t slowdown_;
+  int32_t padding0__;
+
+ public:
+  struct Traits;
+  target_work()
+      : target_(0),
+        prefill_tokens_(0),
+        cache_tokens_(0),
+        in_flight_(0),
+        waiting_(0),
+        reported_in_flight_(0),
+        reported_waiting_(0),
+        report_age_ms_(0),
+        slowdown_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  target_work(uint64_t _target, uint32_t _prefill_tokens, uint32_t _cache_tokens, uint16_t _in_flight, uint16_t _waiting, uint16_t _reported_in_flight, uint16_t _reported_waiting, uint16_t _report_age_ms, uint16_t _slowdown)
+      : target_(flatbuffers::EndianScalar(_target)),
+        prefill_tokens_(flatbuffers::EndianScalar(_prefill_tokens)),
+        cache_tokens_(flatbuffers::EndianScalar(_cache_tokens)),
+        in_flight_(flatbuffers::EndianScalar(_in_flight)),
+        waiting_(flatbuffers::EndianScalar(_waiting)),
+        reported_in_flight_(flatbuffers::EndianScalar(_reported_in_flight)),
+        reported_waiting_(flatbuffers::EndianScalar(_reported_waiting)),
+        report_age_ms_(flatbuffers::EndianScalar(_report_age_ms)),
+        slowdown_(flatbuffers::EndianScalar(_slowdown)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint64_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  uint32_t prefill_tokens() const {
+    return flatbuffers::EndianScalar(prefill_tokens_);
+  }
+  uint32_t cache_tokens() const {
+    return flatbuffers::EndianScalar(cache_tokens_);
+  }
+  uint16_t in_flight() const {
+    return flatbuffers::EndianScalar(in_flight_);
+  }
+  uint16_t waiting() const {
+    return flatbuffers::EndianScalar(waiting_);
+  }
+  uint16_t reported_in_flight() const {
+    return flatbuffers::EndianScalar(reported_in_flight_);
+  }
+  uint16_t reported_waiting() const {
+    return flatbuffers::EndianScalar(reported_waiting_);
+  }
+  uint16_t report_age_ms() const {
+    return flatbuffers::EndianScalar(report_age_ms_);
+  }
+  uint16_t slowdown() const {
+    return flatbuffers::EndianScalar(slowdown_);
+  }
+};
+FLATBUFFERS_STRUCT_END(target_work, 32);
+
+struct target_work::Traits {
+  using type = target_work;
+};
+
 struct challengeT : public flatbuffers::NativeTable {
   typedef challenge TableType;
   uint32_t version = 0;
@@ -4924,6 +5024,100 @@
 
 flatbuffers::Offset<charge_refund> Createcharge_refund(flatbuffers::FlatBufferBuilder &_fbb, const charge_refundT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct load_noticeT : public flatbuffers::NativeTable {
+  typedef load_notice TableType;
+  uint64_t sequence = 0;
+  bool is_whole = false;
+  std::vector<waxwing::wire::target_work> works{};
+};
+
+struct load_notice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef load_noticeT NativeTableType;
+  typedef load_noticeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEQUENCE = 4,
+    VT_IS_WHOLE = 6,
+    VT_WORKS = 8
+  };
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  bool is_whole() const {
+    return GetField<uint8_t>(VT_IS_WHOLE, 0) != 0;
+  }
+  const flatbuffers::Vector<const waxwing::wire::target_work *> *works() const {
+    return GetPointer<const flatbuffers::Vector<const waxwing::wire::target_work *> *>(VT_WORKS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_WHOLE, 1) &&
+           VerifyOffset(verifier, VT_WORKS) &&
+           verifier.VerifyVector(works()) &&
+           verifier.EndTable();
+  }
+  load_noticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(load_noticeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<load_notice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const load_noticeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct load_noticeBuilder {
+  typedef load_notice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(load_notice::VT_SEQUENCE, sequence, 0);
+  }
+  void add_is_whole(bool is_whole) {
+    fbb_.AddElement<uint8_t>(load_notice::VT_IS_WHOLE, static_cast<uint8_t>(is_whole), 0);
+  }
+  void add_works(flatbuffers::Offset<flatbuffers::Vector<const waxwing::wire::target_work *>> works) {
+    fbb_.AddOffset(load_notice::VT_WORKS, works);
+  }
+  explicit load_noticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<load_notice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<load_notice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<load_notice> Createload_notice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    bool is_whole = false,
+    flatbuffers::Offset<flatbuffers::Vector<const waxwing::wire::target_work *>> works = 0) {
+  load_noticeBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_works(works);
+  builder_.add_is_whole(is_whole);
+  return builder_.Finish();
+}
+
+struct load_notice::Traits {
+  using type = load_notice;
+  static auto constexpr Create = Createload_notice;
+};
+
+inline flatbuffers::Offset<load_notice> Createload_noticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    bool is_whole = false,
+    const std::vector<waxwing::wire::target_work> *works = nullptr) {
+  auto works__ = works ? _fbb.CreateVectorOfStructs<waxwing::wire::target_work>(*works) : 0;
+  return waxwing::wire::Createload_notice(
+      _fbb,
+      sequence,
+      is_whole,
+      works__);
+}
+
+flatbuffers::Offset<load_notice> Createload_notice(flatbuffers::FlatBufferBuilder &_fbb, const load_noticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct frameT : public flatbuffers::NativeTable {
   typedef frame TableType;
   waxwing::wire::messageUnion message{};
@@ -5046,6 +5240,9 @@
   const waxwing::wire::charge_refund *message_as_charge_refund() const {
     return message_type() == waxwing::wire::message::charge_refund ? static_cast<const waxwing::wire::charge_refund *>(message()) : nullptr;
   }
+  const waxwing::wire::load_notice *message_as_load_notice() const {
+    return message_type() == waxwing::wire::message::load_notice ? static_cast<const waxwing::wire::load_notice *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_MESSAGE_TYPE, 1) &&
@@ -5194,6 +5391,10 @@
   return message_as_charge_refund();
 }
 
+template<> inline const waxwing::wire::load_notice *frame::message_as<waxwing::wire::load_notice>() const {
+  return message_as_load_notice();
+}
+
 struct frameBuilder {
   typedef frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -6724,6 +6925,38 @@
       _is_substitute);
 }
 
+inline load_noticeT *load_notice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<load_noticeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void load_notice::UnPackTo(load_noticeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = is_whole(); _o->is_whole = _e; }
+  { auto _e = works(); if (_e) { _o->works.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->works[_i] = *_e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<load_notice> load_notice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const load_noticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createload_notice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<load_notice> Createload_notice(flatbuffers::FlatBufferBuilder &_fbb, const load_noticeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const load_noticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sequence = _o->sequence;
+  auto _is_whole = _o->is_whole;
+  auto _works = _o->works.size() ? _fbb.CreateVectorOfStructs(_o->works) : 0;
+  return waxwing::wire::Createload_notice(
+      _fbb,
+      _sequence,
+      _is_whole,
+      _works);
+}
+
 inline frameT *frame::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<frameT>();
   UnPackTo(_o.get(), _resolver);
@@ -6894,6 +7127,10 @@
       auto ptr = reinterpret_cast<const waxwing::wire::charge_refund *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case message::load_notice: {
+      auto ptr = reinterpret_cast<const waxwing::wire::load_notice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -7049,6 +7286,10 @@
       auto ptr = reinterpret_cast<const waxwing::wire::charge_refund *>(obj);
       return ptr->UnPack(resolver);
     }
+    case message::load_notice: {
+      auto ptr = reinterpret_cast<const waxwing::wire::load_notice *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -7192,6 +7433,10 @@
       auto ptr = reinterpret_cast<const waxwing::wire::charge_refundT *>(value);
       return Createcharge_refund(_fbb, ptr, _rehasher).Union();
     }
+    case message::load_notice: {
+      auto ptr = reinterpret_cast<const waxwing::wire::load_noticeT *>(value);
+      return Createload_notice(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -7334,6 +7579,10 @@
       value = new waxwing::wire::charge_refundT(*reinterpret_cast<waxwing::wire::charge_refundT *>(u.value));
       break;
     }
+    case message::load_notice: {
+      value = new waxwing::wire::load_noticeT(*reinterpret_cast<waxwing::wire::load_noticeT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -7511,6 +7760,11 @@
       delete ptr;
       break;
     }
+    case message::load_notice: {
+      auto ptr = reinterpret_cast<waxwing::wire::load_noticeT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/waxwing/agent_links.cc
+++ b/waxwing/agent_links.cc
@@ -134,7 +134,8 @@
          type == wire::message::stream_reply ||
          type == wire::message::charge_request ||
          type == wire::message::charge_response ||
-         type == wire::message::charge_refund;
+         type == wire::message::charge_refund ||
+         type == wire::message::load_notice;
 }
 
 void HandleAgentFrame(agent_state& state,
--- a/waxwing/engine_choice.cc
+++ b/waxwing/engine_choice.cc
@@ -1,6 +1,7 @@
 #include "waxwing/engine_choice.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "waxwing/hash.h"
 
@@ -28,8 +29,13 @@
   return FromSeconds(tokens / view.prefill_tokens_per_second);
 }
 
+duration Scale(duration time, double factor) {
+  return std::chrono::duration_cast<duration>(time * factor);
+}
+
 double MemoryInUse(const target_view& view, double tokens_per_request) {
-  return view.own_cache_tokens + view.others_in_flight * tokens_per_request;
+  return view.own_cache_tokens + view.zone_work.cache_tokens +
+         view.others_in_flight * tokens_per_request;
 }
 
 // What is known of a prompt at the targets of one weights version.
@@ -189,6 +195,70 @@
          std::min(prompt.tokens, choice.cached_tokens + choice.fetched_tokens);
 }
 
+namespace {
+
+// Time after which a report tells little of the requests that others have sent
+// since.
+constexpr milliseconds kReportMemory{500};
+
+// Returns the prompt tokens of others' requests that are expected to wait at
+// the target: those of the report less what it has prefilled since, but as many
+// as at other targets the older the report is.
+double OthersBacklog(const target_view& view, instant now) {
+  const double reported = view.others_waiting * kBacklogTokensPerWaiting;
+  if (view.mean_others_waiting < 0)
+    return reported;
+  const double age = ToSeconds(now - view.last_report.time);
+  const double left = reported - age * view.prefill_tokens_per_second /
+                                     SlowdownFactor(view, now);
+  const double usual = view.mean_others_waiting * kBacklogTokensPerWaiting *
+                       (1 - std::exp(-age / ToSeconds(kReportMemory)));
+  return std::max(left, usual);
+}
+
+double PrefillBacklog(const target_view& view, instant now) {
+  return view.own_prefill_backlog + view.zone_work.prefill_tokens +
+         OthersBacklog(view, now) + InFlight(view) * kBacklogTokensPerRunning;
+}
+
+}  // namespace
+
+namespace {
+
+// Returns the option of the lowest cost, or of those that count as equal the
+// one that ranks first for the prompt.
+std::optional<engine_choice> PickOption(
+    std::span<const target_view> targets,
+    const engine_request& request,
+    std::span<const engine_choice> options) {
+  const auto cheapest =
+      std::min_element(options.begin(), options.end(),
+                       [](const engine_choice& a, const engine_choice& b) {
+                         return a.cost < b.cost;
+                       });
+  if (cheapest == options.end())
+    return std::nullopt;
+  if (request.near_equal_share <= 0)
+    return *cheapest;
+  const duration limit =
+      cheapest->cost +
+      Scale(PrefillTime(targets[cheapest->target],
+                        TokensToPrefill(request.prompt, *cheapest)),
+            request.near_equal_share);
+  const auto rank = [&](const engine_choice& option) {
+    return RendezvousWeight(request.prompt.home_key,
+                            targets[option.target].name_hash);
+  };
+  const engine_choice* best = &*cheapest;
+  for (const engine_choice& option : options) {
+    if (option.cost <= limit && rank(option) > rank(*best))
+      best = &option;
+  }
+  return *best;
+}
+
+}  // namespace
+
 std::optional<engine_choice> ChooseEngine(std::span<const target_view> targets,
                                           const cache_map& caches,
                                           const engine_request& request,
@@ -204,7 +274,7 @@
   }
   std::vector<version_state> versions =
       FindHolders(targets, caches, request, usable);
-  std::optional<engine_choice> best;
+  std::vector<engine_choice> options;
   for (const std::uint32_t i : usable) {
     const target_view& view = targets[i];
     const version_state& state =
@@ -219,11 +289,10 @@
         option.source && ZoneOf(targets, request, *option.source) != view.zone;
     const std::uint32_t prefill_tokens =
         TokensToPrefill(request.prompt, option);
-    const double backlog = view.own_prefill_backlog +
-                           view.others_waiting * kBacklogTokensPerWaiting +
-                           InFlight(view) * kBacklogTokensPerRunning;
+    const duration prefill =
+        PrefillTime(view, PrefillBacklog(view, now) + prefill_tokens);
     option.cost = view.added_cost + ErrorPenalty(view, now) +
-                  PrefillTime(view, backlog + prefill_tokens) +
+                  Scale(prefill, SlowdownFactor(view, now)) +
                   request.transfer_time_per_token * option.fetched_tokens *
                       (is_cross_zone ? kCrossZoneFactor : 1);
     if (!IsHome(state, view, request.prompt.home_key))
@@ -236,10 +305,9 @@
       option.cost += kMemoryFullPenalty;
     if (static_cast<int>(i) == request.failed_target)
       option.cost += kFailedTargetPenalty;
-    if (!best || option.cost < best->cost)
-      best = option;
+    options.push_back(option);
   }
-  return best;
+  return PickOption(targets, request, options);
 }
 
 }  // namespace waxwing
--- a/waxwing/engine_choice.h
+++ b/waxwing/engine_choice.h
@@ -64,6 +64,10 @@
   int failed_target = -1;
   // Also considers targets in backoff, because no other target is usable.
   bool ignore_backoff = false;
+  // Targets whose cost is higher than the lowest by less than this share of the
+  // prompt's prefill time count as equal. VMs that choose at the same moment
+  // then don't all choose the same one.
+  double near_equal_share = 0;
 };
 
 struct engine_choice {
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -138,6 +138,7 @@
             [state] { return RunCachePublisher(state); });
   Supervise(state->root, "feed", [state] { return RunReplication(state); });
   Supervise(state->root, "peers", [state] { return RunPeerBootstrap(state); });
+  Supervise(state->root, "load", [state] { return RunLoadSharing(state); });
   Supervise(state->root, "reach", [state] { return RunReachProbes(state); });
   Supervise(state->root, "refresh", [state] { return RefreshLoop(state); });
 }
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -2,9 +2,11 @@
 // the state of the target from the outcome.
 
 #include <algorithm>
+#include <utility>
 
 #include "waxwing/entry_run.h"
 #include "waxwing/hash.h"
+#include "waxwing/log.h"
 
 namespace waxwing {
 namespace {
@@ -94,6 +96,8 @@
   query.stream = StreamNeeds(run);
   query.failed_target = run.failed_target;
   query.ignore_backoff = is_last_resort;
+  if (SharesLoad(*run.state))
+    query.near_equal_share = kNearEqualShare;
   return ChooseEngine(run.state->placement.targets, run.state->caches, query,
                       std::chrono::steady_clock::now());
 }
@@ -230,11 +234,14 @@
   if (!IsCurrent(state, attempt) || !facts.current_load)
     return;
   target_view& view = state.placement.targets[attempt.chosen.target];
-  view.others_in_flight =
-      std::max(0, facts.current_load->running + facts.current_load->waiting -
-                      view.own_in_flight);
-  view.others_waiting =
-      std::max(0, facts.current_load->waiting - view.awaiting_response);
+  const response_info::load& load = *facts.current_load;
+  RecordLoad(view,
+             {load.running + load.waiting, load.waiting,
+              load.slowdown.value_or(0), std::chrono::steady_clock::now()});
+  view.has_load_news = true;
+  if (load.slowdown && !std::exchange(state.states_slowdown, true))
+    LogInfo("slowdown_stated",
+            {{"target", view.name}, {"slowdown", *load.slowdown}});
 }
 
 void MarkPrefilled(entry_state& state, dispatch& attempt) {
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -255,6 +255,8 @@
           HandleStreamQuery(*locked, link, *query);
         else if (const auto* reply = message.Asstream_reply())
           HandleStreamReply(*locked, *reply);
+        else if (const auto* load = message.Asload_notice())
+          HandleLoadNotice(*locked, link.peer.vm, *load);
         else if (const auto* charge = message.Ascharge_request())
           HandleChargeRequest(*locked, link, *charge);
         else if (const auto* charged = message.Ascharge_response())
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -32,6 +32,7 @@
 #include "waxwing/retry.h"
 #include "waxwing/rollout.h"
 #include "waxwing/send_permits.h"
+#include "waxwing/shared_load.h"
 #include "waxwing/store_era.h"
 #include "waxwing/stored_streams.h"
 #include "waxwing/stream_builds.h"
@@ -343,6 +344,9 @@
   boost::asio::steady_timer probes_due;
   // VMs to which requests are forwarded.
   peer_loads peers;
+  shared_load zone_load_told;
+  // A target has stated how much slower than usual its machine is.
+  bool states_slowdown = false;
   // By target, at its permit issuer.
   std::map<std::string, permit_bucket, std::less<>> permit_buckets;
   // By number of the request for the permit.
@@ -522,6 +526,19 @@
                           const wire::charge_responseT& response);
 void HandleChargeRefund(entry_state& state, const wire::charge_refundT& refund);
 
+// --- entry_shared_load.cc
+
+// True if the VMs of a zone tell each other what they have sent: where targets
+// state that their machines change pace, or accounts compete for limited room.
+bool SharesLoad(const entry_state& state);
+
+// Tells the other VMs of the zone what this one has outstanding at targets.
+boost::asio::awaitable<void> RunLoadSharing(entry_ptr state);
+
+void HandleLoadNotice(entry_state& state,
+                      std::string_view peer,
+                      const wire::load_noticeT& notice);
+
 // --- entry_suspects.cc
 
 // Handles a message of a peer about ends, survivals, holds or trials.
--- a/waxwing/entry_stored_streams.cc
+++ b/waxwing/entry_stored_streams.cc
@@ -124,10 +124,9 @@
 // Applies what another VM, or the previous run of this one, has stored.
 void ApplyStoredStreams(entry_state& state, const stored_streams& record) {
   for (const auto& [key, stream] : record.streams)
-    RecordStream(
-        state.stream_records, key,
-        {stream.origin, stream.attempt, FromUnix(stream.began), true},
-        SuspendAwareNow());
+    RecordStream(state.stream_records, key,
+                 {stream.origin, stream.attempt, FromUnix(stream.began), true},
+                 SuspendAwareNow());
   for (const auto& [service, builds] : record.builds) {
     const auto history = state.builds.find(service);
     for (const std::string& build : builds) {
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -344,6 +344,8 @@
   if (!assumed_weights.empty())
     RefreshTargets(state, now);
   ObserveTargetBuilds(state);
+  if (SharesLoad(state))
+    UpdateMeanLoads(state.placement.targets);
 }
 
 }  // namespace waxwing
--- a/waxwing/target_view.cc
+++ b/waxwing/target_view.cc
@@ -1,10 +1,16 @@
 #include "waxwing/target_view.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace waxwing {
 namespace {
 
+// Weight of one statement in the average of a target's slowdown.
+constexpr double kSlowdownSmoothing = 0.15;
+// Time after which a stated slowdown tells little of the present one.
+constexpr milliseconds kSlowdownMemory{300};
+
 constexpr duration kMinEvictionHorizon = milliseconds(200);
 constexpr duration kMaxEvictionHorizon = seconds(600);
 constexpr duration kMinBackoff = milliseconds(250);
@@ -207,8 +213,34 @@
          now - view.no_data_since > kUnresponsiveAfter;
 }
 
+void RecordLoad(target_view& view, const target_load_report& report) {
+  const double known_slowdown = view.last_report.slowdown;
+  view.last_report = report;
+  view.others_in_flight = std::max(
+      0, report.in_flight - view.own_in_flight - view.zone_work.in_flight);
+  view.others_waiting = std::max(
+      0, report.waiting - view.awaiting_response - view.zone_work.waiting);
+  if (report.slowdown <= 0) {
+    view.last_report.slowdown = known_slowdown;
+    return;
+  }
+  if (view.mean_slowdown <= 0)
+    view.mean_slowdown = report.slowdown;
+  view.mean_slowdown +=
+      kSlowdownSmoothing * (report.slowdown - view.mean_slowdown);
+}
+
+double SlowdownFactor(const target_view& view, instant now) {
+  if (view.mean_slowdown <= 0)
+    return 1;
+  const double weight = std::exp(-ToSeconds(now - view.last_report.time) /
+                                 ToSeconds(kSlowdownMemory));
+  return view.mean_slowdown *
+         std::pow(view.last_report.slowdown / view.mean_slowdown, weight);
+}
+
 int InFlight(const target_view& view) {
-  return view.own_in_flight + view.others_in_flight;
+  return view.own_in_flight + view.zone_work.in_flight + view.others_in_flight;
 }
 
 bool IsUsable(const target_view& view, instant now) {
--- a/waxwing/target_view.h
+++ b/waxwing/target_view.h
@@ -28,6 +28,30 @@
   bool leaving = false;
 };
 
+// Work that VMs have outstanding at a target.
+struct outstanding_work {
+  int in_flight = 0;
+  // Of those, the requests whose response has not begun.
+  int waiting = 0;
+  // Prompt tokens that are not prefilled yet, and tokens of the target's cache
+  // memory in use.
+  double prefill_tokens = 0;
+  double cache_tokens = 0;
+
+  bool operator==(const outstanding_work&) const = default;
+};
+
+// The load that a target has stated in a response, of all VMs together.
+struct target_load_report {
+  // -1: none.
+  int in_flight = -1;
+  int waiting = 0;
+  // Time that work takes on the target's machine at the moment, relative to the
+  // usual one; 0 if it is not stated.
+  double slowdown = 0;
+  instant time;
+};
+
 struct target_view {
   std::string name;
   std::uint64_t name_hash = 0;
@@ -51,6 +75,17 @@
   int others_in_flight = 0;
   // Of those, the requests whose response has not begun.
   int others_waiting = 0;
+  // What the other VMs of the zone have told of their work (shared_load.h). It
+  // is not part of `others_in_flight` and `others_waiting`.
+  outstanding_work zone_work;
+  target_load_report last_report;
+  // The report has not been told to other VMs yet.
+  bool has_load_news = false;
+  // Moving average of the stated slowdown; 0 if none has been stated.
+  double mean_slowdown = 0;
+  // Mean of `others_waiting` over the targets of the service. Negative while
+  // reports count at any age as if they were new.
+  double mean_others_waiting = -1;
   // Prompt tokens that this router has sent and that are not prefilled yet.
   double own_prefill_backlog = 0;
   double prefill_tokens_per_second = 10'000;
@@ -192,6 +227,14 @@
 // Records a completed request that occupied a slot for `service_time`.
 void RecordSuccess(target_view& view, duration service_time);
 
+// Records the load that the target has stated to this VM or to another one.
+void RecordLoad(target_view& view, const target_load_report& report);
+
+// Returns the factor by which work at the target is expected to take longer
+// than usual: the last statement counts as long as it is fresh, then what is
+// usual of this target. 1 if it states none.
+double SlowdownFactor(const target_view& view, instant now);
+
 // Returns the number of requests in flight at the target, of all routers.
 int InFlight(const target_view& view);
 
