Where accounts have limits, urgent requests go first

Cause: an account's priority replaced that of the route, and all accounts have the same; of requests that can be in time the newest went first, whatever its size and urgency.

Change: where accounts have limits, requests of accounts with the same priority are ranked by their routes, at the engines and in the queue. A near-equal target is chosen only if it holds as much of the prompt, since it would become another replica.

Result: Pacing.UrgentSmallPromptsDoNotWaitBehindLargeOnes plays 1.25 times what the engines prefill: at least 0.95 of the small and 0.5 of the large ones in time.

--- a/testing/entry_policy_test.cc
+++ b/testing/entry_policy_test.cc
@@ -4,6 +4,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <deque>
+#include <map>
 #include <random>
 #include <set>
 
@@ -414,6 +416,22 @@
   EXPECT_EQ(TokensToPrefill(e.request.prompt, busy), 2'900u);
 }
 
+TEST(EngineChoice, NearEqualEnginesAreSpreadByPromptButReplicasAreKept) {
+  engine_set e(9);
+  e.request.near_equal_share = 0.5;
+  std::set<std::uint32_t> chosen;
+  e.request.prompt.shared_tokens = 0;
+  for (std::uint64_t prompt = 0; prompt < 50; ++prompt) {
+    e.request.prompt.home_key = Hash64(std::to_string(prompt));
+    chosen.insert(e.Choose().target);
+  }
+  EXPECT_GE(chosen.size(), 8u);
+  e.request.prompt = {9'200, 6'300, 77, 10};
+  const std::uint32_t replica = (e.Choose().target + 4) % 9;
+  e.AddReplica(replica);
+  EXPECT_EQ(e.Choose().target, replica);
+}
+
 TEST(EngineChoice, DoesNotFetchSegmentsOfOtherWeights) {
   engine_set e(2);
   e.AddReplica(0);
@@ -688,6 +706,95 @@
             std::vector<std::size_t>{1});
 }
 
+// Plays large prompts of a lenient objective and small ones of a strict one
+// that together need 1.25 times what the engines prefill. Returns the shares of
+// the small and of the large ones that begin in time.
+std::pair<double, double> PlayTwoKinds(bool ranks_by_priority) {
+  constexpr double kTokensPerSecond = 100'000;
+  constexpr milliseconds kStep{10};
+  constexpr queued_request kSmall{870, 0};
+  constexpr queued_request kLarge{9'190, 2};
+  std::mt19937_64 random(1);
+  prefill_window window;
+  window.size = 30'000;
+  window.ranks_by_priority = ranks_by_priority;
+  instant now = instant{} + seconds(100);
+  std::vector<queued_request> waiting;
+  std::deque<std::pair<queued_request, instant>> sent;
+  std::map<int, double> arrived;
+  std::map<int, double> in_time;
+  double prefilled = 0;
+  const auto arrive = [&](queued_request request, double per_second,
+                          duration objective) {
+    std::poisson_distribution<int> count(per_second * ToSeconds(kStep));
+    for (int i = count(random); i > 0; --i) {
+      request.arrived = now;
+      request.objective_deadline = now + objective;
+      request.dispatch_deadline = now + seconds(4);
+      waiting.push_back(request);
+      RecordArrival(window, request.tokens, now);
+      ++arrived[request.priority];
+    }
+  };
+  for (int step = 0; step < 2'000; ++step) {
+    now += kStep;
+    arrive(kSmall, 20, milliseconds(500));
+    arrive(kLarge, 11.7, milliseconds(1'500));
+    prefilled += kTokensPerSecond * ToSeconds(kStep);
+    while (!sent.empty() && prefilled >= sent.front().first.tokens) {
+      const auto [request, at] = sent.front();
+      sent.pop_front();
+      prefilled -= request.tokens;
+      in_time[request.priority] += now <= request.objective_deadline;
+      RecordFirstByte(window, request.tokens, now - at,
+                      request.objective_deadline - request.arrived, now);
+    }
+    if (sent.empty())
+      prefilled = 0;
+    while (const auto next = PickNextRequest(window, waiting, now)) {
+      if (!HasCapacity(window, waiting[*next].tokens))
+        break;
+      sent.emplace_back(waiting[*next], now);
+      RecordPrefillSent(window, waiting[*next].tokens, milliseconds(500));
+      waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(*next));
+    }
+    std::vector<std::size_t> hopeless =
+        FindUndispatchable(window, waiting, now);
+    std::sort(hopeless.begin(), hopeless.end(), std::greater<>());
+    for (const std::size_t i : hopeless)
+      waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(i));
+  }
+  return {in_time[kSmall.priority] / arrived[kSmall.priority],
+          in_time[kLarge.priority] / arrived[kLarge.priority]};
+}
+
+TEST(Pacing, UrgentSmallPromptsDoNotWaitBehindLargeOnes) {
+  const auto [small, large] = PlayTwoKinds(true);
+  const auto [small_before, large_before] = PlayTwoKinds(false);
+  EXPECT_GE(small, 0.95) << "before " << small_before;
+  EXPECT_GE(large, 0.5) << "before " << large_before;
+}
+
+TEST(RouteTable, RouteRanksRequestsOfLimitedAccountsOfOnePriority) {
+  route_table table;
+  route urgent;
+  urgent.priority = 0;
+  route other;
+  other.priority = 2;
+  account_info account;
+  EXPECT_EQ(RequestPriority(table, other, account), 2);
+  account.priority = 1;
+  EXPECT_EQ(RequestPriority(table, urgent, account),
+            RequestPriority(table, other, account));
+  table.limits_by_account["shop"] = {};
+  EXPECT_LT(RequestPriority(table, urgent, account),
+            RequestPriority(table, other, account));
+  account_info more_urgent;
+  more_urgent.priority = 0;
+  EXPECT_LT(RequestPriority(table, other, more_urgent),
+            RequestPriority(table, urgent, account));
+}
+
 TEST(Pacing, RequestsThatCanMeetTheirObjectiveGoFirst) {
   const instant now = instant{} + seconds(100);
   const std::vector<queued_request> waiting{
--- a/waxwing/engine_choice.cc
+++ b/waxwing/engine_choice.cc
@@ -251,7 +251,10 @@
   };
   const engine_choice* best = &*cheapest;
   for (const engine_choice& option : options) {
-    if (option.cost <= limit && rank(option) > rank(*best))
+    // A target that holds less of the prompt would become another replica.
+    if (option.cost <= limit &&
+        option.cached_tokens >= cheapest->cached_tokens &&
+        rank(option) > rank(*best))
       best = &option;
   }
   return *best;
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -350,7 +350,7 @@
         std::chrono::duration_cast<milliseconds>(*attempt.time_to_start),
         milliseconds(1), out.time_left);
   if (run.matched_route->has_prompt) {
-    out.priority = run.account.priority.value_or(run.matched_route->priority);
+    out.priority = RequestPriority(*run.table, *run.matched_route, run.account);
     const std::int64_t weights = attempt.target.record.weights_version;
     out.cache_salt = CacheSalt(run, std::to_string(weights));
     // Without a version, a cached segment could belong to any weights.
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -220,7 +220,7 @@
   queued_request out;
   out.tokens = TokensToPrefill({run.chain.tokens, run.chain.head_tokens, 0, 0},
                                expected);
-  out.priority = run.account.priority.value_or(run.matched_route->priority);
+  out.priority = RequestPriority(*run.table, *run.matched_route, run.account);
   out.is_continuation = IsTakenUp(run);
   out.arrived = run.arrived;
   out.objective_deadline = run.arrived + run.matched_route->latency_objective;
--- a/waxwing/entry_queue.cc
+++ b/waxwing/entry_queue.cc
@@ -52,6 +52,7 @@
     if (view.serves == service && IsUsableIgnoringBackoff(view, now))
       rate += view.prefill_tokens_per_second;
   }
+  queue.flow_control.ranks_by_priority = RanksByRoute(*state.table);
   queue.flow_control.min_size =
       MinWindowSize(queue.flow_control, rate, state.caller_load.total_listed);
 }
--- a/waxwing/pacing.h
+++ b/waxwing/pacing.h
@@ -45,6 +45,9 @@
   double arriving_tokens_per_second = 0;
   instant last_arrival;
   instant last_shrunk;
+  // Of the requests that can be in time, and of the late ones, the more urgent
+  // go first.
+  bool ranks_by_priority = false;
 };
 
 // A request that waits to be dispatched.
--- a/waxwing/route_table.cc
+++ b/waxwing/route_table.cc
@@ -46,4 +46,22 @@
          (matched.kind == route_kind::kStream && matched.can_resume);
 }
 
+bool RanksByRoute(const route_table& table) {
+  return !table.limits_by_account.empty();
+}
+
+int RequestPriority(const route_table& table,
+                    const route& matched,
+                    const account_info& account) {
+  constexpr int kRoutePriorities = 3;
+  constexpr int kLeastUrgent = 9;
+  if (!account.priority)
+    return matched.priority;
+  if (!RanksByRoute(table))
+    return *account.priority;
+  return std::min(kLeastUrgent,
+                  *account.priority * kRoutePriorities +
+                      std::min(matched.priority, kRoutePriorities - 1));
+}
+
 }  // namespace waxwing
--- a/waxwing/route_table.h
+++ b/waxwing/route_table.h
@@ -137,6 +137,16 @@
 // True if a request of the route may be executed more than once.
 bool MayRepeat(const route& matched);
 
+// True if requests of accounts with the same priority are ranked by their
+// routes: where accounts have limits, and so compete for too little room.
+bool RanksByRoute(const route_table& table);
+
+// The priority of a request, from 0 (most urgent) to 9. That of the account
+// comes first.
+int RequestPriority(const route_table& table,
+                    const route& matched,
+                    const account_info& account);
+
 }  // namespace waxwing
 
 #endif  // WAXWING_ROUTE_TABLE_H_
