--- a/waxwing/stored_streams.cc
+++ b/waxwing/stored_streams.cc
@@ -110,7 +110,8 @@
                      unix_ms now) {
   if (listed.size() != 1)
     return false;
-  const auto& [build, born] = *listed.begin();
+  const std::string& build = listed.begin()->first;
+  const unix_ms born = listed.begin()->second;
   if (build.empty() || born <= 0 ||
       born + ToMs(stream_lifetime + kMaxClockDifference) > now)
     return false;
