--- a/waxwing/entry_rollout.cc
+++ b/waxwing/entry_rollout.cc
@@ -28,6 +28,8 @@
 constexpr milliseconds kRolloutLeaseMargin{400};
 constexpr milliseconds kOrderTimeout{400};
 constexpr milliseconds kStoreTimeout{600};
+// Time until the lease is written again after the store has not taken it.
+constexpr milliseconds kLeaseRetryPause{300};
 // Time between two reads of a lease that another VM holds, while targets need
 // to load weights and while none does.
 constexpr milliseconds kLeasePollPeriod{700};
@@ -92,12 +94,13 @@
                SuspendAwareNow(), {});
 }
 
-// Takes or renews the lease if that is due.
-asio::awaitable<void> AdvanceLease(entry_ptr state) {
+// Takes or renews the lease if that is due. Returns false if the store has not
+// responded to the write as it should.
+asio::awaitable<bool> AdvanceLease(entry_ptr state) {
   state->lease.timing = RolloutLeaseTiming(*state);
   const lease_action action = NextLeaseAction(state->lease, SuspendAwareNow());
   if (action == lease_action::kWait)
-    co_return;
+    co_return true;
   const lease_record next = NextLeaseRecord(state->lease, action);
   const instant sent = SuspendAwareNow();
   const std::uint64_t era = state->store_era;
@@ -107,7 +110,7 @@
       state->store, object_kind::kLease, object, kStoreTimeout);
   // A record of an earlier era is void, whether the store has it or not.
   if (!ObserveEra(*state, put) || state->store_era != era)
-    co_return;
+    co_return false;
   if (put) {
     ObserveLease(state->lease, next, put->revision, SuspendAwareNow(),
                  lease_put{next, sent});
@@ -115,11 +118,13 @@
       LogInfo("lease_taken", {{"fence", next.fencing_token},
                               {"revision", put->revision},
                               {"era", era}});
-    co_return;
+    co_return true;
   }
-  if (put.error().failure == store_failure::kConflict ||
-      put.error().failure == store_failure::kAbsent)
-    co_await RefreshLease(state);
+  if (put.error().failure != store_failure::kConflict &&
+      put.error().failure != store_failure::kAbsent)
+    co_return false;
+  co_await RefreshLease(state);
+  co_return true;
 }
 
 // Reads the state of a target and orders it to load the desired weights if it
@@ -225,6 +230,7 @@
   std::optional<instant> pending_since;
   std::size_t last_count = 0;
   instant last_refresh{};
+  instant write_after{};
   while (!IsStopping(state->root)) {
     co_await Pause(state->root, kRolloutPeriod);
     const instant now = std::chrono::steady_clock::now();
@@ -243,7 +249,8 @@
       continue;
     if (!HoldsLease(state->lease, SuspendAwareNow()))
       co_await RefreshLeaseIfDue(state, last_refresh, kLeasePollPeriod);
-    co_await AdvanceLease(state);
+    if (now >= write_after && !co_await AdvanceLease(state))
+      write_after = std::chrono::steady_clock::now() + kLeaseRetryPause;
     if (!HoldsLease(state->lease, SuspendAwareNow()))
       continue;
     for (const pending_load& load : loads) {
