A cache of epoch 0 is not asked again for all kept events

Cause: the first call was told from later ones by the cache's epoch, which a target may state as 0; each call would then have been a first one.

Change: the subscription itself remembers whether a call has succeeded.

--- a/waxwing/entry_caches.cc
+++ b/waxwing/entry_caches.cc
@@ -99,9 +99,10 @@
 // the subscription.
 asio::awaitable<void> RunSubscription(entry_ptr state,
                                       cache_subscription cache) {
+  bool is_first_call = true;
   while (!IsStopping(state->root) && IsListed(*state, cache) &&
          SubscriberRole(*state, cache) != cache_subscriber_role::kNone) {
-    const bool is_limited = cache.epoch == 0 && !state->options.is_first_start;
+    const bool is_limited = is_first_call && !state->options.is_first_start;
     if (is_limited && state->first_cache_calls >= kMaxFirstCalls) {
       co_await Pause(state->root, kFirstCallPoll);
       continue;
@@ -113,6 +114,7 @@
       break;
     SetStoreUsable(*state, cache.address, events.has_value());
     if (events) {
+      is_first_call = false;
       ApplyEvents(*state, cache, *events);
       continue;
     }
