Take back the fewer watches of the object store

The pause after a lease that could not be written stays.

A next attempt must not delay what a target's record says of its build.

--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -33,9 +33,6 @@
 // Time between two checks whether a zone watcher still keeps this VM synced.
 constexpr milliseconds kSyncedPause{50};
 constexpr milliseconds kMinRetryPause{50};
-// Least time between two watch calls for targets. Their records change in
-// bursts, of which each change would end a call.
-constexpr milliseconds kMinTargetWatchInterval{200};
 constexpr milliseconds kMaxRetryPause{1'000};
 constexpr std::string_view kConfigName = "main";
 
@@ -338,21 +335,6 @@
   return state.table->version > 0 && AreHoldsKnown(state);
 }
 
-namespace {
-
-// True if the calls for the configuration alone test whether the store responds
-// again, because those for this kind failed too.
-bool LeavesTestToConfig(const entry_state& state, object_kind kind) {
-  const auto is_unavailable = [&](object_kind other) {
-    const auto found = state.watches.find(other);
-    return found != state.watches.end() && found->second.unavailable_since;
-  };
-  return kind != object_kind::kConfig && is_unavailable(kind) &&
-         is_unavailable(object_kind::kConfig);
-}
-
-}  // namespace
-
 asio::awaitable<void> WatchKind(entry_ptr state, object_kind kind) {
   milliseconds pause = kMinRetryPause;
   while (!IsStopping(state->root)) {
@@ -362,11 +344,6 @@
       co_await Pause(state->root, kSyncedPause);
       continue;
     }
-    if (LeavesTestToConfig(*state, kind)) {
-      pause = kMinRetryPause;
-      co_await Pause(state->root, kSyncedPause);
-      continue;
-    }
     const instant began = SuspendAwareNow();
     bool succeeded = false;
     if (!state->watches[kind].is_listed)
@@ -377,10 +354,6 @@
     if (succeeded) {
       RecordStoreResponse(position, kind);
       pause = kMinRetryPause;
-      const auto taken =
-          std::chrono::duration_cast<milliseconds>(SuspendAwareNow() - began);
-      if (kind == object_kind::kTargets && taken < kMinTargetWatchInterval)
-        co_await Pause(state->root, kMinTargetWatchInterval - taken);
       continue;
     }
     RecordStoreFailure(position, kind, began);
