--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -73,6 +73,17 @@
           start(options.callers, ForwardRequest, state->caller_server);
       !result)
     return result;
+  ObserveConnections(
+      state->caller_server,
+      [weak = std::weak_ptr(state)](const connection_report& report) {
+        const auto locked = weak.lock();
+        if (!locked)
+          return;
+        Count(locked->stats, "waxwing_connections_ended_total{reason=\"" +
+                                 std::string(NameOf(report.end)) + "\"}");
+        if (LacksResponse(report))
+          Count(locked->stats, "waxwing_requests_without_response_total");
+      });
   if (auto result =
           start(options.readiness, HandleReadiness, state->readiness_server);
       !result)
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -426,6 +426,7 @@
     co_return;
   }
   run.request = std::move(*request);
+  exchange.id = run.request.id;
   run.last_event_id = run.request.resume_after.value_or(0);
   run.is_counted = run.forwarded && run.forwarded->is_counted;
   if (const auto refused = ResolveRequest(run)) {
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -76,6 +76,7 @@
   limits.max_body_bytes = state.table->limits.body_bytes;
   limits.read_timeout = state.table->limits.header_timeout;
   limits.idle_timeout = state.table->limits.idle_timeout;
+  limits.version = state.table->version;
   SetLimits(state.caller_server, limits);
   UpdateCacheStores(state);
   UpdateResumableServices(state);
--- a/waxwing/http_server.cc
+++ b/waxwing/http_server.cc
@@ -23,6 +23,11 @@
   const http_limits* limits = nullptr;
   bool keep_alive = true;
   bool busy = false;
+  instant request_began;
+  connection_report report;
+
+  http_connection(beast::tcp_stream s, const http_limits& l)
+      : stream(std::move(s)), limits(&l) {}
 };
 
 // The wait for a caller's disconnect; may outlive its exchange.
@@ -37,6 +42,7 @@
   http_handler handler;
   bool stopping = false;
   bool close_after_responses = false;
+  connection_observer observer;
   std::size_t active_exchanges = 0;
   std::set<http_connection*> connections;
 
@@ -56,6 +62,51 @@
 using listener_ptr = std::shared_ptr<detail::http_listener>;
 using request_parser = http::request_parser<http::string_body>;
 
+void LogEnd(const connection_report& report) {
+  const auto log = LacksResponse(report) ? LogWarning : LogInfo;
+  log("connection_ended", {{"reason", NameOf(report.end)},
+                           {"error", report.error},
+                           {"request", report.request_id},
+                           {"peer", report.peer},
+                           {"read", report.is_read},
+                           {"responded", report.has_response},
+                           {"complete", report.is_complete},
+                           {"requests", report.requests},
+                           {"bytes_read", report.bytes_read},
+                           {"bytes_written", report.bytes_written},
+                           {"age_ms", ToMs(report.age)},
+                           {"request_ms", ToMs(report.request_age)},
+                           {"limits_then", report.limits_at_request},
+                           {"limits_now", report.limits_now}});
+}
+
+void ReportEnd(const detail::http_listener& listener,
+               const connection_report& report) {
+  if (!IsRegular(report.end) || LacksResponse(report))
+    LogEnd(report);
+  if (listener.observer)
+    listener.observer(report);
+}
+
+void StartRequestReport(connection_report& report) {
+  report.request_id.clear();
+  report.is_read = false;
+  report.has_response = false;
+  report.is_complete = false;
+}
+
+// Records why a connection ends, unless a reason is known already.
+void SetEnd(detail::http_connection& connection,
+            connection_end end,
+            const beast::error_code& error = {}) {
+  connection_report& report = connection.report;
+  if (report.end != connection_end::kResponded)
+    return;
+  report.end = end;
+  if (error)
+    report.error = error.message();
+}
+
 // The response to a request that could not be parsed.
 http_response ParseFailureResponse(const beast::error_code& error) {
   if (error == http::error::body_limit)
@@ -96,6 +147,18 @@
   return out;
 }
 
+// Returns how a connection ends on which reading a request has failed.
+connection_end EndOfRead(const request_parser& parser,
+                         const beast::error_code& error) {
+  if (error == beast::error::timeout)
+    return connection_end::kLate;
+  if (!parser.got_some())
+    return connection_end::kCallerLeft;
+  const bool is_broken = error == http::error::partial_message ||
+                         error.category() == asio::error::get_system_category();
+  return is_broken ? connection_end::kCallerBroke : connection_end::kMalformed;
+}
+
 // Reads the next request. Returns false if the connection is to be closed;
 // after a parse error, the error response has been sent by then.
 asio::awaitable<bool> ReadRequest(http_exchange& exchange,
@@ -109,14 +172,19 @@
   if (buffer.size() == 0) {
     auto [wait_error] = co_await connection.stream.socket().async_wait(
         asio::ip::tcp::socket::wait_read, kUseTuple);
-    if (wait_error)
+    if (wait_error) {
+      SetEnd(connection, connection_end::kCallerLeft, wait_error);
       co_return false;
+    }
   }
   connection.busy = true;
+  connection.request_began = std::chrono::steady_clock::now();
   connection.stream.expires_after(connection.limits->read_timeout);
   auto [error, bytes] =
       co_await http::async_read(connection.stream, buffer, parser, kUseTuple);
+  connection.report.bytes_read += bytes;
   if (error) {
+    SetEnd(connection, EndOfRead(parser, error), error);
     if (error != http::error::end_of_stream &&
         error != asio::error::connection_reset &&
         error != asio::error::operation_aborted) {
@@ -141,6 +209,7 @@
     co_return false;
   }
   if (!HasStrictFraming(parser)) {
+    SetEnd(connection, connection_end::kMalformed);
     connection.keep_alive = false;
     http_response error_response = ParseFailureResponse({});
     co_await Respond(exchange, std::move(error_response));
@@ -148,6 +217,9 @@
   }
   connection.keep_alive = parser.keep_alive();
   exchange.request = ReleaseRequest(parser);
+  connection.report.is_read = true;
+  connection.report.limits_at_request = connection.limits->version;
+  ++connection.report.requests;
   co_return true;
 }
 
@@ -163,6 +235,7 @@
       AbortExchange(exchange);
   }
   if (!exchange.response_started && !exchange.broken) {
+    LogWarning("response_missing", {{"request", exchange.id}});
     http_response error_response =
         JsonResponse(500, R"({"error":{"type":"internal"},"ran":"unknown"})");
     co_await Respond(exchange, std::move(error_response));
@@ -175,35 +248,71 @@
   --listener->active_exchanges;
 }
 
-asio::awaitable<void> ServeConnection(listener_ptr listener,
-                                      asio::ip::tcp::socket socket) {
-  detail::http_connection connection{beast::tcp_stream(std::move(socket)),
-                                     &listener->limits};
-  listener->connections.insert(&connection);
-  beast::error_code ignored;
-  connection.stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-  const auto remote = connection.stream.socket().remote_endpoint(ignored);
-  const instant accepted_at = std::chrono::steady_clock::now();
-  const std::string peer =
-      remote.address().to_string() + ":" + std::to_string(remote.port());
+asio::awaitable<void> ServeRequests(const listener_ptr& listener,
+                                    detail::http_connection& connection) {
   beast::flat_buffer buffer;
+  const instant accepted_at = std::chrono::steady_clock::now();
   while (connection.keep_alive && !listener->stopping) {
     http_exchange exchange;
     exchange.connection = &connection;
-    exchange.peer = peer;
+    exchange.peer = connection.report.peer;
     exchange.accepted_at = accepted_at;
     connection.busy = false;
+    StartRequestReport(connection.report);
     if (!co_await ReadRequest(exchange, buffer))
-      break;
+      co_return;
     if (listener->close_after_responses)
       connection.keep_alive = false;
     co_await RunHandler(listener, exchange);
+    connection.report.request_id = exchange.id;
     if (exchange.broken)
-      break;
+      co_return;
+  }
+  if (connection.keep_alive)
+    SetEnd(connection, connection_end::kStopped);
+}
+
+asio::awaitable<void> ServeConnection(listener_ptr listener,
+                                      asio::ip::tcp::socket socket) {
+  detail::http_connection connection(beast::tcp_stream(std::move(socket)),
+                                     listener->limits);
+  listener->connections.insert(&connection);
+  beast::error_code ignored;
+  connection.stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  const auto remote = connection.stream.socket().remote_endpoint(ignored);
+  const instant accepted_at = std::chrono::steady_clock::now();
+  connection_report& report = connection.report;
+  report.peer =
+      remote.address().to_string() + ":" + std::to_string(remote.port());
+  connection.request_began = accepted_at;
+  try {
+    co_await ServeRequests(listener, connection);
+  } catch (const std::exception& error) {
+    SetEnd(connection, connection_end::kFailed);
+    report.error = error.what();
   }
   listener->connections.erase(&connection);
   connection.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both,
                                       ignored);
+  const instant now = std::chrono::steady_clock::now();
+  report.age = now - accepted_at;
+  report.request_age = now - connection.request_began;
+  report.limits_now = listener->limits.version;
+  ReportEnd(*listener, report);
+}
+
+// Reports a connection that is closed before any request was read from it.
+void ReportUnserved(const detail::http_listener& listener,
+                    asio::ip::tcp::socket& socket,
+                    connection_end end) {
+  beast::error_code ignored;
+  const auto remote = socket.remote_endpoint(ignored);
+  connection_report report;
+  report.end = end;
+  report.peer =
+      remote.address().to_string() + ":" + std::to_string(remote.port());
+  report.limits_now = listener.limits.version;
+  ReportEnd(listener, report);
 }
 
 // Closes one connection that waits for a request to free its slot, so that idle
@@ -213,6 +322,7 @@
     if (connection->busy)
       continue;
     connection->busy = true;
+    SetEnd(*connection, connection_end::kDisplaced);
     connection->stream.cancel();
     return true;
   }
@@ -222,6 +332,8 @@
 asio::awaitable<void> AcceptLoop(listener_ptr listener) {
   while (!listener->stopping) {
     auto [error, socket] = co_await listener->acceptor.async_accept(kUseTuple);
+    if (!error && listener->stopping)
+      ReportUnserved(*listener, socket, connection_end::kStopped);
     if (error == asio::error::operation_aborted || listener->stopping)
       co_return;
     if (error) {
@@ -235,6 +347,7 @@
         !CloseIdleConnection(*listener)) {
       LogWarning("connection_refused",
                  {{"connections", listener->connections.size()}});
+      ReportUnserved(*listener, socket, connection_end::kRefused);
       continue;
     }
     asio::co_spawn(listener->executor,
@@ -255,10 +368,22 @@
   return out;
 }
 
+// Records a write of `bytes`, which ends the response if `is_last`.
 bool RecordWriteResult(http_exchange& exchange,
-                       const beast::error_code& error) {
-  if (error)
+                       const beast::error_code& error,
+                       std::size_t bytes,
+                       bool is_last) {
+  connection_report& report = exchange.connection->report;
+  report.has_response = true;
+  report.bytes_written += bytes;
+  report.is_complete = !error && is_last;
+  if (error) {
     exchange.broken = true;
+    SetEnd(*exchange.connection,
+           error == beast::error::timeout ? connection_end::kUnread
+                                          : connection_end::kCallerGone,
+           error);
+  }
   return !error;
 }
 
@@ -279,6 +404,10 @@
   return http_server{listener, endpoint{address.host, port}};
 }
 
+void ObserveConnections(http_server& server, connection_observer observer) {
+  server.listener->observer = std::move(observer);
+}
+
 void CloseAfterResponses(http_server& server) {
   server.listener->close_after_responses = true;
 }
@@ -288,16 +417,20 @@
   beast::error_code ignored;
   server.listener->acceptor.close(ignored);
   for (detail::http_connection* connection : server.listener->connections) {
-    if (!connection->busy)
-      connection->stream.cancel();
+    if (connection->busy)
+      continue;
+    SetEnd(*connection, connection_end::kStopped);
+    connection->stream.cancel();
   }
 }
 
 void CloseServer(http_server& server) {
   StopAccepting(server);
   beast::error_code ignored;
-  for (detail::http_connection* connection : server.listener->connections)
+  for (detail::http_connection* connection : server.listener->connections) {
+    SetEnd(*connection, connection_end::kClosed);
     connection->stream.socket().close(ignored);
+  }
 }
 
 std::size_t ActiveExchanges(const http_server& server) {
@@ -317,7 +450,7 @@
   connection.stream.expires_after(connection.limits->write_timeout);
   auto [error, bytes] =
       co_await http::async_write(connection.stream, message, kUseTuple);
-  co_return RecordWriteResult(exchange, error);
+  co_return RecordWriteResult(exchange, error, bytes, true);
 }
 
 asio::awaitable<bool> BeginStream(http_exchange& exchange, http_response head) {
@@ -329,7 +462,7 @@
   connection.stream.expires_after(connection.limits->write_timeout);
   auto [error, bytes] = co_await http::async_write_header(
       connection.stream, serializer, kUseTuple);
-  co_return RecordWriteResult(exchange, error);
+  co_return RecordWriteResult(exchange, error, bytes, false);
 }
 
 asio::awaitable<bool> WriteStream(http_exchange& exchange,
@@ -344,7 +477,7 @@
   connection.stream.expires_after(connection.limits->write_timeout);
   auto [error, bytes] =
       co_await asio::async_write(connection.stream, chunk, kUseTuple);
-  co_return RecordWriteResult(exchange, error);
+  co_return RecordWriteResult(exchange, error, bytes, false);
 }
 
 asio::awaitable<bool> EndStream(http_exchange& exchange) {
@@ -355,7 +488,7 @@
   connection.stream.expires_after(connection.limits->write_timeout);
   auto [error, bytes] =
       co_await asio::async_write(connection.stream, last, kUseTuple);
-  co_return RecordWriteResult(exchange, error);
+  co_return RecordWriteResult(exchange, error, bytes, true);
 }
 
 void WatchCaller(http_exchange& exchange, std::function<void()> on_disconnect) {
@@ -388,6 +521,7 @@
 void AbortExchange(http_exchange& exchange) {
   exchange.broken = true;
   exchange.response_started = true;
+  SetEnd(*exchange.connection, connection_end::kAborted);
   beast::error_code ignored;
   exchange.connection->stream.socket().close(ignored);
 }
--- a/waxwing/http_server.h
+++ b/waxwing/http_server.h
@@ -14,11 +14,13 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
 #include <tl/expected.hpp>
 
+#include "waxwing/connection_end.h"
 #include "waxwing/http.h"
 #include "waxwing/types.h"
 
@@ -31,6 +33,8 @@
   milliseconds read_timeout{10'000};   // from first byte to complete request
   milliseconds idle_timeout{60'000};   // between requests
   milliseconds write_timeout{20'000};  // for one write of a response
+  // Increases with each change; for logs.
+  std::int64_t version = 0;
 };
 
 namespace detail {
@@ -42,6 +46,8 @@
 // One request and the state of its response.
 struct http_exchange {
   http_request request;
+  // May be set by the handler; for logs.
+  std::string id;
   // Address of the caller, for logs.
   std::string peer;
   // When the connection was accepted.
@@ -58,6 +64,9 @@
 using http_handler =
     std::function<boost::asio::awaitable<void>(http_exchange&)>;
 
+// Is called at the end of each connection.
+using connection_observer = std::function<void(const connection_report&)>;
+
 // A running server; it runs until CloseServer(), even if this is destroyed.
 struct http_server {
   std::shared_ptr<detail::http_listener> listener;
@@ -71,6 +80,10 @@
     const http_limits& limits,
     http_handler handler);
 
+// Replaces the observer of the ends of connections. Ends that are not regular
+// are logged in any case.
+void ObserveConnections(http_server& server, connection_observer observer);
+
 // Closes connections after the response to any request read from now on.
 void CloseAfterResponses(http_server& server);
 
