A request that is not complete in time gets a 408

What callers saw: a connection that was closed without a response, when the last part of a request came later than the limit (3 s in the users' configurations), for example after lost packets.

Cause: the limit was one of the Beast stream, which closes its socket when it passes; the error response could not be written.

Change: the server reads from the socket with a timer of its own, which interrupts the read. What has arrived by the limit is still read, so that a request that was complete in time is served if the process stalls.

--- a/testing/connection_end_test.cc
+++ b/testing/connection_end_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio.hpp>
 #include <optional>
 #include <set>
+#include <thread>
 
 #include "testing/event_loop.h"
 #include "waxwing/http_client.h"
@@ -213,5 +214,57 @@
   }
 }
 
+TEST(ConnectionEnd, RequestThatIsNotCompleteInTimeGets408) {
+  for (const std::string_view part :
+       {kHalfRequest,
+        std::string_view("POST /echo HTTP/1.1\r\nContent-Length: 9\r\n\r\nx"),
+        std::string_view("POST /echo HTTP/1.1\r\nTransfer-Encoding: "
+                         "chunked\r\n\r\n4\r\nab")}) {
+    SCOPED_TRACE(part);
+    fixture f(Limits(4096, milliseconds(100)));
+    const std::string response = f.ReadAll(f.Send(std::string(part)));
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 408")) << response;
+  }
+}
+
+TEST(ConnectionEnd, RequestThatArrivesSlowlyButInTimeIsServed) {
+  fixture f(Limits(4096, milliseconds(500)));
+  asio::ip::tcp::socket& caller = f.Connect();
+  for (const char byte : RequestFor("/echo")) {
+    asio::write(caller, asio::buffer(&byte, 1));
+    f.Run(milliseconds(2));
+  }
+  f.Run(milliseconds(20));
+  EXPECT_GT(caller.available(), 0U);
+}
+
+TEST(ConnectionEnd, CompleteRequestThatIsReadAfterAStallIsServed) {
+  fixture f(Limits(4096, milliseconds(100)));
+  const std::string body(20'000, 'x');
+  asio::ip::tcp::socket& caller =
+      f.Send("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 20000\r\n\r\n");
+  asio::write(caller, asio::buffer(body));
+  std::this_thread::sleep_for(milliseconds(200));
+  f.Run(milliseconds(50));
+  std::string response(16, '\0');
+  ASSERT_GE(caller.available(), response.size());
+  asio::read(caller, asio::buffer(response));
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 200")) << response;
+}
+
+TEST(ConnectionEnd, CallerThatKeepsSendingDoesNotExtendTheTimeLimit) {
+  fixture f(Limits(4096, milliseconds(100)));
+  asio::ip::tcp::socket& caller =
+      f.Send("POST /echo HTTP/1.1\r\nContent-Length: 100000\r\n\r\n");
+  const instant began = std::chrono::steady_clock::now();
+  while (f.Find(connection_end::kLate) == f.reports.end() &&
+         std::chrono::steady_clock::now() < began + seconds(2)) {
+    boost::system::error_code ignored;
+    asio::write(caller, asio::buffer("x", 1), ignored);
+    f.Run(milliseconds(2));
+  }
+  EXPECT_LT(std::chrono::steady_clock::now() - began, seconds(1));
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/http_server.cc
+++ b/waxwing/http_server.cc
@@ -19,6 +19,8 @@
 namespace detail {
 
 struct http_connection {
+  // Reads use its socket directly: when a time limit of the stream passes, it
+  // closes the socket, and no response can be sent.
   beast::tcp_stream stream;
   const http_limits* limits = nullptr;
   bool keep_alive = true;
@@ -35,6 +37,17 @@
   std::function<void()> on_disconnect;
 };
 
+// The time limit of a wait or a read; may outlive its connection.
+struct read_timer {
+  asio::steady_timer timer;
+  // Null once the read has ended.
+  http_connection* connection = nullptr;
+  bool is_over = false;
+
+  explicit read_timer(http_connection& c)
+      : timer(c.stream.get_executor()), connection(&c) {}
+};
+
 struct http_listener {
   asio::any_io_executor executor;
   asio::ip::tcp::acceptor acceptor;
@@ -147,6 +160,85 @@
   return out;
 }
 
+// A read that ended just before it was interrupted may be followed by another
+// one, so the interruption is repeated.
+constexpr milliseconds kInterruptPeriod{10};
+
+void InterruptWhenOver(const std::shared_ptr<detail::read_timer>& limit) {
+  limit->timer.async_wait([limit](const beast::error_code& error) {
+    if (error || !limit->connection)
+      return;
+    limit->is_over = true;
+    beast::error_code ignored;
+    limit->connection->stream.socket().cancel(ignored);
+    limit->timer.expires_after(kInterruptPeriod);
+    InterruptWhenOver(limit);
+  });
+}
+
+// Interrupts what is read from the connection when the time is over, for the
+// lifetime of this object.
+struct read_limit {
+  std::shared_ptr<detail::read_timer> state;
+
+  read_limit(detail::http_connection& connection, milliseconds time)
+      : state(std::make_shared<detail::read_timer>(connection)) {
+    state->timer.expires_after(time);
+    InterruptWhenOver(state);
+  }
+  ~read_limit() {
+    state->connection = nullptr;
+    state->timer.cancel();
+  }
+  read_limit(const read_limit&) = delete;
+  read_limit& operator=(const read_limit&) = delete;
+};
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+
+// Reads one request. After the time limit only what has already arrived is
+// read: a request that was complete in time is not lost if this process stalls.
+asio::awaitable<beast::error_code> ReadMessage(
+    detail::http_connection& connection,
+    beast::flat_buffer& buffer,
+    request_parser& parser) {
+  const read_limit limit(connection, connection.limits->read_timeout);
+  asio::ip::tcp::socket& socket = connection.stream.socket();
+  std::optional<std::size_t> arrived;
+  parser.eager(true);
+  while (true) {
+    beast::error_code parse_error;
+    const std::size_t parsed = parser.put(buffer.data(), parse_error);
+    buffer.consume(parsed);
+    if (parser.is_done())
+      co_return beast::error_code();
+    if (parse_error && parse_error != http::error::need_more)
+      co_return parse_error;
+    if (limit.state->is_over && !arrived) {
+      beast::error_code ignored;
+      arrived = socket.available(ignored);
+    }
+    if (arrived == 0U)
+      co_return beast::error_code(beast::error::timeout);
+    auto [error, bytes] = co_await socket.async_read_some(
+        buffer.prepare(std::min(kReadBytes, arrived.value_or(kReadBytes))),
+        kUseTuple);
+    buffer.commit(bytes);
+    connection.report.bytes_read += bytes;
+    if (arrived)
+      *arrived -= bytes;
+    if (error == asio::error::eof) {
+      if (!parser.got_some())
+        co_return beast::error_code(http::error::end_of_stream);
+      co_return beast::error_code(http::error::partial_message);
+    }
+    const bool is_interrupted =
+        error == asio::error::operation_aborted && limit.state->is_over;
+    if (error && !is_interrupted)
+      co_return error;
+  }
+}
+
 // Returns how a connection ends on which reading a request has failed.
 connection_end EndOfRead(const request_parser& parser,
                          const beast::error_code& error) {
@@ -168,7 +260,6 @@
   parser.header_limit(
       static_cast<std::uint32_t>(connection.limits->max_header_bytes));
   parser.body_limit(connection.limits->max_body_bytes);
-  connection.stream.expires_after(connection.limits->idle_timeout);
   if (buffer.size() == 0) {
     auto [wait_error] = co_await connection.stream.socket().async_wait(
         asio::ip::tcp::socket::wait_read, kUseTuple);
@@ -179,10 +270,8 @@
   }
   connection.busy = true;
   connection.request_began = std::chrono::steady_clock::now();
-  connection.stream.expires_after(connection.limits->read_timeout);
-  auto [error, bytes] =
-      co_await http::async_read(connection.stream, buffer, parser, kUseTuple);
-  connection.report.bytes_read += bytes;
+  const beast::error_code error =
+      co_await ReadMessage(connection, buffer, parser);
   if (error) {
     SetEnd(connection, EndOfRead(parser, error), error);
     if (error != http::error::end_of_stream &&
