A configuration leaves the server's own limits alone

Cause: the limits on requests, which a configuration replaces, and those of the process were one struct. The first configuration therefore raised the limit of connections from the one derived from the descriptors (3,100 of 4,100) to the default of 4,096, so that none was left for targets, peers and the store.

Change: request_limits and http_limits are two types; SetLimits() takes the first.

--- a/testing/connection_end_test.cc
+++ b/testing/connection_end_test.cc
@@ -266,5 +266,17 @@
   EXPECT_LT(std::chrono::steady_clock::now() - began, seconds(1));
 }
 
+TEST(ConnectionEnd, NewRequestLimitsLeaveTheLimitOfConnections) {
+  constexpr std::size_t kConnections = 4;
+  fixture f(Limits(kConnections, seconds(10)));
+  SetLimits(f.server, {});
+  for (std::size_t i = 0; i < 2 * kConnections; ++i)
+    f.Send(RequestFor("/hang"));
+  const auto refused = std::count_if(
+      f.reports.begin(), f.reports.end(),
+      [](const auto& r) { return r.end == connection_end::kRefused; });
+  EXPECT_EQ(refused, static_cast<std::ptrdiff_t>(kConnections));
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -71,7 +71,7 @@
   if (parsed->version <= state.table->version)
     return parsed->version == state.table->version;
   state.table = std::make_shared<const route_table>(std::move(*parsed));
-  http_limits limits;
+  request_limits limits;
   limits.max_header_bytes = state.table->limits.header_bytes;
   limits.max_body_bytes = state.table->limits.body_bytes;
   limits.read_timeout = state.table->limits.header_timeout;
--- a/waxwing/http_server.cc
+++ b/waxwing/http_server.cc
@@ -603,8 +603,8 @@
       });
 }
 
-void SetLimits(http_server& server, const http_limits& limits) {
-  server.listener->limits = limits;
+void SetLimits(http_server& server, const request_limits& limits) {
+  static_cast<request_limits&>(server.listener->limits) = limits;
 }
 
 void AbortExchange(http_exchange& exchange) {
--- a/waxwing/http_server.h
+++ b/waxwing/http_server.h
@@ -26,17 +26,22 @@
 
 namespace waxwing {
 
-struct http_limits {
+// Limits on requests, which a configuration may replace.
+struct request_limits {
   std::size_t max_header_bytes = 16 * 1024;
   std::size_t max_body_bytes = 4 * 1024 * 1024;
-  std::size_t max_connections = 4096;
-  milliseconds read_timeout{10'000};   // from first byte to complete request
-  milliseconds idle_timeout{60'000};   // between requests
-  milliseconds write_timeout{20'000};  // for one write of a response
+  milliseconds read_timeout{10'000};  // from first byte to complete request
+  milliseconds idle_timeout{60'000};  // between requests
   // Increases with each change; for logs.
   std::int64_t version = 0;
 };
 
+// Limits of a server. Those beside the request limits are the process's own.
+struct http_limits : request_limits {
+  std::size_t max_connections = 4096;
+  milliseconds write_timeout{20'000};  // for one write of a response
+};
+
 namespace detail {
 struct http_connection;
 struct http_listener;
@@ -116,9 +121,9 @@
 // further.
 void WatchCaller(http_exchange& exchange, std::function<void()> on_disconnect);
 
-// Replaces the limits; open connections use the new ones from their next
-// operation on.
-void SetLimits(http_server& server, const http_limits& limits);
+// Replaces the limits on requests; open connections use the new ones from their
+// next operation on.
+void SetLimits(http_server& server, const request_limits& limits);
 
 // Closes the connection without ending the response, so that the caller can
 // tell that it is incomplete.
