A request that has arrived is served although its connection was to be closed

What callers saw: a connection that was closed (reset) without a response, if their request was in the socket when the server stopped accepting or made room for another connection.

Cause: a connection counted as idle until its coroutine ran again, however long the request had been there; the wait was cancelled and the socket closed.

Change: after a cancelled wait the server looks at the socket. Connections with unread data are not closed to make room.

Result: ConnectionEnd.RequestThatArrivesAsTheServerStopsGetsAResponse and ...AtTheLimitOfConnectionsGetsAResponse failed before (no byte).

--- a/testing/connection_end_test.cc
+++ b/testing/connection_end_test.cc
@@ -278,5 +278,28 @@
   EXPECT_EQ(refused, static_cast<std::ptrdiff_t>(kConnections));
 }
 
+// The bytes are in the socket when the server decides, before it reads them.
+TEST(ConnectionEnd, RequestThatArrivesAsTheServerStopsGetsAResponse) {
+  fixture f;
+  asio::ip::tcp::socket& caller = f.Connect();
+  asio::write(caller, asio::buffer(kRequest));
+  StopAccepting(f.server);
+  const std::string response = f.ReadAll(caller);
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 200")) << response;
+}
+
+TEST(ConnectionEnd, RequestThatArrivesAtTheLimitOfConnectionsGetsAResponse) {
+  fixture f(Limits(1, seconds(10)));
+  asio::ip::tcp::socket& caller = f.Connect();
+  asio::ip::tcp::socket other(f.context);
+  other.connect({asio::ip::make_address("127.0.0.1"), f.server.address.port});
+  asio::write(caller, asio::buffer(kRequest));
+  f.Run(milliseconds(50));
+  std::string response(12, '\0');
+  ASSERT_GE(caller.available(), response.size());
+  asio::read(caller, asio::buffer(response));
+  EXPECT_EQ(response, "HTTP/1.1 200");
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/http_server.cc
+++ b/waxwing/http_server.cc
@@ -251,6 +251,25 @@
   return is_broken ? connection_end::kCallerBroke : connection_end::kMalformed;
 }
 
+bool HasArrived(asio::ip::tcp::socket& socket) {
+  beast::error_code ignored;
+  return socket.available(ignored) > 0;
+}
+
+// Waits for the next request. Returns false if the connection is to be closed;
+// a request that has arrived by then is still served.
+asio::awaitable<bool> WaitForRequest(detail::http_connection& connection) {
+  asio::ip::tcp::socket& socket = connection.stream.socket();
+  auto [error] =
+      co_await socket.async_wait(asio::ip::tcp::socket::wait_read, kUseTuple);
+  if (!error || HasArrived(socket)) {
+    connection.report.end = connection_end::kResponded;
+    co_return true;
+  }
+  SetEnd(connection, connection_end::kCallerLeft, error);
+  co_return false;
+}
+
 // Reads the next request. Returns false if the connection is to be closed;
 // after a parse error, the error response has been sent by then.
 asio::awaitable<bool> ReadRequest(http_exchange& exchange,
@@ -260,14 +279,8 @@
   parser.header_limit(
       static_cast<std::uint32_t>(connection.limits->max_header_bytes));
   parser.body_limit(connection.limits->max_body_bytes);
-  if (buffer.size() == 0) {
-    auto [wait_error] = co_await connection.stream.socket().async_wait(
-        asio::ip::tcp::socket::wait_read, kUseTuple);
-    if (wait_error) {
-      SetEnd(connection, connection_end::kCallerLeft, wait_error);
-      co_return false;
-    }
-  }
+  if (buffer.size() == 0 && !co_await WaitForRequest(connection))
+    co_return false;
   connection.busy = true;
   connection.request_began = std::chrono::steady_clock::now();
   const beast::error_code error =
@@ -408,7 +421,7 @@
 // callers can't lock others out. False if all connections are busy.
 bool CloseIdleConnection(detail::http_listener& listener) {
   for (detail::http_connection* connection : listener.connections) {
-    if (connection->busy)
+    if (connection->busy || HasArrived(connection->stream.socket()))
       continue;
     connection->busy = true;
     SetEnd(*connection, connection_end::kDisplaced);
