Idle connections are closed at the limit that callers know

Cause: the wait for a request was one of the plain socket, which no time limit covered: the configured limit had no effect, and connections that callers had forgotten stayed open.

Change: a connection is closed when it has been idle for the longest limit that was in force since its last response or within 30 s before, so that no caller who goes by an earlier configuration loses a request.

Result: ConnectionEnd.ShorterIdleLimitDoesNotCloseBeforeTheOneThatCallersKnow and ...LongerIdleLimitHoldsForConnectionsThatAreIdle failed before (not closed).

--- a/testing/connection_end_test.cc
+++ b/testing/connection_end_test.cc
@@ -132,6 +132,12 @@
   return out;
 }
 
+http_limits IdleLimits(milliseconds timeout) {
+  http_limits out;
+  out.idle_timeout = timeout;
+  return out;
+}
+
 const std::vector<way>& Ways() {
   constexpr milliseconds kShort{100};
   constexpr milliseconds kLong{10'000};
@@ -166,6 +172,8 @@
        [](fixture& f) { f.Send("nonsense\r\n\r\n"); }},
       {connection_end::kAborted, [](fixture& f) { f.Send(RequestFor("/cut")); },
        true, true},
+      {connection_end::kIdle, [](fixture& f) { f.Connect(); }, false, false,
+       IdleLimits(kShort)},
       {connection_end::kDisplaced,
        [](fixture& f) {
          f.Connect();
@@ -301,5 +309,29 @@
   EXPECT_EQ(response, "HTTP/1.1 200");
 }
 
+TEST(ConnectionEnd, ShorterIdleLimitDoesNotCloseBeforeTheOneThatCallersKnow) {
+  fixture f(IdleLimits(milliseconds(400)));
+  asio::ip::tcp::socket& caller = f.Send(std::string(kRequest));
+  SetLimits(f.server, IdleLimits(milliseconds(50)));
+  for (int i = 0; i < 2; ++i) {
+    f.Run(milliseconds(300));
+    EXPECT_TRUE(f.reports.empty());
+    asio::write(caller, asio::buffer(kRequest));
+    f.Run(milliseconds(30));
+  }
+  const auto report = f.FindReport(connection_end::kIdle);
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report->requests, 3U);
+}
+
+TEST(ConnectionEnd, LongerIdleLimitHoldsForConnectionsThatAreIdle) {
+  fixture f(IdleLimits(milliseconds(100)));
+  f.Send(std::string(kRequest));
+  SetLimits(f.server, IdleLimits(milliseconds(400)));
+  f.Run(milliseconds(250));
+  EXPECT_TRUE(f.reports.empty());
+  EXPECT_TRUE(f.FindReport(connection_end::kIdle));
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/connection_end.cc
+++ b/waxwing/connection_end.cc
@@ -20,6 +20,8 @@
       return "malformed";
     case connection_end::kAborted:
       return "aborted";
+    case connection_end::kIdle:
+      return "idle";
     case connection_end::kDisplaced:
       return "displaced";
     case connection_end::kRefused:
@@ -36,7 +38,7 @@
 
 bool IsRegular(connection_end end) {
   return end == connection_end::kResponded ||
-         end == connection_end::kCallerLeft;
+         end == connection_end::kCallerLeft || end == connection_end::kIdle;
 }
 
 bool LacksResponse(const connection_report& report) {
--- a/waxwing/connection_end.h
+++ b/waxwing/connection_end.h
@@ -21,6 +21,7 @@
   kLate,         // the request was not complete in time
   kMalformed,    // the request was unreadable or too large
   kAborted,      // the response can't be completed
+  kIdle,         // idle for longer than the limit
   kDisplaced,    // idle, in favor of a new connection
   kRefused,      // new, at the limit of connections
   kStopped,      // idle or new, since the server stops accepting
@@ -33,9 +34,9 @@
     connection_end::kCallerBroke, connection_end::kCallerGone,
     connection_end::kUnread,      connection_end::kLate,
     connection_end::kMalformed,   connection_end::kAborted,
-    connection_end::kDisplaced,   connection_end::kRefused,
-    connection_end::kStopped,     connection_end::kClosed,
-    connection_end::kFailed,
+    connection_end::kIdle,        connection_end::kDisplaced,
+    connection_end::kRefused,     connection_end::kStopped,
+    connection_end::kClosed,      connection_end::kFailed,
 };
 
 std::string_view NameOf(connection_end end);
--- a/waxwing/http_server.cc
+++ b/waxwing/http_server.cc
@@ -26,6 +26,9 @@
   bool keep_alive = true;
   bool busy = false;
   instant request_began;
+  // The longest limit that was in force since the last response: its caller may
+  // still go by it.
+  milliseconds idle_limit{};
   connection_report report;
 
   http_connection(beast::tcp_stream s, const http_limits& l)
@@ -56,6 +59,9 @@
   bool stopping = false;
   bool close_after_responses = false;
   connection_observer observer;
+  // The longest idle limit that callers may still go by, until a time.
+  milliseconds earlier_idle_limit{};
+  instant earlier_idle_limit_until;
   std::size_t active_exchanges = 0;
   std::set<http_connection*> connections;
 
@@ -181,9 +187,9 @@
 struct read_limit {
   std::shared_ptr<detail::read_timer> state;
 
-  read_limit(detail::http_connection& connection, milliseconds time)
+  read_limit(detail::http_connection& connection, instant end)
       : state(std::make_shared<detail::read_timer>(connection)) {
-    state->timer.expires_after(time);
+    state->timer.expires_at(end);
     InterruptWhenOver(state);
   }
   ~read_limit() {
@@ -202,7 +208,8 @@
     detail::http_connection& connection,
     beast::flat_buffer& buffer,
     request_parser& parser) {
-  const read_limit limit(connection, connection.limits->read_timeout);
+  const read_limit limit(
+      connection, connection.request_began + connection.limits->read_timeout);
   asio::ip::tcp::socket& socket = connection.stream.socket();
   std::optional<std::size_t> arrived;
   parser.eager(true);
@@ -260,14 +267,36 @@
 // a request that has arrived by then is still served.
 asio::awaitable<bool> WaitForRequest(detail::http_connection& connection) {
   asio::ip::tcp::socket& socket = connection.stream.socket();
-  auto [error] =
-      co_await socket.async_wait(asio::ip::tcp::socket::wait_read, kUseTuple);
-  if (!error || HasArrived(socket)) {
-    connection.report.end = connection_end::kResponded;
-    co_return true;
+  const instant began = std::chrono::steady_clock::now();
+  while (true) {
+    const read_limit limit(connection, began + connection.idle_limit);
+    auto [error] =
+        co_await socket.async_wait(asio::ip::tcp::socket::wait_read, kUseTuple);
+    if (!error || HasArrived(socket)) {
+      connection.report.end = connection_end::kResponded;
+      co_return true;
+    }
+    const bool is_interrupted =
+        limit.state->is_over &&
+        connection.report.end == connection_end::kResponded;
+    if (is_interrupted &&
+        std::chrono::steady_clock::now() < began + connection.idle_limit)
+      continue;
+    SetEnd(connection,
+           is_interrupted ? connection_end::kIdle : connection_end::kCallerLeft,
+           error);
+    co_return false;
   }
-  SetEnd(connection, connection_end::kCallerLeft, error);
-  co_return false;
+}
+
+// Callers learn of a shorter idle limit within this time.
+constexpr seconds kIdleLimitMemory{30};
+
+milliseconds LongestIdleLimit(const detail::http_listener& listener) {
+  const bool is_remembered =
+      std::chrono::steady_clock::now() < listener.earlier_idle_limit_until;
+  return std::max(listener.limits.idle_timeout,
+                  is_remembered ? listener.earlier_idle_limit : milliseconds());
 }
 
 // Reads the next request. Returns false if the connection is to be closed;
@@ -360,6 +389,7 @@
     exchange.peer = connection.report.peer;
     exchange.accepted_at = accepted_at;
     connection.busy = false;
+    connection.idle_limit = LongestIdleLimit(*listener);
     StartRequestReport(connection.report);
     if (!co_await ReadRequest(exchange, buffer))
       co_return;
@@ -617,7 +647,14 @@
 }
 
 void SetLimits(http_server& server, const request_limits& limits) {
-  static_cast<request_limits&>(server.listener->limits) = limits;
+  detail::http_listener& listener = *server.listener;
+  listener.earlier_idle_limit = LongestIdleLimit(listener);
+  listener.earlier_idle_limit_until =
+      std::chrono::steady_clock::now() + kIdleLimitMemory;
+  static_cast<request_limits&>(listener.limits) = limits;
+  for (detail::http_connection* connection : listener.connections)
+    connection->idle_limit =
+        std::max(connection->idle_limit, limits.idle_timeout);
 }
 
 void AbortExchange(http_exchange& exchange) {
