A second SIGTERM does not cut the shutdown short

What callers saw: all their connections closed without a response, if a VM got SIGTERM twice, as two overlapping plans may send it.

Cause: any second signal stopped the event loop at once.

Change: only SIGINT does, the operator's at a terminal.

Result: Program.SecondSigtermDoesNotCutTheShutdownShort, linked with the program.cc of before: exit code 1 and an incomplete shutdown where 0 and a complete one are wanted; passes with the change.

--- a/waxwing/program.cc
+++ b/waxwing/program.cc
@@ -88,6 +88,10 @@
       if (error)
         return;
       LogInfo("signal", {{"number", number}, {"again", is_stopping}});
+      if (is_stopping && number == SIGTERM) {
+        wait();
+        return;
+      }
       if (is_stopping) {
         exit_code = kExitFailure;
         context.stop();
--- a/waxwing/program.h
+++ b/waxwing/program.h
@@ -40,7 +40,8 @@
               const daemon_start& start);
 
 // Runs the context until SIGTERM or SIGINT, then runs `stop`. Returns the exit
-// code when `stop` has finished or on a second signal.
+// code when `stop` has finished. A second SIGINT ends it at once; a second
+// SIGTERM, which may be one of two overlapping requests to stop, does not.
 int RunUntilStopped(boost::asio::io_context& context, const daemon_stop& stop);
 
 }  // namespace waxwing
