Requests held at the end of a drain get a response

What callers saw: a connection closed without a response, if their request was queued, waited for another VM or ran at a target when the time for a drain was over; and if it was being read when the last other one ended.

Cause: the last step of a drain closed all connections, and what was still open was counted by handlers, not by requests of which a byte had arrived.

Change: 200 ms before, all requests in progress are cut short: what was not sent is refused as not run (503), the rest gets 502; nothing is sent again. The drain waits for requests that are being read, too.

--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -887,5 +887,30 @@
   f.running.state.reset();
 }
 
+// The target never responds, and the drain ends before the request's deadline.
+TEST(Entry, RequestsHeldAtTheEndOfADrainGetAResponse) {
+  entry_fixture f;
+  f.AddTarget("t1", "panel", [](const http_request&) {
+    return scripted_response{{}, false, std::chrono::seconds(10)};
+  });
+  f.Start(1);
+  f.running.state->options.bounds.stop_timeout = milliseconds(3'900);
+  f.caller_deadline_ms = 5'000;
+  bool is_done = false;
+  asio::co_spawn(f.context, DrainEntry(f.running),
+                 [&](const std::exception_ptr&, bool) { is_done = true; });
+  asio::steady_timer timer(f.context, milliseconds(2'800));
+  RunToEnd(f.context, [](asio::steady_timer& t) -> asio::awaitable<bool> {
+    co_await t.async_wait(asio::use_awaitable);
+    co_return true;
+  }(timer));
+  const auto response = f.Send(kNonIdempotentPath);
+  ASSERT_TRUE(response) << response.error().detail;
+  EXPECT_EQ(response->status, 502U);
+  f.RunUntil([&] { return is_done; });
+  EXPECT_TRUE(is_done);
+  f.running.state.reset();
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -17,8 +17,10 @@
 // Some callers cache a response for three TTLs.
 constexpr int kCallerTtlMultiple = 3;
 constexpr milliseconds kDrainPollPeriod{10};
-// Reserved at the end of the shutdown for the process to exit by itself.
+// Reserved at the end of the shutdown for the process to exit by itself, and
+// before that to respond to the requests that are still held.
 constexpr milliseconds kStopReserve{300};
+constexpr milliseconds kRefusalReserve{200};
 constexpr milliseconds kRefreshPeriod{100};
 // Period in which idle connections that cannot be reused are closed.
 constexpr milliseconds kPrunePeriod{1'000};
@@ -211,8 +213,8 @@
   AnnounceLeaving(state->membership_agent);
   LogInfo("drain_started", {{"open", ActiveExchanges(state->caller_server)}});
   const instant start = std::chrono::steady_clock::now();
-  const instant limit =
-      start + state->options.bounds.stop_timeout - kStopReserve;
+  const instant limit = start + state->options.bounds.stop_timeout -
+                        kStopReserve - kRefusalReserve;
   // Callers with a cached directory response still open new connections.
   CloseAfterResponses(state->caller_server);
   co_await Pause(state->root, DirectoryTtl(*state) * kCallerTtlMultiple);
@@ -223,6 +225,11 @@
     co_await Pause(state->root, kDrainPollPeriod);
   const std::size_t left = ActiveExchanges(state->caller_server);
   LogInfo("drain_ended", {{"open", left}});
+  CutRunsShort(*state);
+  const instant end = std::chrono::steady_clock::now() + kRefusalReserve;
+  while (ActiveExchanges(state->caller_server) > 0 &&
+         std::chrono::steady_clock::now() < end)
+    co_await Pause(state->root, kDrainPollPeriod);
   StopEntry(instance);
   co_return left == 0;
 }
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -33,6 +33,18 @@
 constexpr milliseconds kRetryAfterSpread{300};
 constexpr milliseconds kNoConfigRetryAfter{300};
 
+// Lists a request as being forwarded for the lifetime of this object.
+struct run_listing {
+  forward_run& run;
+
+  explicit run_listing(forward_run& listed) : run(listed) {
+    run.state->runs.insert(&run);
+  }
+  ~run_listing() { run.state->runs.erase(&run); }
+  run_listing(const run_listing&) = delete;
+  run_listing& operator=(const run_listing&) = delete;
+};
+
 // Returns the last event that the caller had when it sent the request, or -1.
 std::int64_t ResumePoint(const forward_run& run) {
   return run.request.resume_after
@@ -146,7 +158,8 @@
 
 // True if another target may be tried after this outcome.
 bool MayRetryElsewhere(forward_run& run, forward_outcome outcome) {
-  if (run.sends >= kMaxSends || run.ends_in_doubt >= kMaxEndsInDoubt ||
+  if (run.is_cut_short || run.sends >= kMaxSends ||
+      run.ends_in_doubt >= kMaxEndsInDoubt ||
       std::chrono::steady_clock::now() >= run.deadline)
     return false;
   if (outcome == forward_outcome::kNotRun)
@@ -275,7 +288,7 @@
 // Tries targets until one succeeds or no further one may be tried.
 asio::awaitable<forward_outcome> RunWithRetries(forward_run& run) {
   forward_outcome outcome = forward_outcome::kNotRun;
-  while (true) {
+  while (!run.is_cut_short) {
     if (ShouldForward(run)) {
       const forward_outcome at_peer = co_await RunAtPeers(run);
       const bool is_hopeless =
@@ -288,7 +301,7 @@
     }
     CreditRetryBudget(run);
     if (!co_await WaitForDispatchSlot(run)) {
-      if (ShouldForward(run) && !run.caller_gone)
+      if (ShouldForward(run) && !run.caller_gone && !run.is_cut_short)
         continue;
       co_return run.caller_gone ? forward_outcome::kCallerGone : outcome;
     }
@@ -297,7 +310,7 @@
       co_return run.caller_gone ? forward_outcome::kCallerGone : outcome;
     }
     const auto choice = co_await ChoosePermittedTarget(run);
-    if (!choice) {
+    if (!choice || run.is_cut_short) {
       LogInfo("no_target",
               {{"request", run.request.id}, {"service", run.service}});
       FinishTrial(run);
@@ -342,13 +355,15 @@
       ObserveUnreached(run, attempt);
     // Without a connection nothing has arrived, so forwarding is no retry.
     run.failed_target = static_cast<int>(attempt.chosen.target);
-    if (attempt.is_unreached && ShouldForward(run) && run.sends < kMaxSends &&
+    if (attempt.is_unreached && ShouldForward(run) && !run.is_cut_short &&
+        run.sends < kMaxSends &&
         std::chrono::steady_clock::now() < run.deadline)
       continue;
     if (!MayRetryElsewhere(run, outcome))
       co_return outcome;
     Count(run.state->stats, "waxwing_retries_total");
   }
+  co_return outcome;
 }
 
 void LogOutcome(const forward_run& run, forward_outcome outcome) {
@@ -413,8 +428,19 @@
                       run.deadline - std::chrono::steady_clock::now()));
 }
 
+void CutRunsShort(entry_state& state) {
+  for (forward_run* run : state.runs) {
+    run->is_cut_short = true;
+    run->refused = {kLeaving, kMinRetryAfter};
+    Abort(run->abort);
+    if (run->waiter)
+      run->waiter->wakeup.cancel();
+  }
+}
+
 asio::awaitable<void> ForwardRequest(entry_ptr state, http_exchange& exchange) {
   forward_run run{state, exchange};
+  const run_listing listing(run);
   run.table = state->table;
   run.arrived = std::chrono::steady_clock::now();
   Count(state->stats, "waxwing_requests_total");
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -47,7 +47,7 @@
   pending_start_listing(forward_run& listed, const dispatch& attempt)
       : run(listed) {
     // A withdrawn attempt leaves the abort flag set.
-    if (!run.caller_gone)
+    if (!run.caller_gone && !run.is_cut_short)
       run.abort = {};
     run.start = {};
     const target_record& record = attempt.target.record;
@@ -127,6 +127,7 @@
                                const http_error& error) {
   attempt.failure = std::string(NameOf(error.failure)) + ": " + error.detail;
   attempt.connection_broke = error.maybe_sent && !run.start.is_cut_off &&
+                             !run.is_cut_short &&
                              (error.failure == http_failure::kClosed ||
                               error.failure == http_failure::kConnect);
   if (run.caller_gone)
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -78,6 +78,8 @@
   instant deadline;
   http_abort abort;
   bool caller_gone = false;
+  // The process ends: nothing more is sent, and what waits is refused.
+  bool is_cut_short = false;
   // Requests sent; targets that may have run the request; and those of them
   // that accepted no connection afterwards.
   int sends = 0;
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -280,6 +280,8 @@
   bool is_reading = false;
 };
 
+struct forward_run;
+
 struct entry_state {
   explicit entry_state(boost::asio::any_io_executor e)
       : executor(e), probes_due(e) {}
@@ -308,6 +310,8 @@
   // Invariant: the version never decreases.
   std::shared_ptr<const route_table> table = std::make_shared<route_table>();
   std::map<object_kind, watch_position> watches;
+  // The requests that are being forwarded. Owned by coroutine frames.
+  std::set<forward_run*> runs;
   // VMs that watch the store for this zone, possibly including this one.
   std::vector<std::string> zone_watchers;
   zone_load caller_load;
@@ -393,6 +397,10 @@
 
 // --- entry_forward.cc
 
+// Ends all requests that are being forwarded: those that have not been sent are
+// refused, the others get what is known of them.
+void CutRunsShort(entry_state& state);
+
 boost::asio::awaitable<void> ForwardRequest(entry_ptr state,
                                             http_exchange& exchange);
 
--- a/waxwing/entry_suspects.cc
+++ b/waxwing/entry_suspects.cc
@@ -458,7 +458,7 @@
   const instant limit = std::min<instant>(
       run.deadline, std::chrono::steady_clock::now() + kMaxTrialWait);
   asio::steady_timer timer(state.executor);
-  while (!run.caller_gone) {
+  while (!run.caller_gone && !run.is_cut_short) {
     const suspicion found = CheckKeys(state.suspects, run.suspect_keys);
     if (found == suspicion::kNone)
       co_return true;
--- a/waxwing/http_server.cc
+++ b/waxwing/http_server.cc
@@ -1,5 +1,6 @@
 #include "waxwing/http_server.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 #include <cerrno>
@@ -62,7 +63,6 @@
   // The longest idle limit that callers may still go by, until a time.
   milliseconds earlier_idle_limit{};
   instant earlier_idle_limit_until;
-  std::size_t active_exchanges = 0;
   std::set<http_connection*> connections;
 
   http_listener(asio::ip::tcp::acceptor a, const http_limits& l, http_handler h)
@@ -356,7 +356,6 @@
 
 asio::awaitable<void> RunHandler(const listener_ptr& listener,
                                  http_exchange& exchange) {
-  ++listener->active_exchanges;
   try {
     co_await listener->handler(exchange);
   } catch (const std::exception& error) {
@@ -376,7 +375,6 @@
     beast::error_code ignored;
     exchange.connection->stream.socket().cancel(ignored);
   }
-  --listener->active_exchanges;
 }
 
 asio::awaitable<void> ServeRequests(const listener_ptr& listener,
@@ -566,7 +564,10 @@
 }
 
 std::size_t ActiveExchanges(const http_server& server) {
-  return server.listener->active_exchanges;
+  const auto& connections = server.listener->connections;
+  return static_cast<std::size_t>(std::count_if(
+      connections.begin(), connections.end(),
+      [](const detail::http_connection* each) { return each->busy; }));
 }
 
 asio::awaitable<bool> Respond(http_exchange& exchange, http_response response) {
--- a/waxwing/http_server.h
+++ b/waxwing/http_server.h
@@ -98,7 +98,8 @@
 // Stops accepting and closes all connections, including those in use.
 void CloseServer(http_server& server);
 
-// The number of requests whose handler has not returned yet.
+// The number of requests of which a byte has arrived and whose handler has not
+// returned yet.
 std::size_t ActiveExchanges(const http_server& server);
 
 // Sends a complete response. False if the caller has disconnected.
