A refusal that names no request is not taken for this request's

What callers saw: "not run, try again" (503) for requests that a target ran, and a request that must not be repeated sent to further targets, after a target had written an earlier refusal once more.

Cause: any response without an ID that says "not run" was taken for the one to this request, also on kept connections and after other responses. A kept connection is looked at when it is taken only; a copy that comes later was not told apart.

Change: a refusal counts as "not run" only if it has the request's ID and nothing without an ID came before it, or if it is the first response on a connection that carried only this request and was quiet before. Otherwise the request may have run: 502, or another target if it may be repeated. Nothing is sent on a new connection that has data already.

--- a/testing/http_test.cc
+++ b/testing/http_test.cc
@@ -259,6 +259,30 @@
   }
 }
 
+TEST(Http, NewConnectionWithDataBeforeTheRequestIsNotUsed) {
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  const http_pool pool = MakeHttpPool(context.get_executor(), {});
+  const http_call_options options{milliseconds(300), false};
+  const endpoint address{"127.0.0.1", acceptor.local_endpoint().port()};
+  const http_request request;
+  std::optional<tl::expected<http_call, http_error>> call;
+  asio::co_spawn(context, StartCall(pool, address, request, options),
+                 [&](const std::exception_ptr&, auto result) {
+                   call.emplace(std::move(result));
+                 });
+  context.poll_one();
+  // The connection is established, but the call has not been resumed yet.
+  asio::ip::tcp::socket socket = acceptor.accept();
+  asio::write(socket, asio::buffer(BeginResponse(0)));
+  context.run();
+  ASSERT_TRUE(call);
+  ASSERT_FALSE(*call);
+  EXPECT_FALSE(call->error().maybe_sent);
+  EXPECT_EQ(socket.available(), 0u);
+}
+
 TEST(Http, HandlerThatThrowsGivesStatus500) {
   asio::io_context context;
   auto server = *StartHttpServer(context.get_executor(), {"127.0.0.1", 0}, {},
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -20,6 +20,8 @@
 
 // Responses to other requests that are skipped before the connection is closed.
 constexpr int kMaxSkippedResponses = 3;
+// Responses with a lower status are followed by the final one.
+constexpr unsigned kFirstFinalStatus = 200;
 // Each response may hold this many bytes in memory; the parts of responses that
 // exceed it may together hold a larger number.
 constexpr std::size_t kOwnHeldBytes = 16 * 1024;
@@ -273,7 +275,8 @@
                    const http_error& error) {
   const bool is_own_end =
       run.caller_gone || run.start.is_withdrawn || run.start.is_cut_off;
-  attempt.is_unreached = !error.maybe_sent && !run.start.is_withdrawn;
+  attempt.is_unreached = !error.maybe_sent && !run.start.is_withdrawn &&
+                         error.failure != http_failure::kMalformed;
   // Targets also reset connections beyond their limit, but then others respond.
   const bool is_reset = error.failure == http_failure::kClosed &&
                         run.state->last_target_data < attempt.started;
@@ -282,21 +285,63 @@
   ObserveNoConnection(*run.state, attempt.target.record.id, attempt.started);
 }
 
-// Reads responses from the connection up to the one to this request.
+// Responses that were read from the connection of a call and skipped.
+struct skipped_responses {
+  int count = 0;
+  // One of them had no ID: it may be the response to this request.
+  bool has_unnamed = false;
+};
+
+enum class response_match { kOwn, kOther, kUncertain };
+
+// Finds out whether the call's response is the one to this request. A refusal
+// is only if it certainly is: if it has the request's ID, or if nothing else
+// was sent or received on its connection.
+response_match MatchResponse(const forward_run& run,
+                             const http_call& call,
+                             const response_info& facts,
+                             const skipped_responses& skipped) {
+  const bool is_named = facts.request_id == run.request.id;
+  const bool is_final = call.head.status >= kFirstFinalStatus;
+  if (!facts.not_run)
+    return is_named && is_final ? response_match::kOwn : response_match::kOther;
+  if (is_named)
+    return skipped.has_unnamed ? response_match::kUncertain
+                               : response_match::kOwn;
+  if (!facts.request_id.empty())
+    return response_match::kOther;
+  return call.is_on_new_connection && skipped.count == 0
+             ? response_match::kOwn
+             : response_match::kUncertain;
+}
+
+// Reads responses from the connection up to the one to this request. Fails if a
+// refusal may be the one to another request.
 asio::awaitable<tl::expected<response_info, http_error>>
 FindOwnResponse(forward_run& run, const dispatch& attempt, http_call& call) {
-  for (int skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
+  skipped_responses skipped;
+  while (skipped.count <= kMaxSkippedResponses) {
     response_info facts = run.state->protocol.read_response_head(call.head);
     if (IsCurrent(*run.state, attempt))
       ObserveResponse(*run.state, attempt.target.record.id, run.request.id,
                       facts);
-    const bool is_unshared = facts.request_id == run.request.id ||
-                             (facts.request_id.empty() && facts.not_run);
-    if (is_unshared)
+    const response_match match = MatchResponse(run, call, facts, skipped);
+    if (match == response_match::kOwn)
       co_return facts;
     Count(run.state->stats, "waxwing_foreign_answers_total");
     LogWarning("response_mismatch",
-               {{"request", run.request.id}, {"answer_to", facts.request_id}});
+               {{"request", run.request.id},
+                {"answer_to", facts.request_id},
+                {"status", call.head.status},
+                {"uncertain", match == response_match::kUncertain}});
+    if (match == response_match::kUncertain)
+      co_return tl::unexpected(
+          http_error{http_failure::kMalformed, true,
+                     "a refusal that may be of another request"});
+    ++skipped.count;
+    const bool is_final = call.head.status >= kFirstFinalStatus;
+    skipped.has_unnamed =
+        skipped.has_unnamed || (is_final && facts.request_id.empty());
     const auto next =
         co_await SkipResponse(run.state->pool, call, TimeLeft(run));
     if (!next)
--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -98,6 +98,13 @@
          errno == EAGAIN;
 }
 
+// True if data has arrived on a connection.
+bool HasData(beast::tcp_stream& stream) {
+  char byte = 0;
+  return ::recv(stream.socket().native_handle(), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 // Removes an idle connection from the pool, if there is a recent one.
 std::optional<beast::tcp_stream> TakeIdleConnection(
     detail::http_pool_state& pool,
@@ -271,6 +278,9 @@
   if (options.abort && options.abort->aborted)
     co_return tl::unexpected(
         http_error{http_failure::kConnect, was_sent, "aborted"});
+  if (HasData((*connected)->stream))
+    co_return tl::unexpected(http_error{http_failure::kMalformed, was_sent,
+                                        "data before the request"});
   auto response = co_await SendRequest(*connected, request,
                                        pool.state->limits.max_response_bytes,
                                        options.header_timeout);
