A response that was cut is not joined with the next one

What callers saw: 503 for requests that ran, after a target had sent the beginning of an earlier refusal on a kept connection.

Cause: if the head of a response ends within its reason or within a field, the next status line becomes part of that text, and the fields of this request's response, with its ID, are read as those of the earlier refusal.

Change: a head with a status line in its reason or in a field is malformed.

--- a/testing/earlier_response_test.cc
+++ b/testing/earlier_response_test.cc
@@ -35,7 +35,7 @@
 // When the extra response is sent.
 enum class timing { kWithPreviousEnd, kWhileIdle, kBeforeOwn };
 
-enum class framing { kEmpty, kBody, kChunks, kCutBody };
+enum class framing { kEmpty, kBody, kChunks, kCutBody, kCutHead };
 
 // A response that a target has sent before. Without an ID, it names no request.
 std::string ExtraResponse(unsigned status,
@@ -49,6 +49,8 @@
     out += "Not-Executed: 1\r\n";
   if (how == framing::kEmpty)
     return out + "Content-Length: 0\r\n\r\n";
+  if (how == framing::kCutHead)
+    return out + "Retry-After: 1";
   if (how == framing::kChunks)
     return out + "Transfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n0\r\n\r\n";
   return out + "Content-Length: 4\r\n\r\n" +
@@ -146,7 +148,8 @@
                                                          {503, false}}) {
     for (const std::string_view id : {"r0", ""}) {
       f.extra = ExtraResponse(v.status, id, v.states_not_run, how);
-      const bool is_told_apart = how != framing::kCutBody && !id.empty();
+      const bool is_told_apart =
+          how != framing::kCutBody && how != framing::kCutHead && !id.empty();
       for (const std::string_view path : kPaths) {
         const bool is_served = f.CheckRequest(path);
         EXPECT_TRUE(is_served || !is_told_apart) << path << "\n" << f.extra;
@@ -164,9 +167,23 @@
                      testing::Values(framing::kEmpty,
                                      framing::kBody,
                                      framing::kChunks,
-                                     framing::kCutBody),
+                                     framing::kCutBody,
+                                     framing::kCutHead),
                      testing::Values(1, 2)));
 
+TEST(EarlierResponses, RefusalCutAnywhereIsNotJoinedWithTheNextResponse) {
+  earlier_response_fixture f;
+  f.StartTargets(1);
+  f.caller_deadline_ms = 60;
+  const std::string whole =
+      "HTTP/1.1 421 Earlier\r\nNot-Executed: 1\r\nServer: a b\r\n"
+      "Retry-After: 1\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t length = 1; length <= whole.size(); ++length) {
+    f.extra = whole.substr(0, length);
+    f.CheckRequest(kIdempotentPath);
+  }
+}
+
 TEST(EarlierResponses, RefusalOfThisRequestThatIsRepeatedIsNotTakenAgain) {
   entry_fixture f;
   bool is_full = true;
--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
@@ -105,6 +106,34 @@
                 MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+// True if the text contains the beginning of a status line.
+bool ContainsStatusLine(std::string_view text) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  // After it, the minor version, a space and the first digit of the status.
+  constexpr std::size_t kDigit = kVersion.size() + 2;
+  for (std::size_t at = text.find(kVersion); at != std::string_view::npos;
+       at = text.find(kVersion, at + 1)) {
+    if (at + kDigit < text.size() && text[at + kDigit - 1] == ' ' &&
+        text[at + kDigit] >= '1' && text[at + kDigit] <= '9')
+      return true;
+  }
+  return false;
+}
+
+// True if a head consists of the beginning of one response, which ended within
+// a line, and the head of the next one.
+bool IsJoined(const http::response_parser<http::buffer_body>& parser) {
+  const auto& head = parser.get();
+  return ContainsStatusLine(head.reason()) ||
+         std::any_of(head.begin(), head.end(), [](const auto& field) {
+           return ContainsStatusLine(field.value());
+         });
+}
+
+http_error JoinedResponses() {
+  return {http_failure::kMalformed, true, "a response begins within a head"};
+}
+
 // Removes an idle connection from the pool, if there is a recent one.
 std::optional<beast::tcp_stream> TakeIdleConnection(
     detail::http_pool_state& pool,
@@ -220,6 +249,8 @@
       call->stream, call->buffer, *call->parser, kUseTuple);
   if (read_error)
     co_return tl::unexpected(MakeError(read_error, true));
+  if (IsJoined(*call->parser))
+    co_return tl::unexpected(JoinedResponses());
   http_call out;
   out.head = ResponseHead(*call->parser);
   out.ends_with_connection = call->parser->need_eof();
@@ -364,6 +395,8 @@
       state.stream, state.buffer, *state.parser, kUseTuple);
   if (error)
     co_return tl::unexpected(MakeError(error, true));
+  if (IsJoined(*state.parser))
+    co_return tl::unexpected(JoinedResponses());
   call.head = ResponseHead(*state.parser);
   call.ends_with_connection = state.parser->need_eof();
   co_return tl::expected<void, http_error>();
