Only a request that certainly has not run is answered 408, 429 or 503

What callers saw: a target's 408, 429 or 503 without the statement that the request has not run, passed on unchanged; callers take these as that statement. Also another VM's 503 after the request may have run elsewhere.

Cause: a response other than "not run" was relayed with its status, whatever it promises.

Change: such a response of a target counts as a failure of the attempt: 502, or another target if the request may be repeated. A VM's refusal is passed on only if nothing may have run the request before.

--- a/testing/earlier_response_test.cc
+++ b/testing/earlier_response_test.cc
@@ -225,5 +225,54 @@
   }
 }
 
+TEST(EarlierResponses, RefusalThatDoesNotStateNoRunIsNotPassedOn) {
+  for (const unsigned status : {408u, 429u, 503u}) {
+    for (const std::string_view path : kPaths) {
+      entry_fixture f;
+      const auto script = [&](const http_request& request) {
+        return scripted_response{{PlainResponse(status, IdOf(request), "")}};
+      };
+      f.AddTarget("t1", "panel", script);
+      f.AddTarget("e1", "llm", script);
+      f.Start(2);
+      EXPECT_EQ(f.Send(path)->status, 502u) << path << " " << status;
+      EXPECT_LE(f.targets[0]->requests.size() + f.targets[1]->requests.size(),
+                MustNotRepeat(path) ? 1u : 2u);
+    }
+  }
+}
+
+// A VM that reaches no target and knows other VMs, which are scripted.
+struct scripted_peers_fixture : entry_fixture {
+  explicit scripted_peers_fixture(
+      std::size_t count,
+      const std::function<scripted_response(const http_request&)>& script) {
+    AddTarget("t1", "panel", RespondOk);
+    Start(1);
+    EndTarget(*targets[0]);
+    membership& known = running.state->membership_agent.state->members;
+    const instant now = std::chrono::steady_clock::now();
+    for (std::size_t i = 1; i <= count; ++i) {
+      targets.push_back(StartTarget(context, script));
+      member peer;
+      peer.vm = "vm-" + std::to_string(i);
+      peer.router = targets.back()->Address();
+      known.members[peer.vm] = {peer, now};
+    }
+  }
+};
+
+TEST(EarlierResponses, RefusalOfAVmIsNotPassedOnIfAnotherMayHaveRunIt) {
+  int received = 0;
+  scripted_peers_fixture f(2, [&](const http_request& request) {
+    scripted_response out{{PlainResponse(503, IdOf(request), "")}};
+    if (++received == 1)
+      out = {{}, true};
+    return out;
+  });
+  EXPECT_EQ(f.Send(kIdempotentPath)->status, 502u);
+  EXPECT_EQ(received, 2);
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/entry_peers.cc
+++ b/waxwing/entry_peers.cc
@@ -137,13 +137,17 @@
   return out;
 }
 
-// Relays the response of another VM to the caller.
+// Relays the response of another VM to the caller. `may_have_run` if the
+// request may have run before it was sent there.
 asio::awaitable<forward_outcome> RelayPeerResponse(forward_run& run,
-                                                   http_call& call) {
+                                                   http_call& call,
+                                                   bool may_have_run) {
   const bool is_stream =
       run.matched_route->kind == route_kind::kStream && call.head.status == 200;
   if (run.stream_started && !is_stream)
     co_return forward_outcome::kBroken;
+  if (may_have_run && PromisesNotRun(call.head.status))
+    co_return forward_outcome::kFailed;
   http_response response{
       call.head.status,
       run.state->protocol.filter_response_headers(call.head.headers), ""};
@@ -212,9 +216,11 @@
     CancelCall(*call);
     co_return forward_outcome::kNotRun;
   }
+  const bool may_have_run = run.possible_runs > 0 || call->was_sent_before;
   ++run.possible_runs;
   RecordServed(state.peers, peer.vm, std::chrono::steady_clock::now());
-  const forward_outcome outcome = co_await RelayPeerResponse(run, *call);
+  const forward_outcome outcome =
+      co_await RelayPeerResponse(run, *call, may_have_run);
   if (outcome != forward_outcome::kDone)
     CancelCall(*call);
   co_return outcome;
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -109,6 +109,10 @@
 
 }  // namespace
 
+bool PromisesNotRun(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 asio::awaitable<bool> DeliverHead(forward_run& run, const http_call& call) {
   run.stream_started = true;
   run.time_to_first_byte = std::chrono::steady_clock::now() - run.arrived;
@@ -172,6 +176,10 @@
     co_return forward_outcome::kBroken;
   }
   MarkSurvived(run, attempt);
+  if (PromisesNotRun(response.status)) {
+    attempt.failure = "refused without stating that it has not run";
+    co_return forward_outcome::kFailed;
+  }
   if (response.status >= 500 && MayRepeat(*run.matched_route)) {
     run.failure_response = std::move(response);
     co_return forward_outcome::kFailed;
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -337,6 +337,10 @@
 // Returns the outcome of a response that is too long.
 forward_outcome RejectLongResponse(forward_run& run, std::size_t size);
 
+// True if a caller takes a response with this status as a statement that its
+// request has not run and never will.
+bool PromisesNotRun(unsigned status);
+
 // Sends the head of a stream to the caller. Returns false if the caller has
 // disconnected.
 boost::asio::awaitable<bool> DeliverHead(forward_run& run,
