A VM's response to another request is not relayed

What callers would see: the response of an earlier request, if a VM to which requests are forwarded wrote one once more on a kept connection. Not seen with real VMs, which write one response for each request.

Cause: the hop between VMs did not look at the ID of the response.

Evidence, unchanged code, with a scripted VM: 4 of 4 responses of an earlier request were taken: 2 were relayed (200 and 503), 2 that decline gave 503 although the VM had run the request.

Change: a response counts if it has the request's ID, or none on a connection that carried nothing else. Otherwise the attempt ends as broken.

--- a/testing/earlier_response_test.cc
+++ b/testing/earlier_response_test.cc
@@ -262,6 +262,25 @@
   }
 };
 
+TEST(EarlierResponses, ResponseOfAVmToAnotherRequestIsNotTaken) {
+  const std::string declined = "Waxwing-Declined: -\r\n";
+  for (const std::string& extra :
+       {PlainResponse(200, "r0", "theirs"), PlainResponse(503, "r0", "theirs"),
+        PlainResponse(503, "", "", declined),
+        PlainResponse(503, "r0", "", declined)}) {
+    scripted_peers_fixture f(1, [&](const http_request& request) {
+      const std::string own = PlainResponse(200, IdOf(request), "mine");
+      return scripted_response{{IsMarked(request) ? extra + own : own}};
+    });
+    ASSERT_EQ(f.Send(kIdempotentPath)->status, 200u);
+    const auto response =
+        f.Send(kIdempotentPath, {{std::string(kFaultHeader), "1"}});
+    ASSERT_TRUE(response);
+    EXPECT_FALSE(PromisesNotRun(response->status)) << extra;
+    EXPECT_NE(response->body, "theirs");
+  }
+}
+
 TEST(EarlierResponses, RefusalOfAVmIsNotPassedOnIfAnotherMayHaveRunIt) {
   int received = 0;
   scripted_peers_fixture f(2, [&](const http_request& request) {
--- a/waxwing/entry_peers.cc
+++ b/waxwing/entry_peers.cc
@@ -184,6 +184,14 @@
                          : forward_outcome::kCallerGone;
 }
 
+// True if a response of another VM is the one to this request. Those that have
+// no ID are only on connections that carried nothing else.
+bool IsOwnResponse(const forward_run& run, const http_call& call) {
+  const response_info facts = run.state->protocol.read_response_head(call.head);
+  return facts.request_id == run.request.id ||
+         (facts.request_id.empty() && call.is_on_new_connection);
+}
+
 // Sends the request to one VM. kNotRun means that another may be tried.
 asio::awaitable<forward_outcome> RunAtPeer(forward_run& run,
                                            const member& peer) {
@@ -208,6 +216,14 @@
         ? forward_outcome::kTimedOut
         : forward_outcome::kBroken;
   }
+  if (!IsOwnResponse(run, *call)) {
+    Count(state.stats, "waxwing_foreign_answers_total");
+    LogWarning("response_mismatch",
+               {{"request", run.request.id}, {"peer", peer.vm}});
+    ++run.possible_runs;
+    CancelCall(*call);
+    co_return forward_outcome::kBroken;
+  }
   const std::string_view hint = FindHeader(call->head.headers, kDeclinedHeader);
   if (!hint.empty()) {
     RecordDeclined(state.peers, peer.vm, std::chrono::steady_clock::now());
