--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -22,31 +22,52 @@
 // A waiting watch looks for changes this often.
 constexpr auto kPollInterval = std::chrono::milliseconds(5);
 
-json::object ToJson(const std::string& name,
-                    const object_store_standin::object& object) {
-  return {
-      {"metadata", json::object{{"name", name}, {"revision", object.revision}}},
-      {"spec", json::parse(object.spec)},
-      {"status", nullptr}};
+std::string ToJson(const std::string& name,
+                   const object_store_standin::object& object) {
+  const json::object metadata{{"name", name}, {"revision", object.revision}};
+  return R"({"metadata":)" + json::serialize(metadata) + R"(,"spec":)" +
+         object.spec + R"(,"status":)" + object.status + "}";
+}
+
+// Replaces the escaped characters of a query's value.
+std::string Unescape(std::string_view text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    if (text[i] == '%') {
+      out += static_cast<char>(
+          std::stoi(std::string(text.substr(i + 1, 2)), nullptr, 16));
+      i += 2;
+    } else {
+      out += text[i];
+    }
+  }
+  return out;
 }
 
 std::string ListPage(const object_store_standin& store,
-                     const std::string& kind) {
-  json::array items;
+                     const std::string& kind,
+                     const std::string& after) {
+  std::string items;
+  std::size_t count = 0;
+  bool has_more = false;
   const auto found = store.objects_by_kind.find(kind);
   if (found != store.objects_by_kind.end()) {
-    for (const auto& [name, object] : found->second)
-      items.push_back(ToJson(name, object));
+    const auto& objects = found->second;
+    auto object = objects.upper_bound(after);
+    for (; object != objects.end() && count < store.page_size; ++object)
+      items += (count++ > 0 ? "," : "") + ToJson(object->first, object->second);
+    has_more = object != objects.end();
   }
-  return json::serialize(json::object{{"items", std::move(items)},
-                                      {"more_pages", false},
-                                      {"current_rev", store.revision}});
+  return R"({"items":[)" + items + R"(],"more_pages":)" +
+         (has_more ? "true" : "false") + R"(,"current_rev":)" +
+         std::to_string(store.revision) + "}";
 }
 
-json::array EventsSince(const object_store_standin& store,
+// Returns the events as the elements of an array.
+std::string EventsSince(const object_store_standin& store,
                         const std::string& kind,
                         std::uint64_t revision) {
-  json::array out;
+  std::string out;
   for (const auto& change : store.changes) {
     if (change.revision <= revision || change.kind != kind)
       continue;
@@ -55,8 +76,9 @@
     if (found != store.objects_by_kind.end() &&
         found->second.contains(change.name))
       current = found->second.at(change.name);
-    out.push_back(json::object{{"object", ToJson(change.name, current)},
-                               {"removed", change.is_removed}});
+    out += std::string(out.empty() ? "" : ",") + R"({"object":)" +
+           ToJson(change.name, current) + R"(,"removed":)" +
+           (change.is_removed ? "true" : "false") + "}";
   }
   return out;
 }
@@ -88,11 +110,11 @@
     if (store.is_down || revision < store.oldest_revision ||
         revision > store.revision)
       break;
-    json::array events = EventsSince(store, kind, revision);
+    const std::string events = EventsSince(store, kind, revision);
     if (!events.empty() || std::chrono::steady_clock::now() >= wait_end) {
-      auto response = JsonResponse(
-          200, json::serialize(json::object{{"events", std::move(events)},
-                                            {"current_rev", store.revision}}));
+      auto response =
+          JsonResponse(200, R"({"events":[)" + events + R"(],"current_rev":)" +
+                                std::to_string(store.revision) + "}");
       co_await Reply(store, exchange, response);
       co_return;
     }
@@ -112,19 +134,18 @@
   const auto found = store.objects_by_kind[kind].find(name);
   const bool exists = found != store.objects_by_kind[kind].end();
   if (request.method == "POST" && exists)
-    return JsonResponse(409, json::serialize(ToJson(name, found->second)));
+    return JsonResponse(409, ToJson(name, found->second));
   if (request.method == "PUT" && !exists)
     return JsonResponse(404, "{}");
   if (metadata.contains("revision") &&
       metadata.at("revision").to_number<std::uint64_t>() !=
           found->second.revision)
-    return JsonResponse(409, json::serialize(ToJson(name, found->second)));
+    return JsonResponse(409, ToJson(name, found->second));
   const std::string spec = json::serialize(body.at("spec"));
   // A write that changes nothing leaves the revision as it is.
   if (!exists || found->second.spec != spec)
     PutObject(store, kind, name, spec);
-  return JsonResponse(
-      200, json::serialize(ToJson(name, store.objects_by_kind[kind][name])));
+  return JsonResponse(200, ToJson(name, store.objects_by_kind[kind][name]));
 }
 
 asio::awaitable<void> Serve(object_store_standin& store,
@@ -140,14 +161,16 @@
     co_return;
   }
   if (!store.is_down && is_get && slash == std::string::npos) {
-    response = JsonResponse(200, ListPage(store, kind));
+    response = JsonResponse(
+        200, ListPage(store, kind,
+                      Unescape(QueryValue(exchange.request.target, "after"))));
   } else if (!store.is_down && is_get) {
-    const std::string name = path.substr(slash + 1);
+    const std::string name = Unescape(path.substr(slash + 1));
     const bool exists = store.objects_by_kind[kind].contains(name);
-    response = exists ? JsonResponse(
-                            200, json::serialize(ToJson(
-                                     name, store.objects_by_kind[kind][name])))
-                      : JsonResponse(404, "{}");
+    response =
+        exists
+            ? JsonResponse(200, ToJson(name, store.objects_by_kind[kind][name]))
+            : JsonResponse(404, "{}");
   } else if (!store.is_down) {
     response = Write(store, exchange.request, kind);
   }
@@ -257,7 +280,9 @@
                const std::string& kind,
                const std::string& name,
                const std::string& spec) {
-  store.objects_by_kind[kind][name] = {++store.revision, spec};
+  auto& object = store.objects_by_kind[kind][name];
+  object.revision = ++store.revision;
+  object.spec = spec;
   store.changes.push_back({store.revision, kind, name, false});
 }
 
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -22,7 +22,9 @@
 struct object_store_standin {
   struct object {
     std::uint64_t revision = 0;
+    // The text of the response, which may be invalid JSON.
     std::string spec;
+    std::string status = "null";
   };
   struct change {
     std::uint64_t revision = 0;
@@ -36,6 +38,8 @@
   // By kind, then by name.
   std::map<std::string, std::map<std::string, object>> objects_by_kind;
   std::vector<change> changes;
+  // Objects of a list's response.
+  std::size_t page_size = 1'000;
   // All calls fail with status 503.
   bool is_down = false;
   // Stated in each response unless it is 0.
--- a/waxwing/adapter.h
+++ b/waxwing/adapter.h
@@ -234,7 +234,8 @@
 struct stored_object {
   std::string name;
   std::uint64_t revision = 0;
-  // JSON text of the object's content.
+  // JSON text of the object's content. If another writer left a content that
+  // can't be parsed, a part of it that can't be parsed either.
   std::string spec;
 };
 
