--- a/testing/settings_test.cc
+++ b/testing/settings_test.cc
@@ -74,6 +74,7 @@
   EXPECT_FALSE(ParseEndpoint("127.0.0.1:65536"));
   EXPECT_FALSE(ParseEndpoint("127.0.0.1:"));
   EXPECT_FALSE(ParseEndpoint("127.0.0.1:8x"));
+  EXPECT_FALSE(ParseEndpoint(std::string_view("127.0.0.1\0x:80", 14)));
 }
 
 }  // namespace
--- a/waxwing/settings.cc
+++ b/waxwing/settings.cc
@@ -111,7 +111,8 @@
   endpoint out{std::string(text.substr(0, colon)), 0};
   boost::system::error_code error;
   boost::asio::ip::make_address(out.host, error);
-  if (error)
+  // The function reads up to a zero byte.
+  if (error || out.host.find('\0') != std::string::npos)
     return tl::unexpected(std::string("does not start with an IP number"));
   if (!ParseNumber(text.substr(colon + 1), out.port))
     return tl::unexpected(std::string("has no port from 0 to 65535"));
