--- a/waxwing/entry_stored_streams.cc
+++ b/waxwing/entry_stored_streams.cc
@@ -162,9 +162,11 @@
   }
 }
 
-// Returns false if not all objects could be read.
+// Returns false if the store does not respond. An object that can't be read may
+// name any build, so nothing is concluded beside it; the others hold.
 asio::awaitable<bool> ReadAll(entry_ptr state) {
   std::vector<stored_streams> relevant;
+  bool is_complete = true;
   std::string after;
   bool has_more = true;
   while (has_more) {
@@ -177,7 +179,8 @@
       if (!record) {
         LogWarning("stored_streams_unreadable",
                    {{"vm", object.name}, {"error", ToText(record.error())}});
-        co_return false;
+        is_complete = false;
+        continue;
       }
       if (IsRelevant(*record, state->stream_lifetime, UnixNow()))
         relevant.push_back(*record);
@@ -188,7 +191,8 @@
   }
   for (const stored_streams& record : relevant)
     ApplyStoredStreams(*state, record);
-  ConcludeFromStore(*state, relevant);
+  if (is_complete)
+    ConcludeFromStore(*state, relevant);
   state->stream_store.read_at = SuspendAwareNow();
   co_return true;
 }
