--- a/waxwing/entry_rollout.cc
+++ b/waxwing/entry_rollout.cc
@@ -87,7 +87,10 @@
   }
   const auto record = ReadLease(object->object.spec);
   if (!record) {
-    LogError("lease_unreadable", {{"error", ToText(record.error())}});
+    LogError("lease_unreadable", {{"revision", object->object.revision},
+                                  {"error", ToText(record.error())}});
+    ObserveUnreadableLease(state->lease, object->object.revision,
+                           SuspendAwareNow());
     co_return;
   }
   ObserveLease(state->lease, *record, object->object.revision,
--- a/waxwing/lease.cc
+++ b/waxwing/lease.cc
@@ -18,6 +18,11 @@
 constexpr std::uint64_t kLargestEra =
     static_cast<std::uint64_t>(kLargestNumber) / kFencingTokensPerEra - 1;
 
+// The fencing tokens of the view's era are larger than this one.
+std::uint64_t LastTokenBeforeEra(const lease_view& view) {
+  return std::min(view.era, kLargestEra) * kFencingTokensPerEra;
+}
+
 bool IsHeldBySelf(const lease_view& view) {
   return view.version != 0 && view.record.holder == view.self &&
          view.record.incarnation == view.incarnation;
@@ -85,6 +90,17 @@
   view.renewal_sent_at.reset();
 }
 
+void ObserveUnreadableLease(lease_view& view,
+                            std::uint64_t version,
+                            instant now) {
+  // Each token of an era was stored by a write, which increased the version.
+  const std::uint64_t largest_token =
+      LastTokenBeforeEra(view) + std::min(version, kFencingTokensPerEra - 1);
+  lease_record unknown;
+  unknown.fencing_token = std::max(view.record.fencing_token, largest_token);
+  ObserveLease(view, unknown, version, now, std::nullopt);
+}
+
 lease_action NextLeaseAction(const lease_view& view, instant now) {
   if (IsHeldBySelf(view) && view.renewal_sent_at) {
     return now >= *view.renewal_sent_at + view.timing.renewal_interval
@@ -105,9 +121,7 @@
                    view.record.renewals + 1};
   if (action == lease_action::kAcquire)
     out.fencing_token =
-        std::max(out.fencing_token,
-                 std::min(view.era, kLargestEra) * kFencingTokensPerEra) +
-        1;
+        std::max(out.fencing_token, LastTokenBeforeEra(view)) + 1;
   return out;
 }
 
--- a/waxwing/lease.h
+++ b/waxwing/lease.h
@@ -111,6 +111,13 @@
                   instant now,
                   const std::optional<lease_put>& put);
 
+// Records that the object can't be read, since another writer has replaced it.
+// Its holder is unknown; the largest fencing token that the store can have held
+// takes the place of its token, so that later ones are larger than all before.
+void ObserveUnreadableLease(lease_view& view,
+                            std::uint64_t version,
+                            instant now);
+
 lease_action NextLeaseAction(const lease_view& view, instant now);
 
 // The record to store for kAcquire or kRenew.
