--- a/testing/platform_test.cc
+++ b/testing/platform_test.cc
@@ -132,6 +132,22 @@
   EXPECT_FALSE(read_head(200, {{"Instance-Load", "a,b,c"}}).current_load);
 }
 
+TEST(PlatformWorkers, LoadHeaderWithFiguresOutOfRangeStatesNoLoad) {
+  const auto read_load = [](std::string text) {
+    return ReadResponseHead({200, {{"Instance-Load", std::move(text)}}, ""})
+        .current_load;
+  };
+  for (const char* text :
+       {"-1,0,8", "0,-2147483648,8", "1,1,-8", "2147483647,2147483647,8"})
+    EXPECT_FALSE(read_load(text)) << text;
+  for (const char* text :
+       {"1,1,8,-5", "1,1,8,1e308", "1,1,8,1e-300", "1,1,8,inf", "1,1,8,nan"}) {
+    const auto load = read_load(text);
+    ASSERT_TRUE(load) << text;
+    EXPECT_FALSE(load->slowdown) << text;
+  }
+}
+
 TEST(PlatformWorkers, ReadsKnownFiguresOfLoadHeaderWithMoreFigures) {
   const auto read_load = [](std::string text) {
     return ReadResponseHead({200, {{"Instance-Load", std::move(text)}}, ""})
