A VM concludes a stream's build only with the replies of others

Cause: a VM that can use no target of the old build begins streams at a new one at once. Another VM, whose list of targets had been confirmed less than 2.5 s ago, concluded the only build of that list without asking anybody, and up to 4 s although nobody replied. Replies that knew of several builds were ignored, and what the store held might have been read a second before.

Change: with other VMs, or some within the life of a stream, at least half of those (of at most eight) must reply, one of them a VM that would have got the record, and none may know of another build. Otherwise the store decides, read after the stream was taken up. Linked VMs are all waited for, the rest only until there are enough replies.

--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -4610,6 +4610,7 @@
   uint64_t number = 0;
   std::unique_ptr<waxwing::wire::stream_recordT> record{};
   std::string sole_build{};
+  std::vector<std::string> possible_builds{};
   stream_replyT() = default;
   stream_replyT(const stream_replyT &o);
   stream_replyT(stream_replyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4623,7 +4624,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NUMBER = 4,
     VT_RECORD = 6,
-    VT_SOLE_BUILD = 8
+    VT_SOLE_BUILD = 8,
+    VT_POSSIBLE_BUILDS = 10
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -4634,6 +4636,9 @@
   const flatbuffers::String *sole_build() const {
     return GetPointer<const flatbuffers::String *>(VT_SOLE_BUILD);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *possible_builds() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_POSSIBLE_BUILDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -4641,6 +4646,9 @@
            verifier.VerifyTable(record()) &&
            VerifyOffset(verifier, VT_SOLE_BUILD) &&
            verifier.VerifyString(sole_build()) &&
+           VerifyOffset(verifier, VT_POSSIBLE_BUILDS) &&
+           verifier.VerifyVector(possible_builds()) &&
+           verifier.VerifyVectorOfStrings(possible_builds()) &&
            verifier.EndTable();
   }
   stream_replyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4661,6 +4669,9 @@
   void add_sole_build(flatbuffers::Offset<flatbuffers::String> sole_build) {
     fbb_.AddOffset(stream_reply::VT_SOLE_BUILD, sole_build);
   }
+  void add_possible_builds(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> possible_builds) {
+    fbb_.AddOffset(stream_reply::VT_POSSIBLE_BUILDS, possible_builds);
+  }
   explicit stream_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4676,9 +4687,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
     flatbuffers::Offset<waxwing::wire::stream_record> record = 0,
-    flatbuffers::Offset<flatbuffers::String> sole_build = 0) {
+    flatbuffers::Offset<flatbuffers::String> sole_build = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> possible_builds = 0) {
   stream_replyBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_possible_builds(possible_builds);
   builder_.add_sole_build(sole_build);
   builder_.add_record(record);
   return builder_.Finish();
@@ -4693,13 +4706,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
     flatbuffers::Offset<waxwing::wire::stream_record> record = 0,
-    const char *sole_build = nullptr) {
+    const char *sole_build = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *possible_builds = nullptr) {
   auto sole_build__ = sole_build ? _fbb.CreateString(sole_build) : 0;
+  auto possible_builds__ = possible_builds ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*possible_builds) : 0;
   return waxwing::wire::Createstream_reply(
       _fbb,
       number,
       record,
-      sole_build__);
+      sole_build__,
+      possible_builds__);
 }
 
 flatbuffers::Offset<stream_reply> Createstream_reply(flatbuffers::FlatBufferBuilder &_fbb, const stream_replyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6775,13 +6791,15 @@
 inline stream_replyT::stream_replyT(const stream_replyT &o)
       : number(o.number),
         record((o.record) ? new waxwing::wire::stream_recordT(*o.record) : nullptr),
-        sole_build(o.sole_build) {
+        sole_build(o.sole_build),
+        possible_builds(o.possible_builds) {
 }
 
 inline stream_replyT &stream_replyT::operator=(stream_replyT o) FLATBUFFERS_NOEXCEPT {
   std::swap(number, o.number);
   std::swap(record, o.record);
   std::swap(sole_build, o.sole_build);
+  std::swap(possible_builds, o.possible_builds);
   return *this;
 }
 
@@ -6797,6 +6815,7 @@
   { auto _e = number(); _o->number = _e; }
   { auto _e = record(); if (_e) _o->record = std::unique_ptr<waxwing::wire::stream_recordT>(_e->UnPack(_resolver)); }
   { auto _e = sole_build(); if (_e) _o->sole_build = _e->str(); }
+  { auto _e = possible_builds(); if (_e) { _o->possible_builds.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->possible_builds[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<stream_reply> stream_reply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const stream_replyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6810,11 +6829,13 @@
   auto _number = _o->number;
   auto _record = _o->record ? Createstream_record(_fbb, _o->record.get(), _rehasher) : 0;
   auto _sole_build = _o->sole_build.empty() ? 0 : _fbb.CreateString(_o->sole_build);
+  auto _possible_builds = _o->possible_builds.size() ? _fbb.CreateVectorOfStrings(_o->possible_builds) : 0;
   return waxwing::wire::Createstream_reply(
       _fbb,
       _number,
       _record,
-      _sole_build);
+      _sole_build,
+      _possible_builds);
 }
 
 inline charge_requestT *charge_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/testing/stream_build_test.cc
+++ b/testing/stream_build_test.cc
@@ -392,6 +392,33 @@
   EXPECT_TRUE(NeedsRecords(history, At(0), kLifetime, At(2.5)));
 }
 
+TEST(BuildConclusion, NeedsRepliesOfHalfTheOthersAndOfOneThatGetsRecords) {
+  const std::vector<std::string> one = {"v1"};
+  const auto conclude = [&](std::size_t count, bool has_keeper,
+                            std::size_t other_vms) {
+    return ConcludeBuild({count, has_keeper, {"v1"}, {"v1"}}, "v1", one,
+                         other_vms);
+  };
+  EXPECT_EQ(conclude(0, false, 0), "v1");
+  EXPECT_FALSE(conclude(0, false, 1));
+  EXPECT_EQ(conclude(1, true, 2), "v1");
+  EXPECT_FALSE(conclude(2, true, 5));
+  EXPECT_EQ(conclude(3, true, 5), "v1");
+  EXPECT_FALSE(conclude(3, false, 5));
+  EXPECT_EQ(conclude(4, true, 300), "v1");
+}
+
+TEST(BuildConclusion, VmThatKnowsOfAnotherBuildIsBelieved) {
+  const std::vector<std::string> one = {"v1"};
+  const std::vector<std::string> two = {"v1", "v2"};
+  EXPECT_FALSE(ConcludeBuild({2, true, {"v1"}, {"v1", "v2"}}, "v1", one, 2));
+  EXPECT_FALSE(ConcludeBuild({2, true, {"v2"}, {}}, "v1", one, 2));
+  EXPECT_FALSE(ConcludeBuild({1, true, {"v1"}, {"v1"}}, std::nullopt, two, 2));
+  // A VM that has just started concludes nothing itself.
+  EXPECT_EQ(ConcludeBuild({2, true, {"v1"}, {"v1"}}, std::nullopt, one, 2),
+            "v1");
+}
+
 // A stream of one event; resumed after it, nothing is left.
 scripted_response StreamOneEvent(const http_request& request) {
   if (request.target.starts_with("/api/"))
--- a/testing/take_up_fixture.h
+++ b/testing/take_up_fixture.h
@@ -4,6 +4,7 @@
 #define TESTING_TAKE_UP_FIXTURE_H_
 
 #include <algorithm>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -27,18 +28,18 @@
   return out;
 }
 
-// VMs of one zone, with engines of two builds.
+inline constexpr std::string_view kTwoBuilds[] = {"v1", "v2", "v1", "v2"};
+
+// VMs of one zone, with engines of the given builds.
 struct take_up_fixture : zone_fixture {
   std::vector<std::string> builds;
 
-  explicit take_up_fixture(std::size_t vm_count) : zone_fixture(vm_count) {
-    for (const std::string_view build : {"v1", "v2", "v1", "v2"}) {
-      builds.emplace_back(build);
-      targets.push_back(StartTarget(context, PauseAfterFirstEvent));
-      PutObject(*store, "servers", "e" + std::to_string(targets.size() - 1),
-                EntryTargetRecord(targets.back()->Address(), "llm", 1, "ready",
-                                  build));
-    }
+  explicit take_up_fixture(
+      std::size_t vm_count,
+      std::span<const std::string_view> first_builds = kTwoBuilds)
+      : zone_fixture(vm_count) {
+    for (const std::string_view build : first_builds)
+      AddEngine(build);
     RunUntil([&] {
       return WaitUntilSettled() &&
              std::all_of(vms.begin(), vms.end(), [&](const entry& vm) {
@@ -47,6 +48,17 @@
     });
   }
 
+  void AddEngine(std::string_view build) {
+    builds.emplace_back(build);
+    targets.push_back(StartTarget(context, PauseAfterFirstEvent));
+    PutEngine(targets.size() - 1, "ready");
+  }
+  void PutEngine(std::size_t index, std::string_view state) {
+    PutObject(*store, "servers", "e" + std::to_string(index),
+              EntryTargetRecord(targets[index]->Address(), "llm", 1, state,
+                                builds[index]));
+  }
+
   http_request MakeRequest(const std::string& id, http_headers extra) const {
     http_request request;
     request.method = "POST";
--- /dev/null
+++ b/testing/vm_out_of_step_test.cc
@@ -0,0 +1,144 @@
+// Tests that no stream of two builds comes of a VM that is out of step with the
+// others while targets of a new build join.
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+#include "testing/take_up_fixture.h"
+
+namespace waxwing {
+namespace {
+
+using namespace testing_support;  // NOLINT(google-build-using-namespace)
+
+constexpr int kStreams = 12;
+constexpr std::string_view kOneBuild[] = {"v1", "v1"};
+
+// Engines of one build, until Release() adds others. A VM that is cut off
+// reaches callers and engines, but neither the store nor other VMs; what was
+// sent meanwhile arrives when it is back.
+struct out_of_step_fixture : take_up_fixture {
+  struct held_message {
+    std::size_t vm = 0;
+    peer_link link;
+    wire::messageUnion content;
+    instant held_at;
+  };
+  std::deque<held_message> held;
+  std::vector<std::function<void(const peer_link&, wire::messageUnion&)>>
+      handlers;
+  std::size_t cut_vm;
+  bool is_cut = false;
+  endpoint store_address;
+
+  explicit out_of_step_fixture(std::size_t vm_count)
+      : take_up_fixture(vm_count, kOneBuild), cut_vm(FindFollower()) {
+    // Watches of the store end that VMs began before they knew a zone watcher.
+    const instant ready_at = SuspendAwareNow() + milliseconds(1'700);
+    RunUntil([&] { return SuspendAwareNow() > ready_at; });
+    for (const entry& vm : vms) {
+      build_history& history = vm.state->builds.at("llm");
+      history.observed_since =
+          *history.observed_since - vm.state->stream_lifetime;
+    }
+    for (std::size_t i = 0; i < vms.size(); ++i) {
+      auto& handler =
+          vms[i].state->membership_agent.state->on_replication_message;
+      handlers.push_back(handler);
+      handler = [this, i](const peer_link& link, wire::messageUnion& message) {
+        const std::string& cut_name = vms[cut_vm].state->options.vm;
+        if (is_cut && (i == cut_vm || link.peer.vm == cut_name))
+          held.push_back({i, link, std::move(message), SuspendAwareNow()});
+        else
+          handlers[i](link, message);
+      };
+    }
+  }
+
+  // Returns a VM that gets its list of targets from another one.
+  std::size_t FindFollower() const {
+    std::size_t out = 0;
+    while (out + 1 < vms.size() && IsZoneWatcher(vms[out]))
+      ++out;
+    return out;
+  }
+  std::size_t Other(int i) const {
+    return (cut_vm + 1 + static_cast<std::size_t>(i) % (vms.size() - 1)) %
+           vms.size();
+  }
+  void CutFromOthers() { is_cut = true; }
+  void Cut() {
+    CutFromOthers();
+    store_address = vms[cut_vm].state->store.address;
+    vms[cut_vm].state->store.address = {"127.0.0.1", 1};
+  }
+  void DeliverFirstHeld() {
+    held_message first = std::move(held.front());
+    held.pop_front();
+    handlers[first.vm](first.link, first.content);
+  }
+  void Rejoin() {
+    vms[cut_vm].state->store.address = store_address;
+    while (!held.empty())
+      DeliverFirstHeld();
+    is_cut = false;
+  }
+  // Waits until all VMs but one that is cut off list `count` targets.
+  bool AllList(std::size_t count) {
+    return RunUntil([&] {
+      for (std::size_t i = 0; i < vms.size(); ++i) {
+        if (!(is_cut && i == cut_vm) && vms[i].state->targets.size() != count)
+          return false;
+      }
+      return true;
+    });
+  }
+  // Adds targets of another build; those of the first leave.
+  void Release() {
+    const std::size_t old_count = targets.size();
+    for (std::size_t i = 0; i < old_count; ++i)
+      AddEngine("v2");
+    for (std::size_t i = 0; i < old_count; ++i)
+      PutEngine(i, "draining");
+    AllList(2 * old_count);
+    RunUntil([&] {
+      const auto& listed = vms[Other(0)].state->targets;
+      return std::count_if(listed.begin(), listed.end(), [](const auto& entry) {
+               return entry.second.record.is_draining;
+             }) == static_cast<std::ptrdiff_t>(old_count);
+    });
+  }
+  // Takes up each stream that has begun as "first-N". Returns how many go on at
+  // their build, and how many at another.
+  std::pair<int, int> TakeUpAll(std::size_t vm, const std::string& prefix) {
+    std::pair<int, int> out;
+    for (int i = 0; i < kStreams; ++i) {
+      const std::string first = "first-" + std::to_string(i);
+      const std::string next = prefix + std::to_string(i);
+      TakeUp(vm, next, first);
+      if (BuildOf(first).empty() || BuildOf(next).empty())
+        continue;
+      ++(BuildOf(next) == BuildOf(first) ? out.first : out.second);
+    }
+    return out;
+  }
+};
+
+TEST(VmOutOfStep, StreamOfABuildThatItDoesNotKnowGoesOnAtNoOther) {
+  for (const std::size_t vms : {3, 6, 24}) {
+    out_of_step_fixture f(vms);
+    f.Cut();
+    f.Release();
+    for (int i = 0; i < kStreams; ++i)
+      ASSERT_TRUE(f.BeginAndLeave(f.Other(i), "first-" + std::to_string(i)));
+    EXPECT_EQ(f.TakeUpAll(f.cut_vm, "cut-").second, 0) << vms << " VMs";
+    f.Rejoin();
+    ASSERT_TRUE(f.AllList(4));
+    const auto [same, other] = f.TakeUpAll(f.cut_vm, "back-");
+    EXPECT_GE(same, 0.9 * kStreams) << vms << " VMs";
+    EXPECT_EQ(other, 0) << vms << " VMs";
+  }
+}
+}  // namespace
+}  // namespace waxwing
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -254,7 +254,7 @@
         else if (const auto* query = message.Asstream_query())
           HandleStreamQuery(*locked, link, *query);
         else if (const auto* reply = message.Asstream_reply())
-          HandleStreamReply(*locked, *reply);
+          HandleStreamReply(*locked, link, *reply);
         else if (const auto* load = message.Asload_notice())
           HandleLoadNotice(*locked, link.peer.vm, *load);
         else if (const auto* charge = message.Ascharge_request())
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -235,9 +235,14 @@
 // coroutine frame.
 struct stream_query_waiter {
   boost::asio::steady_timer wakeup;
-  std::size_t awaited = 0;
+  // VMs that have not replied, and those of them that were linked.
+  std::set<std::string> awaited;
+  std::set<std::string> awaited_linked;
+  // VMs that should have the record.
+  std::set<std::string> keepers;
+  std::size_t other_vms = 0;
   std::optional<stream_record> record;
-  std::set<std::string> sole_builds;
+  stream_replies replies;
 
   explicit stream_query_waiter(boost::asio::any_io_executor executor)
       : wakeup(executor) {}
@@ -275,9 +280,11 @@
   instant written_at;
   // Streams of this VM's previous run.
   std::map<stream_key, stored_stream> inherited;
-  // When the objects of all VMs were last read completely.
+  // When the last read of the objects of all VMs began, and whether it was
+  // complete.
   std::optional<instant> read_at;
   bool is_reading = false;
+  bool is_read = false;
 };
 
 struct entry_state {
@@ -576,7 +583,9 @@
 void HandleStreamQuery(entry_state& state,
                        const peer_link& link,
                        const wire::stream_queryT& query);
-void HandleStreamReply(entry_state& state, const wire::stream_replyT& reply);
+void HandleStreamReply(entry_state& state,
+                       const peer_link& link,
+                       const wire::stream_replyT& reply);
 
 // --- entry_stored_streams.cc
 
@@ -585,8 +594,10 @@
 boost::asio::awaitable<void> RunStreamWriter(entry_ptr state);
 
 // Reads what all VMs have stored about their streams, unless that has been done
-// just now. Returns false if the store does not respond.
-boost::asio::awaitable<bool> ReadStoredStreamsOfAll(entry_ptr state);
+// just now. If `must_be_new`, waits for a read that begins after this call.
+// Returns false if the store does not respond.
+boost::asio::awaitable<bool> ReadStoredStreamsOfAll(entry_ptr state,
+                                                    bool must_be_new);
 
 // --- entry_peers.cc
 
--- a/waxwing/entry_stored_streams.cc
+++ b/waxwing/entry_stored_streams.cc
@@ -24,6 +24,7 @@
 constexpr int kRenewalsPerLifetime = 3;
 // What other VMs have stored is read again after this time.
 constexpr milliseconds kReadPause{1'000};
+constexpr milliseconds kNewReadPause{200};
 // Time that a request waits for a read.
 constexpr milliseconds kMaxReadWait{300};
 constexpr milliseconds kReadPollPeriod{10};
@@ -189,7 +190,6 @@
   for (const stored_streams& record : relevant)
     ApplyStoredStreams(*state, record);
   ConcludeFromStore(*state, relevant);
-  state->stream_store.read_at = SuspendAwareNow();
   co_return true;
 }
 
@@ -205,23 +205,30 @@
   }
 }
 
-asio::awaitable<bool> ReadStoredStreamsOfAll(entry_ptr state) {
+asio::awaitable<bool> ReadStoredStreamsOfAll(entry_ptr state,
+                                             bool must_be_new) {
   stream_storage& store = state->stream_store;
-  const auto was_read = [&] {
-    return store.read_at && SuspendAwareNow() < *store.read_at + kReadPause;
-  };
-  if (was_read())
-    co_return true;
-  const instant limit = SuspendAwareNow() + kMaxReadWait;
-  if (store.is_reading) {
-    while (store.is_reading && SuspendAwareNow() < limit)
-      co_await Pause(state->root, kReadPollPeriod);
-    co_return was_read();
+  const instant called = SuspendAwareNow();
+  const milliseconds pause = must_be_new ? kNewReadPause : kReadPause;
+  const instant limit = called + kMaxReadWait;
+  while (true) {
+    const instant now = SuspendAwareNow();
+    const bool is_recent = store.is_read && now < *store.read_at + pause;
+    if (!store.is_reading &&
+        (store.read_at >= called || (is_recent && !must_be_new)))
+      co_return store.is_read;
+    if (now >= limit)
+      co_return false;
+    if (store.is_reading || is_recent) {
+      if (!co_await Pause(state->root, kReadPollPeriod))
+        co_return false;
+      continue;
+    }
+    store.is_reading = true;
+    store.read_at = now;
+    store.is_read = co_await ReadAll(state);
+    store.is_reading = false;
   }
-  store.is_reading = true;
-  const bool is_complete = co_await ReadAll(state);
-  store.is_reading = false;
-  co_return is_complete;
 }
 
 }  // namespace waxwing
--- a/waxwing/entry_streams.cc
+++ b/waxwing/entry_streams.cc
@@ -43,6 +43,14 @@
                    state.stream_lifetime, SuspendAwareNow());
 }
 
+std::vector<std::string> PossibleBuildsOf(const entry_state& state,
+                                          std::string_view service) {
+  const auto found = state.builds.find(service);
+  if (found == state.builds.end())
+    return {};
+  return PossibleBuilds(found->second, SuspendAwareNow());
+}
+
 bool NeedsRecordsOf(const entry_state& state, std::string_view service) {
   const auto found = state.builds.find(service);
   return found == state.builds.end() ||
@@ -79,15 +87,20 @@
     SendMessage(*link, std::move(message));
 }
 
+bool IsLinked(const entry_state& state, const std::string& vm) {
+  const auto& links = state.membership_agent.state->links;
+  const auto link = links.find(vm);
+  return link != links.end() && IsOpen(link->second.connection);
+}
+
 // Sends a message to another VM, over a new link if there is none.
 template <typename Message>
 void SendToVm(const entry_ptr& state,
               const std::string& vm,
               const Message& message) {
-  const auto& links = state->membership_agent.state->links;
-  const auto link = links.find(vm);
-  if (link != links.end() && IsOpen(link->second.connection))
-    SendMessage(link->second.connection, message);
+  if (IsLinked(*state, vm))
+    SendMessage(state->membership_agent.state->links.at(vm).connection,
+                message);
   else
     asio::co_spawn(state->executor, DialAndSend(state, vm, message),
                    asio::detached);
@@ -129,11 +142,24 @@
   return record.began + kRestartNoticeDelay > listed->second.listed_at;
 }
 
+// Returns the number of other VMs that may have begun a stream that can still
+// be taken up.
+std::size_t CountOthers(const entry_state& state) {
+  return CountOtherVms(
+      Members(state), std::chrono::steady_clock::now() - state.stream_lifetime);
+}
+
+// True if replies that are still missing don't matter.
+bool IsAnswered(const stream_query_waiter& waiter) {
+  return waiter.record || waiter.awaited.empty() ||
+         (waiter.awaited_linked.empty() &&
+          HasEnoughReplies(waiter.replies, waiter.other_vms));
+}
+
 // What other VMs know of a stream.
 struct stream_findings {
   std::optional<stream_record> record;
-  // Builds that those without a record have concluded.
-  std::set<std::string> sole_builds;
+  stream_replies replies;
 };
 
 asio::awaitable<stream_findings> AskKeepers(entry_ptr state,
@@ -142,7 +168,14 @@
   const std::vector<std::string> vms =
       ChooseRecordKeepers(Members(*state), key, kRecordQueries);
   stream_query_waiter waiter(state->executor);
-  waiter.awaited = vms.size();
+  waiter.awaited = {vms.begin(), vms.end()};
+  for (std::size_t i = 0; i < vms.size(); ++i) {
+    if (i < kRecordCopies)
+      waiter.keepers.insert(vms[i]);
+    if (IsLinked(*state, vms[i]))
+      waiter.awaited_linked.insert(vms[i]);
+  }
+  waiter.other_vms = CountOthers(*state);
   wire::stream_queryT query;
   query.number = state->next_stream_query++;
   query.key = std::make_unique<wire::request_key>(key.high, key.low);
@@ -155,20 +188,7 @@
     co_await waiter.wakeup.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   state->stream_queries.erase(query.number);
-  co_return stream_findings{waiter.record, waiter.sole_builds};
-}
-
-// Returns the only build at which the stream can have begun, by what this VM
-// and those without a record of it know.
-std::optional<std::string> ConcludeBuild(const entry_state& state,
-                                         std::string_view service,
-                                         const stream_findings& findings) {
-  std::set<std::string> concluded = findings.sole_builds;
-  if (const auto own = SoleBuildOf(state, service))
-    concluded.insert(*own);
-  if (concluded.size() != 1)
-    return std::nullopt;
-  return *concluded.begin();
+  co_return stream_findings{waiter.record, waiter.replies};
 }
 
 }  // namespace
@@ -283,6 +303,8 @@
 struct origin_findings {
   std::optional<stream_record> record;
   std::optional<std::string> sole_build;
+  // True unless other VMs know of several builds.
+  bool may_conclude = true;
   // For logs and metrics.
   std::string_view source;
 
@@ -295,9 +317,10 @@
                                const stream_key& key,
                                std::string_view only_service) {
   if (const stream_record* known = FindStream(state.stream_records, key))
-    return {*known, std::nullopt, known->is_stored ? "store" : "own"};
-  if (!only_service.empty() && !NeedsRecordsOf(state, only_service))
-    return {std::nullopt, SoleBuildOf(state, only_service), "sole_build"};
+    return {*known, std::nullopt, true, known->is_stored ? "store" : "own"};
+  if (!only_service.empty() && !NeedsRecordsOf(state, only_service) &&
+      CountOthers(state) == 0)
+    return {std::nullopt, SoleBuildOf(state, only_service), true, "sole_build"};
   return {};
 }
 
@@ -306,14 +329,41 @@
                                                      std::string only_service) {
   const stream_findings found = co_await AskKeepers(state, key, only_service);
   if (found.record)
-    co_return origin_findings{found.record, std::nullopt, "keeper"};
+    co_return origin_findings{found.record, std::nullopt, true, "keeper"};
   origin_findings out;
   out.source = "concluded";
+  out.may_conclude = Agree(found.replies);
   if (!only_service.empty())
-    out.sole_build = ConcludeBuild(*state, only_service, found);
+    out.sole_build = ConcludeBuild(
+        found.replies, SoleBuildOf(*state, only_service),
+        PossibleBuildsOf(*state, only_service), CountOthers(*state));
   co_return out;
 }
 
+// Returns what the objects of all VMs tell. A conclusion needs ones that were
+// read after the stream was taken up.
+asio::awaitable<origin_findings> FindOriginInStore(entry_ptr state,
+                                                   stream_key key,
+                                                   std::string only_service,
+                                                   bool may_conclude) {
+  const instant began = SuspendAwareNow();
+  while (true) {
+    const bool must_be_new =
+        may_conclude && SoleBuildOf(*state, only_service).has_value();
+    if (!co_await ReadStoredStreamsOfAll(state, must_be_new))
+      co_return origin_findings{};
+    origin_findings out = FindOriginHere(*state, key, only_service);
+    if (out.IsKnown())
+      co_return out;
+    // The read may have extended what this VM can conclude.
+    const auto sole_build = SoleBuildOf(*state, only_service);
+    if (!may_conclude || !sole_build)
+      co_return out;
+    if (state->stream_store.read_at >= began)
+      co_return origin_findings{std::nullopt, sole_build, true, "store"};
+  }
+}
+
 }  // namespace
 
 asio::awaitable<bool> FindOrigin(forward_run& run) {
@@ -328,12 +378,10 @@
   if (!found.IsKnown())
     found =
         co_await AskKeepersForOrigin(run.state, key, std::string(only_service));
-  if (!found.IsKnown() && co_await ReadStoredStreamsOfAll(run.state)) {
-    found = FindOriginHere(state, key, only_service);
-    if (!found.IsKnown() && !only_service.empty())
-      found = {std::nullopt, SoleBuildOf(state, only_service), "store"};
-  }
-  const auto& [record, sole_build, source] = found;
+  if (!found.IsKnown())
+    found = co_await FindOriginInStore(
+        run.state, key, std::string(only_service), found.may_conclude);
+  const auto& [record, sole_build, may_conclude, source] = found;
   if (record && !IsInDoubt(state, *record)) {
     run.origin = record->origin;
     if (RecordStream(state.stream_records, key, *record, SuspendAwareNow()))
@@ -379,25 +427,38 @@
   const stream_key key{query.key->high(), query.key->low()};
   wire::stream_replyT reply;
   reply.number = query.number;
-  if (const stream_record* known = FindStream(state.stream_records, key))
+  if (const stream_record* known = FindStream(state.stream_records, key)) {
     reply.record = ToWire(key, *known);
-  else
+  } else {
     reply.sole_build = SoleBuildOf(state, query.service).value_or("");
+    reply.possible_builds = PossibleBuildsOf(state, query.service);
+  }
   SendMessage(link, std::move(reply));
 }
 
-void HandleStreamReply(entry_state& state, const wire::stream_replyT& reply) {
+void HandleStreamReply(entry_state& state,
+                       const peer_link& link,
+                       const wire::stream_replyT& reply) {
   const auto found = state.stream_queries.find(reply.number);
   if (found == state.stream_queries.end())
     return;
   stream_query_waiter& waiter = *found->second;
-  if (waiter.awaited > 0)
-    --waiter.awaited;
-  if (reply.record)
+  if (waiter.awaited.erase(link.peer.vm) == 0)
+    return;
+  waiter.awaited_linked.erase(link.peer.vm);
+  if (reply.record) {
     waiter.record = FromWire(*reply.record);
-  else if (!reply.sole_build.empty())
-    waiter.sole_builds.insert(reply.sole_build);
-  if (waiter.record || waiter.awaited == 0)
+  } else {
+    stream_replies& replies = waiter.replies;
+    ++replies.count;
+    replies.has_keeper =
+        replies.has_keeper || waiter.keepers.contains(link.peer.vm);
+    if (!reply.sole_build.empty())
+      replies.sole_builds.insert(reply.sole_build);
+    replies.possible_builds.insert(reply.possible_builds.begin(),
+                                   reply.possible_builds.end());
+  }
+  if (IsAnswered(waiter))
     waiter.wakeup.cancel();
 }
 
--- a/waxwing/stream_builds.cc
+++ b/waxwing/stream_builds.cc
@@ -108,17 +108,20 @@
       now < *history.observed_since + stream_lifetime || !complete_until ||
       now >= *complete_until + kBuildSettleTime)
     return std::nullopt;
-  const std::string* sole = nullptr;
+  const std::vector<std::string> possible = PossibleBuilds(history, now);
+  if (possible.size() != 1 || possible.front().empty())
+    return std::nullopt;
+  return possible.front();
+}
+
+std::vector<std::string> PossibleBuilds(const build_history& history,
+                                        instant now) {
+  std::vector<std::string> out;
   for (const auto& [name, build] : history.builds) {
-    if (build.possible_since > now)
-      continue;
-    if (sole)
-      return std::nullopt;
-    sole = &name;
+    if (build.possible_since <= now)
+      out.push_back(name);
   }
-  if (!sole || sole->empty())
-    return std::nullopt;
-  return *sole;
+  return out;
 }
 
 bool NeedsRecords(const build_history& history,
@@ -229,4 +232,42 @@
   return out;
 }
 
+std::size_t CountOtherVms(const membership& table, instant since) {
+  return static_cast<std::size_t>(std::count_if(
+      table.members.begin(), table.members.end(), [&](const auto& entry) {
+        const member_record& record = entry.second;
+        return entry.first != table.self &&
+               (IsPresent(record.data) || record.status_since >= since);
+      }));
+}
+
+bool HasEnoughReplies(const stream_replies& replies, std::size_t other_vms) {
+  if (other_vms == 0)
+    return true;
+  const std::size_t asked = std::min(other_vms, kRecordQueries);
+  return replies.has_keeper && 2 * replies.count >= asked;
+}
+
+bool Agree(const stream_replies& replies) {
+  std::set<std::string> builds = replies.possible_builds;
+  builds.insert(replies.sole_builds.begin(), replies.sole_builds.end());
+  return builds.size() <= 1;
+}
+
+std::optional<std::string> ConcludeBuild(
+    const stream_replies& replies,
+    const std::optional<std::string>& own_sole_build,
+    std::span<const std::string> own_possible_builds,
+    std::size_t other_vms) {
+  stream_replies all = replies;
+  all.possible_builds.insert(own_possible_builds.begin(),
+                             own_possible_builds.end());
+  if (own_sole_build)
+    all.sole_builds.insert(*own_sole_build);
+  if (!HasEnoughReplies(replies, other_vms) || all.sole_builds.size() != 1 ||
+      !Agree(all))
+    return std::nullopt;
+  return *all.sole_builds.begin();
+}
+
 }  // namespace waxwing
--- a/waxwing/stream_builds.h
+++ b/waxwing/stream_builds.h
@@ -14,7 +14,9 @@
 // A VM may conclude that a stream without a record was begun at the only build
 // that it knows, because no VM begins streams at a new build before
 // kBuildSettleTime has passed since it learned of the build, and each VM knows
-// since when its list of targets is complete.
+// since when its list of targets is complete. A VM that can use no other build
+// begins streams at a new one earlier, so the conclusion also needs the replies
+// of VMs that would have got the record.
 //
 // Designed for: releases that replace targets one by one while VMs end alone,
 // in series or many at once; 6 to 350 VMs.
@@ -27,6 +29,8 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -126,6 +130,11 @@
                                      duration stream_lifetime,
                                      instant now);
 
+// Returns the builds at which streams can have begun that may still be taken
+// up, as far as this VM knows.
+std::vector<std::string> PossibleBuilds(const build_history& history,
+                                        instant now);
+
 // True if the origins of streams must be recorded, because other VMs may not
 // be able to conclude them.
 bool NeedsRecords(const build_history& history,
@@ -186,6 +195,36 @@
                                              const stream_key& key,
                                              std::size_t count);
 
+// Number of other VMs that may have begun streams since `since`.
+std::size_t CountOtherVms(const membership& table, instant since);
+
+// --- Conclusions about a stream without a record.
+
+// What other VMs have replied that have no record of the stream.
+struct stream_replies {
+  std::size_t count = 0;
+  // True if one came of a VM that should have got the record.
+  bool has_keeper = false;
+  std::set<std::string> sole_builds;
+  std::set<std::string> possible_builds;
+};
+
+// True if so many of the other VMs have replied that a VM which is cut off, or
+// has not yet read what was sent to it, does not conclude from its own list of
+// targets.
+bool HasEnoughReplies(const stream_replies& replies, std::size_t other_vms);
+
+// True if the builds of the replies are those of one, or none are known.
+bool Agree(const stream_replies& replies);
+
+// Returns the only build at which the stream can have begun, by what this VM
+// and the others know, if there were enough replies.
+std::optional<std::string> ConcludeBuild(
+    const stream_replies& replies,
+    const std::optional<std::string>& own_sole_build,
+    std::span<const std::string> own_possible_builds,
+    std::size_t other_vms);
+
 }  // namespace waxwing
 
 #endif  // WAXWING_STREAM_BUILDS_H_
