What a partition held up does not confirm the list of targets

A VM that is back from a partition takes a list that is seconds old for current, and so concludes that streams are of the old build.

Cause: a zone watcher states how old its list is when it sends that, and the receiver subtracted this age from the time at which the message arrived. Messages that a partition holds up arrive seconds later.

Change: the message states the time of sending on the sender's clock. The receiver compares the difference of the clocks with the least one of the last one to two minutes (transit_tracker). Whether a VM relies on a watcher is decided as before.

--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -3292,6 +3292,7 @@
   std::vector<std::unique_ptr<waxwing::wire::shared_ageT>> ages{};
   float zone_requests_per_s = -1.0f;
   uint64_t era = 0;
+  int64_t sent_ms = 0;
   shared_agesT() = default;
   shared_agesT(const shared_agesT &o);
   shared_agesT(shared_agesT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3305,7 +3306,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_AGES = 4,
     VT_ZONE_REQUESTS_PER_S = 6,
-    VT_ERA = 8
+    VT_ERA = 8,
+    VT_SENT_MS = 10
   };
   const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>> *ages() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>> *>(VT_AGES);
@@ -3316,6 +3318,9 @@
   uint64_t era() const {
     return GetField<uint64_t>(VT_ERA, 0);
   }
+  int64_t sent_ms() const {
+    return GetField<int64_t>(VT_SENT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_AGES) &&
@@ -3323,6 +3328,7 @@
            verifier.VerifyVectorOfTables(ages()) &&
            VerifyField<float>(verifier, VT_ZONE_REQUESTS_PER_S, 4) &&
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<int64_t>(verifier, VT_SENT_MS, 8) &&
            verifier.EndTable();
   }
   shared_agesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3343,6 +3349,9 @@
   void add_era(uint64_t era) {
     fbb_.AddElement<uint64_t>(shared_ages::VT_ERA, era, 0);
   }
+  void add_sent_ms(int64_t sent_ms) {
+    fbb_.AddElement<int64_t>(shared_ages::VT_SENT_MS, sent_ms, 0);
+  }
   explicit shared_agesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3358,8 +3367,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>>> ages = 0,
     float zone_requests_per_s = -1.0f,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    int64_t sent_ms = 0) {
   shared_agesBuilder builder_(_fbb);
+  builder_.add_sent_ms(sent_ms);
   builder_.add_era(era);
   builder_.add_zone_requests_per_s(zone_requests_per_s);
   builder_.add_ages(ages);
@@ -3375,13 +3386,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<waxwing::wire::shared_age>> *ages = nullptr,
     float zone_requests_per_s = -1.0f,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    int64_t sent_ms = 0) {
   auto ages__ = ages ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_age>>(*ages) : 0;
   return waxwing::wire::Createshared_ages(
       _fbb,
       ages__,
       zone_requests_per_s,
-      era);
+      era,
+      sent_ms);
 }
 
 flatbuffers::Offset<shared_ages> Createshared_ages(flatbuffers::FlatBufferBuilder &_fbb, const shared_agesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6305,7 +6318,8 @@
 
 inline shared_agesT::shared_agesT(const shared_agesT &o)
       : zone_requests_per_s(o.zone_requests_per_s),
-        era(o.era) {
+        era(o.era),
+        sent_ms(o.sent_ms) {
   ages.reserve(o.ages.size());
   for (const auto &ages_ : o.ages) { ages.emplace_back((ages_) ? new waxwing::wire::shared_ageT(*ages_) : nullptr); }
 }
@@ -6314,6 +6328,7 @@
   std::swap(ages, o.ages);
   std::swap(zone_requests_per_s, o.zone_requests_per_s);
   std::swap(era, o.era);
+  std::swap(sent_ms, o.sent_ms);
   return *this;
 }
 
@@ -6329,6 +6344,7 @@
   { auto _e = ages(); if (_e) { _o->ages.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ages[_i] = std::unique_ptr<waxwing::wire::shared_ageT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = zone_requests_per_s(); _o->zone_requests_per_s = _e; }
   { auto _e = era(); _o->era = _e; }
+  { auto _e = sent_ms(); _o->sent_ms = _e; }
 }
 
 inline flatbuffers::Offset<shared_ages> shared_ages::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_agesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6342,11 +6358,13 @@
   auto _ages = _o->ages.size() ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_age>> (_o->ages.size(), [](size_t i, _VectorArgs *__va) { return Createshared_age(*__va->__fbb, __va->__o->ages[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _zone_requests_per_s = _o->zone_requests_per_s;
   auto _era = _o->era;
+  auto _sent_ms = _o->sent_ms;
   return waxwing::wire::Createshared_ages(
       _fbb,
       _ages,
       _zone_requests_per_s,
-      _era);
+      _era,
+      _sent_ms);
 }
 
 inline cache_changesT *cache_changes::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/testing/freshness_test.cc
+++ b/testing/freshness_test.cc
@@ -39,5 +39,21 @@
   EXPECT_EQ(EarliestArrival(tracker, now), now);
 }
 
+TEST(Freshness, MessageIsHeldUpByItsDelayOverTheFastestOne) {
+  // The sender's clock is behind by an hour, or loses a millisecond a minute.
+  transit_tracker tracker;
+  for (int i = 0; i < 600; ++i) {
+    const instant sent = kStart + seconds(i);
+    const instant arrived = sent + seconds(3'600) + milliseconds(i / 60);
+    EXPECT_LE(RecordTransit(tracker, sent, arrived), milliseconds(2));
+  }
+  const instant healed = kStart + seconds(3'600 + 700);
+  for (int i = 600; i < 700; ++i) {
+    const duration held_up = healed - (kStart + seconds(3'600 + i));
+    EXPECT_GE(RecordTransit(tracker, kStart + seconds(i), healed),
+              held_up - milliseconds(20));
+  }
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/testing/vm_out_of_step_test.cc
+++ b/testing/vm_out_of_step_test.cc
@@ -140,5 +140,23 @@
     EXPECT_EQ(other, 0) << vms << " VMs";
   }
 }
+
+TEST(VmOutOfStep, MessagesThatWereHeldUpDoNotConfirmTheListOfTargets) {
+  out_of_step_fixture f(3);
+  f.Cut();
+  const instant cut_at = SuspendAwareNow();
+  f.RunUntil([&] { return SuspendAwareNow() > cut_at + seconds(2); });
+  const watch_position& position =
+      f.vms[f.cut_vm].state->watches.at(object_kind::kTargets);
+  duration longest{};
+  while (!f.held.empty()) {
+    const instant held_at = f.held.front().held_at;
+    const auto confirmed_before = position.confirmed_at;
+    f.DeliverFirstHeld();
+    if (position.confirmed_at != confirmed_before)
+      longest = std::max(longest, *position.confirmed_at - held_at);
+  }
+  EXPECT_LE(ToMs(longest), 20);
+}
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -63,6 +63,7 @@
 void SendAges(const entry_state& state, const peer_link& link) {
   wire::shared_agesT out;
   out.era = state.store_era;
+  out.sent_ms = ToMs(SuspendAwareNow().time_since_epoch());
   for (const object_kind kind : kReplicatedKinds) {
     const auto found = state.watches.find(kind);
     if (found == state.watches.end() || !found->second.is_listed ||
@@ -166,7 +167,14 @@
   upstream->second.zone_requests_per_second.reset();
   if (message.zone_requests_per_s >= 0)
     upstream->second.zone_requests_per_second = message.zone_requests_per_s;
-  const instant arrived = EarliestArrival(state.stalls, SuspendAwareNow());
+  const instant heard = SuspendAwareNow();
+  const duration held_up =
+      message.sent_ms == 0
+          ? duration{}
+          : RecordTransit(upstream->second.transit,
+                          instant(milliseconds(message.sent_ms)), heard);
+  const instant arrived =
+      std::min(EarliestArrival(state.stalls, heard), heard - held_up);
   // A kind that is left out is not up to date at the zone watcher.
   upstream->second.current_at.clear();
   for (const auto& age : message.ages) {
@@ -198,6 +206,8 @@
   if (!link)
     co_return;
   upstream.link = *link;
+  // The VM may have started again, and its clock with it.
+  upstream.transit = {};
   upstream.last_subscribed = std::chrono::steady_clock::now();
   wire::shared_requestT request = MakeSubscription(*state);
   request.is_first = true;
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -106,6 +106,7 @@
   instant last_contact;
   // When the watcher's data was last up to date, by kind of object.
   std::map<object_kind, instant> current_at;
+  transit_tracker transit;
   // Request rate of the zone, if the watcher knows it.
   std::optional<double> zone_requests_per_second;
 };
--- a/waxwing/freshness.cc
+++ b/waxwing/freshness.cc
@@ -22,6 +22,20 @@
   return is_backlog ? tracker.stalled_since : now;
 }
 
+duration RecordTransit(transit_tracker& tracker,
+                       instant sent,
+                       instant arrived) {
+  const duration difference = arrived - sent;
+  if (!tracker.least || arrived >= tracker.period_began + kTransitPeriod) {
+    tracker.least_before = tracker.least;
+    tracker.least = difference;
+    tracker.period_began = arrived;
+  }
+  tracker.least = std::min(*tracker.least, difference);
+  return difference -
+         std::min(*tracker.least, tracker.least_before.value_or(difference));
+}
+
 instant EarliestChange(instant confirmed_at,
                        instant call_began,
                        instant arrived) {
--- a/waxwing/freshness.h
+++ b/waxwing/freshness.h
@@ -10,6 +10,8 @@
 #ifndef WAXWING_FRESHNESS_H_
 #define WAXWING_FRESHNESS_H_
 
+#include <optional>
+
 #include "waxwing/types.h"
 
 namespace waxwing {
@@ -36,6 +38,24 @@
 // `now`.
 instant EarliestArrival(const stall_tracker& tracker, instant now);
 
+// Determines how long messages of one sender are held up on their way, for
+// example by a partition that delays the bytes of a connection. The clocks of
+// the two sides need not agree.
+struct transit_tracker {
+  // The least difference between arrival and sending in the current period and
+  // in the one before.
+  std::optional<duration> least;
+  std::optional<duration> least_before;
+  instant period_began;
+};
+
+// Clocks of two VMs drift apart by a few milliseconds in this time.
+inline constexpr seconds kTransitPeriod{60};
+
+// Records a message, and returns by how much longer it was on its way than the
+// fastest one lately.
+duration RecordTransit(transit_tracker& tracker, instant sent, instant arrived);
+
 // The earliest time at which a change can have been made that a watch call
 // returns: the call began at `call_began`, when this VM had all changes up to
 // `confirmed_at`, and returned the change at `arrived`.
