A stream begins early at a new build only if another VM has its record

The stream was taken up at a VM in step and went on at the old build.

Cause: a VM that can use no target of the old build begins streams at a new one before other VMs expect any there, and relies on their records. A VM that is cut off from the others sends records that nobody gets.

Log line stream_not_begun, metric waxwing_streams_not_begun_total.

--- a/testing/vm_out_of_step_test.cc
+++ b/testing/vm_out_of_step_test.cc
@@ -158,5 +158,26 @@
   }
   EXPECT_LE(ToMs(longest), 20);
 }
+
+// The targets of the first build refuse one VM only, which is cut off from the
+// others.
+TEST(VmOutOfStep, StreamThatItCanTellNobodyOfGoesOnAtNoOtherBuild) {
+  for (const std::size_t vms : {3, 6}) {
+    out_of_step_fixture f(vms);
+    f.CutFromOthers();
+    f.AddEngine("v2");
+    f.AddEngine("v2");
+    ASSERT_TRUE(f.RunUntil([&] {
+      return f.AllList(4) && f.vms[f.cut_vm].state->targets.size() == 4;
+    }));
+    entry_state& state = *f.vms[f.cut_vm].state;
+    for (const std::string_view id : {"e0", "e1"})
+      state.placement.targets[state.targets.find(id)->second.index]
+          .paused_until = std::chrono::steady_clock::now() + seconds(60);
+    for (int i = 0; i < kStreams; ++i)
+      f.BeginAndLeave(f.cut_vm, "first-" + std::to_string(i));
+    EXPECT_EQ(f.TakeUpAll(f.Other(0), "next-").second, 0) << vms << " VMs";
+  }
+}
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -306,6 +306,12 @@
     }
     dispatch attempt = BeginDispatch(run, *choice);
     RecordStreamStart(run, attempt);
+    if (BeginsEarly(run, attempt) &&
+        !co_await IsStartKnownToOthers(run, attempt)) {
+      FinishDispatch(run, attempt, forward_outcome::kWithdrawn);
+      FinishTrial(run);
+      co_return outcome;
+    }
     const doubtful_listing listing(run, attempt);
     outcome = co_await RunAtTarget(run, attempt);
     FinishDispatch(run, attempt, outcome);
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -236,6 +236,15 @@
 // a part of it.
 void RecordStreamStart(forward_run& run, const dispatch& attempt);
 
+// True if the attempt begins a stream at a build at which other VMs do not yet
+// expect any, because no other target can be used.
+bool BeginsEarly(const forward_run& run, const dispatch& attempt);
+
+// Waits until another VM has the record of the stream that the attempt begins.
+// Returns false if none confirms that, so that the stream must not begin there.
+boost::asio::awaitable<bool> IsStartKnownToOthers(forward_run& run,
+                                                  const dispatch& attempt);
+
 // True if the target has started again, or has another build, by a record that
 // was read after it was chosen for the attempt.
 bool HasRestarted(const entry_state& state, const dispatch& attempt);
--- a/waxwing/entry_streams.cc
+++ b/waxwing/entry_streams.cc
@@ -278,6 +278,30 @@
     SendToKeepers(run.state, key, record);
 }
 
+bool BeginsEarly(const forward_run& run, const dispatch& attempt) {
+  const target_view& view = run.state->placement.targets[attempt.chosen.target];
+  return run.matched_route->kind == route_kind::kStream &&
+         run.matched_route->can_resume && !run.origin && view.is_build_new;
+}
+
+asio::awaitable<bool> IsStartKnownToOthers(forward_run& run,
+                                           const dispatch& attempt) {
+  if (CountOthers(*run.state) == 0)
+    co_return true;
+  const stream_findings found = co_await AskKeepers(
+      run.state, StreamKey(run.account.name, run.request.id),
+      attempt.target.record.service);
+  const bool is_known =
+      found.record && found.record->origin == OriginAt(attempt);
+  if (!is_known) {
+    Count(run.state->stats, "waxwing_streams_not_begun_total");
+    LogInfo("stream_not_begun", {{"request", run.request.id},
+                                 {"target", attempt.target.record.id},
+                                 {"build", attempt.target.record.build}});
+  }
+  co_return is_known;
+}
+
 bool HasRestarted(const entry_state& state, const dispatch& attempt) {
   const target_record& expected = attempt.target.record;
   const auto listed = state.targets.find(expected.id);
