A stream of which others were told begins at no other build

What callers saw: a stream that its first target, of the old build, had refused began at one of the new build. It was taken up at a VM that had been cut off in between, and went on at the old build.

Cause: a record is sent before each attempt to begin a stream, and the one with the highest attempt counts. A VM that misses the last one takes an earlier one for the origin.

Change: while records are needed, the attempts of one request begin at targets of one build. If that build has no other target left, the request is refused.

--- a/testing/vm_out_of_step_test.cc
+++ b/testing/vm_out_of_step_test.cc
@@ -179,5 +179,41 @@
     EXPECT_EQ(f.TakeUpAll(f.Other(0), "next-").second, 0) << vms << " VMs";
   }
 }
+
+// A stream's first target refuses it. The VM at which it is taken up has the
+// record of that attempt only.
+TEST(VmOutOfStep, StreamWhoseSecondRecordIsMissingGoesOnAtNoOtherBuild) {
+  out_of_step_fixture f(3);
+  f.AddEngine("v2");
+  f.AddEngine("v2");
+  ASSERT_TRUE(f.AllList(4));
+  for (const entry& vm : f.vms)
+    vm.state->builds.at("llm").builds.at("v2").usable_since = instant::min();
+  for (const std::size_t old : {0, 1}) {
+    f.targets[old]->script = [&f](const http_request& request) {
+      const bool begins = FindHeader(request.headers, "Last-Event-Id").empty();
+      if (!begins || request.target.starts_with("/api/"))
+        return PauseAfterFirstEvent(request);
+      f.CutFromOthers();
+      return RefuseAsNotExecuted(request);
+    };
+  }
+  int joined = 0;
+  for (int i = 0; i < kStreams; ++i) {
+    const std::string first = "first-" + std::to_string(i);
+    const std::string next = "next-" + std::to_string(i);
+    for (target_view& view : f.vms[f.Other(i)].state->placement.targets)
+      ClearFailures(view);
+    const bool has_begun = f.BeginAndLeave(f.Other(i), first);
+    f.TakeUp(f.cut_vm, next, first);
+    joined += has_begun && f.BuildOf(first).ends_with("v2") &&
+              f.BuildOf(next) == "v1";
+    f.is_cut = false;
+    while (!f.held.empty())
+      f.DeliverFirstHeld();
+  }
+  EXPECT_EQ(joined, 0);
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -74,7 +74,8 @@
 }
 
 stream_needs StreamNeeds(const forward_run& run) {
-  return {run.origin ? &*run.origin : nullptr, run.matched_route->can_resume};
+  return {run.origin ? &*run.origin : nullptr, run.matched_route->can_resume,
+          run.told_build ? &*run.told_build : nullptr};
 }
 
 }  // namespace
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -102,6 +102,9 @@
   std::uint64_t last_event_id = 0;
   // The target that began the stream, once the caller has an event of it.
   std::optional<stream_origin> origin;
+  // Before that, the build of the first target of which other VMs may have a
+  // record. They may miss a later one, so the stream begins at no other build.
+  std::optional<std::string> told_build;
   // For the log: time to the first byte, the longest pause between events, and
   // the state of the target when it was chosen.
   std::optional<duration> time_to_first_byte;
--- a/waxwing/entry_streams.cc
+++ b/waxwing/entry_streams.cc
@@ -274,8 +274,10 @@
                              static_cast<std::uint32_t>(run.sends + 1), now};
   state.running_streams[key] = record;
   RecordStream(state.stream_records, key, record, now);
-  if (NeedsRecordsOf(state, record.origin.service))
-    SendToKeepers(run.state, key, record);
+  if (!NeedsRecordsOf(state, record.origin.service))
+    return;
+  run.told_build = record.origin.build;
+  SendToKeepers(run.state, key, record);
 }
 
 bool BeginsEarly(const forward_run& run, const dispatch& attempt) {
--- a/waxwing/stream_builds.cc
+++ b/waxwing/stream_builds.cc
@@ -18,6 +18,8 @@
                 bool is_last_resort) {
   if (needs.origin)
     return MayContinueAt(*needs.origin, view);
+  if (needs.told_build && view.build != *needs.told_build)
+    return false;
   return !needs.begins_resumable || !view.is_build_new || is_last_resort;
 }
 
--- a/waxwing/stream_builds.h
+++ b/waxwing/stream_builds.h
@@ -64,6 +64,8 @@
   const stream_origin* origin = nullptr;
   // The request begins a stream that may be taken up later.
   bool begins_resumable = false;
+  // Build of which other VMs were told that the stream begins there, or null.
+  const std::string* told_build = nullptr;
 };
 
 // True if the target may run the request. As a last resort, a stream may begin
