--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -3292,6 +3292,7 @@
   std::vector<std::unique_ptr<waxwing::wire::shared_ageT>> ages{};
   float zone_requests_per_s = -1.0f;
   uint64_t era = 0;
+  int64_t sent_ms = 0;
   shared_agesT() = default;
   shared_agesT(const shared_agesT &o);
   shared_agesT(shared_agesT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3305,7 +3306,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_AGES = 4,
     VT_ZONE_REQUESTS_PER_S = 6,
-    VT_ERA = 8
+    VT_ERA = 8,
+    VT_SENT_MS = 10
   };
   const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>> *ages() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>> *>(VT_AGES);
@@ -3316,6 +3318,9 @@
   uint64_t era() const {
     return GetField<uint64_t>(VT_ERA, 0);
   }
+  int64_t sent_ms() const {
+    return GetField<int64_t>(VT_SENT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_AGES) &&
@@ -3323,6 +3328,7 @@
            verifier.VerifyVectorOfTables(ages()) &&
            VerifyField<float>(verifier, VT_ZONE_REQUESTS_PER_S, 4) &&
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<int64_t>(verifier, VT_SENT_MS, 8) &&
            verifier.EndTable();
   }
   shared_agesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3343,6 +3349,9 @@
   void add_era(uint64_t era) {
     fbb_.AddElement<uint64_t>(shared_ages::VT_ERA, era, 0);
   }
+  void add_sent_ms(int64_t sent_ms) {
+    fbb_.AddElement<int64_t>(shared_ages::VT_SENT_MS, sent_ms, 0);
+  }
   explicit shared_agesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3358,8 +3367,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_age>>> ages = 0,
     float zone_requests_per_s = -1.0f,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    int64_t sent_ms = 0) {
   shared_agesBuilder builder_(_fbb);
+  builder_.add_sent_ms(sent_ms);
   builder_.add_era(era);
   builder_.add_zone_requests_per_s(zone_requests_per_s);
   builder_.add_ages(ages);
@@ -3375,13 +3386,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<waxwing::wire::shared_age>> *ages = nullptr,
     float zone_requests_per_s = -1.0f,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    int64_t sent_ms = 0) {
   auto ages__ = ages ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_age>>(*ages) : 0;
   return waxwing::wire::Createshared_ages(
       _fbb,
       ages__,
       zone_requests_per_s,
-      era);
+      era,
+      sent_ms);
 }
 
 flatbuffers::Offset<shared_ages> Createshared_ages(flatbuffers::FlatBufferBuilder &_fbb, const shared_agesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4610,6 +4623,7 @@
   uint64_t number = 0;
   std::unique_ptr<waxwing::wire::stream_recordT> record{};
   std::string sole_build{};
+  std::vector<std::string> possible_builds{};
   stream_replyT() = default;
   stream_replyT(const stream_replyT &o);
   stream_replyT(stream_replyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4623,7 +4637,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NUMBER = 4,
     VT_RECORD = 6,
-    VT_SOLE_BUILD = 8
+    VT_SOLE_BUILD = 8,
+    VT_POSSIBLE_BUILDS = 10
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -4634,6 +4649,9 @@
   const flatbuffers::String *sole_build() const {
     return GetPointer<const flatbuffers::String *>(VT_SOLE_BUILD);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *possible_builds() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_POSSIBLE_BUILDS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -4641,6 +4659,9 @@
            verifier.VerifyTable(record()) &&
            VerifyOffset(verifier, VT_SOLE_BUILD) &&
            verifier.VerifyString(sole_build()) &&
+           VerifyOffset(verifier, VT_POSSIBLE_BUILDS) &&
+           verifier.VerifyVector(possible_builds()) &&
+           verifier.VerifyVectorOfStrings(possible_builds()) &&
            verifier.EndTable();
   }
   stream_replyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4661,6 +4682,9 @@
   void add_sole_build(flatbuffers::Offset<flatbuffers::String> sole_build) {
     fbb_.AddOffset(stream_reply::VT_SOLE_BUILD, sole_build);
   }
+  void add_possible_builds(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> possible_builds) {
+    fbb_.AddOffset(stream_reply::VT_POSSIBLE_BUILDS, possible_builds);
+  }
   explicit stream_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4676,9 +4700,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
     flatbuffers::Offset<waxwing::wire::stream_record> record = 0,
-    flatbuffers::Offset<flatbuffers::String> sole_build = 0) {
+    flatbuffers::Offset<flatbuffers::String> sole_build = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> possible_builds = 0) {
   stream_replyBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_possible_builds(possible_builds);
   builder_.add_sole_build(sole_build);
   builder_.add_record(record);
   return builder_.Finish();
@@ -4693,13 +4719,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
     flatbuffers::Offset<waxwing::wire::stream_record> record = 0,
-    const char *sole_build = nullptr) {
+    const char *sole_build = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *possible_builds = nullptr) {
   auto sole_build__ = sole_build ? _fbb.CreateString(sole_build) : 0;
+  auto possible_builds__ = possible_builds ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*possible_builds) : 0;
   return waxwing::wire::Createstream_reply(
       _fbb,
       number,
       record,
-      sole_build__);
+      sole_build__,
+      possible_builds__);
 }
 
 flatbuffers::Offset<stream_reply> Createstream_reply(flatbuffers::FlatBufferBuilder &_fbb, const stream_replyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6289,7 +6318,8 @@
 
 inline shared_agesT::shared_agesT(const shared_agesT &o)
       : zone_requests_per_s(o.zone_requests_per_s),
-        era(o.era) {
+        era(o.era),
+        sent_ms(o.sent_ms) {
   ages.reserve(o.ages.size());
   for (const auto &ages_ : o.ages) { ages.emplace_back((ages_) ? new waxwing::wire::shared_ageT(*ages_) : nullptr); }
 }
@@ -6298,6 +6328,7 @@
   std::swap(ages, o.ages);
   std::swap(zone_requests_per_s, o.zone_requests_per_s);
   std::swap(era, o.era);
+  std::swap(sent_ms, o.sent_ms);
   return *this;
 }
 
@@ -6313,6 +6344,7 @@
   { auto _e = ages(); if (_e) { _o->ages.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ages[_i] = std::unique_ptr<waxwing::wire::shared_ageT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = zone_requests_per_s(); _o->zone_requests_per_s = _e; }
   { auto _e = era(); _o->era = _e; }
+  { auto _e = sent_ms(); _o->sent_ms = _e; }
 }
 
 inline flatbuffers::Offset<shared_ages> shared_ages::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_agesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6326,11 +6358,13 @@
   auto _ages = _o->ages.size() ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_age>> (_o->ages.size(), [](size_t i, _VectorArgs *__va) { return Createshared_age(*__va->__fbb, __va->__o->ages[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _zone_requests_per_s = _o->zone_requests_per_s;
   auto _era = _o->era;
+  auto _sent_ms = _o->sent_ms;
   return waxwing::wire::Createshared_ages(
       _fbb,
       _ages,
       _zone_requests_per_s,
-      _era);
+      _era,
+      _sent_ms);
 }
 
 inline cache_changesT *cache_changes::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6775,13 +6809,15 @@
 inline stream_replyT::stream_replyT(const stream_replyT &o)
       : number(o.number),
         record((o.record) ? new waxwing::wire::stream_recordT(*o.record) : nullptr),
-        sole_build(o.sole_build) {
+        sole_build(o.sole_build),
+        possible_builds(o.possible_builds) {
 }
 
 inline stream_replyT &stream_replyT::operator=(stream_replyT o) FLATBUFFERS_NOEXCEPT {
   std::swap(number, o.number);
   std::swap(record, o.record);
   std::swap(sole_build, o.sole_build);
+  std::swap(possible_builds, o.possible_builds);
   return *this;
 }
 
@@ -6797,6 +6833,7 @@
   { auto _e = number(); _o->number = _e; }
   { auto _e = record(); if (_e) _o->record = std::unique_ptr<waxwing::wire::stream_recordT>(_e->UnPack(_resolver)); }
   { auto _e = sole_build(); if (_e) _o->sole_build = _e->str(); }
+  { auto _e = possible_builds(); if (_e) { _o->possible_builds.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->possible_builds[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<stream_reply> stream_reply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const stream_replyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6810,11 +6847,13 @@
   auto _number = _o->number;
   auto _record = _o->record ? Createstream_record(_fbb, _o->record.get(), _rehasher) : 0;
   auto _sole_build = _o->sole_build.empty() ? 0 : _fbb.CreateString(_o->sole_build);
+  auto _possible_builds = _o->possible_builds.size() ? _fbb.CreateVectorOfStrings(_o->possible_builds) : 0;
   return waxwing::wire::Createstream_reply(
       _fbb,
       _number,
       _record,
-      _sole_build);
+      _sole_build,
+      _possible_builds);
 }
 
 inline charge_requestT *charge_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -104,6 +104,9 @@
   std::uint64_t last_event_id = 0;
   // The target that began the stream, once the caller has an event of it.
   std::optional<stream_origin> origin;
+  // Before that, the build of the first target of which other VMs may have a
+  // record. They may miss a later one, so the stream begins at no other build.
+  std::optional<std::string> told_build;
   // For the log: time to the first byte, the longest pause between events, and
   // the state of the target when it was chosen.
   std::optional<duration> time_to_first_byte;
@@ -238,6 +241,15 @@
 // a part of it.
 void RecordStreamStart(forward_run& run, const dispatch& attempt);
 
+// True if the attempt begins a stream at a build at which other VMs do not yet
+// expect any, because no other target can be used.
+bool BeginsEarly(const forward_run& run, const dispatch& attempt);
+
+// Waits until another VM has the record of the stream that the attempt begins.
+// Returns false if none confirms that, so that the stream must not begin there.
+boost::asio::awaitable<bool> IsStartKnownToOthers(forward_run& run,
+                                                  const dispatch& attempt);
+
 // True if the target has started again, or has another build, by a record that
 // was read after it was chosen for the attempt.
 bool HasRestarted(const entry_state& state, const dispatch& attempt);
