A shorter time limit for requests binds only once callers know it

Cause: a request that its caller began under an earlier configuration was held to the limit of the newest one.

Change: what holds for idle connections holds for the time for a request: the longest limit within the last 30 s.

--- a/waxwing/http_server.cc
+++ b/waxwing/http_server.cc
@@ -27,8 +27,8 @@
   bool keep_alive = true;
   bool busy = false;
   instant request_began;
-  // The longest limit that was in force since the last response: its caller may
-  // still go by it.
+  // The longest limits that its caller may still go by.
+  milliseconds read_limit{};
   milliseconds idle_limit{};
   connection_report report;
 
@@ -60,9 +60,9 @@
   bool stopping = false;
   bool close_after_responses = false;
   connection_observer observer;
-  // The longest idle limit that callers may still go by, until a time.
-  milliseconds earlier_idle_limit{};
-  instant earlier_idle_limit_until;
+  // The longest limits that callers may still go by, until a time.
+  request_limits earlier_limits;
+  instant earlier_limits_until;
   std::set<http_connection*> connections;
 
   http_listener(asio::ip::tcp::acceptor a, const http_limits& l, http_handler h)
@@ -208,8 +208,8 @@
     detail::http_connection& connection,
     beast::flat_buffer& buffer,
     request_parser& parser) {
-  const read_limit limit(
-      connection, connection.request_began + connection.limits->read_timeout);
+  const read_limit limit(connection,
+                         connection.request_began + connection.read_limit);
   asio::ip::tcp::socket& socket = connection.stream.socket();
   std::optional<std::size_t> arrived;
   parser.eager(true);
@@ -289,14 +289,17 @@
   }
 }
 
-// Callers learn of a shorter idle limit within this time.
-constexpr seconds kIdleLimitMemory{30};
+// Callers learn of a shorter limit within this time.
+constexpr seconds kLimitMemory{30};
 
-milliseconds LongestIdleLimit(const detail::http_listener& listener) {
+// Returns the longest value of a time limit that callers may still go by.
+milliseconds LongestLimit(const detail::http_listener& listener,
+                          milliseconds request_limits::*limit) {
   const bool is_remembered =
-      std::chrono::steady_clock::now() < listener.earlier_idle_limit_until;
-  return std::max(listener.limits.idle_timeout,
-                  is_remembered ? listener.earlier_idle_limit : milliseconds());
+      std::chrono::steady_clock::now() < listener.earlier_limits_until;
+  return is_remembered
+             ? std::max(listener.limits.*limit, listener.earlier_limits.*limit)
+             : listener.limits.*limit;
 }
 
 // Reads the next request. Returns false if the connection is to be closed;
@@ -387,7 +390,10 @@
     exchange.peer = connection.report.peer;
     exchange.accepted_at = accepted_at;
     connection.busy = false;
-    connection.idle_limit = LongestIdleLimit(*listener);
+    connection.read_limit =
+        LongestLimit(*listener, &request_limits::read_timeout);
+    connection.idle_limit =
+        LongestLimit(*listener, &request_limits::idle_timeout);
     StartRequestReport(connection.report);
     if (!co_await ReadRequest(exchange, buffer))
       co_return;
@@ -649,9 +655,14 @@
 
 void SetLimits(http_server& server, const request_limits& limits) {
   detail::http_listener& listener = *server.listener;
-  listener.earlier_idle_limit = LongestIdleLimit(listener);
-  listener.earlier_idle_limit_until =
-      std::chrono::steady_clock::now() + kIdleLimitMemory;
+  const milliseconds read_timeout =
+      LongestLimit(listener, &request_limits::read_timeout);
+  const milliseconds idle_timeout =
+      LongestLimit(listener, &request_limits::idle_timeout);
+  listener.earlier_limits.read_timeout = read_timeout;
+  listener.earlier_limits.idle_timeout = idle_timeout;
+  listener.earlier_limits_until =
+      std::chrono::steady_clock::now() + kLimitMemory;
   static_cast<request_limits&>(listener.limits) = limits;
   for (detail::http_connection* connection : listener.connections)
     connection->idle_limit =
