Connections above the limit get a refusal

What callers saw: a connection that was accepted and closed at once, while all connections of the server were in use.

Change: up to 64 such connections at a time are sent 503 with Retry-After (not run: nothing was read) and closed after what the caller still sends.

--- a/waxwing/http_server.cc
+++ b/waxwing/http_server.cc
@@ -64,6 +64,7 @@
   request_limits earlier_limits;
   instant earlier_limits_until;
   std::set<http_connection*> connections;
+  std::size_t refusals = 0;
 
   http_listener(asio::ip::tcp::acceptor a, const http_limits& l, http_handler h)
       : executor(a.get_executor()),
@@ -202,6 +203,23 @@
 
 constexpr std::size_t kReadBytes = 16 * 1024;
 
+// Discards what the caller still sends, within bounds, so that closing does not
+// reset the connection before the response has been read.
+asio::awaitable<void> DiscardRest(beast::tcp_stream& stream) {
+  constexpr milliseconds kMaxTime{500};
+  constexpr int kMaxReads = 1024;
+  beast::error_code ignored;
+  stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  std::string discarded(kReadBytes, '\0');
+  stream.expires_after(kMaxTime);
+  for (int i = 0; i < kMaxReads; ++i) {
+    auto [error, bytes] =
+        co_await stream.async_read_some(asio::buffer(discarded), kUseTuple);
+    if (error)
+      break;
+  }
+}
+
 // Reads one request. After the time limit only what has already arrived is
 // read: a request that was complete in time is not lost if this process stalls.
 asio::awaitable<beast::error_code> ReadMessage(
@@ -325,20 +343,7 @@
       connection.keep_alive = false;
       http_response error_response = ParseFailureResponse(error);
       co_await Respond(exchange, std::move(error_response));
-      // Discards what the caller still sends, within bounds, so that closing
-      // does not reset the connection before the response has been read.
-      beast::error_code ignored;
-      connection.stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send,
-                                          ignored);
-      std::string discarded(16 * 1024, '\0');
-      connection.stream.expires_after(milliseconds(500));
-      for (int i = 0; i < 1024; ++i) {
-        auto [drain_error, drained] =
-            co_await connection.stream.async_read_some(asio::buffer(discarded),
-                                                       kUseTuple);
-        if (drain_error)
-          break;
-      }
+      co_await DiscardRest(connection.stream);
     }
     co_return false;
   }
@@ -439,11 +444,11 @@
 
 // Reports a connection that is closed before any request was read from it.
 void ReportUnserved(const detail::http_listener& listener,
-                    asio::ip::tcp::socket& socket,
+                    detail::http_connection& connection,
                     connection_end end) {
   beast::error_code ignored;
-  const auto remote = socket.remote_endpoint(ignored);
-  connection_report report;
+  const auto remote = connection.stream.socket().remote_endpoint(ignored);
+  connection_report& report = connection.report;
   report.end = end;
   report.peer =
       remote.address().to_string() + ":" + std::to_string(remote.port());
@@ -451,6 +456,24 @@
   ReportEnd(listener, report);
 }
 
+// Refuses a connection at the limit of connections, whatever is sent on it.
+asio::awaitable<void> RefuseConnection(listener_ptr listener,
+                                       asio::ip::tcp::socket socket) {
+  ++listener->refusals;
+  detail::http_connection connection(beast::tcp_stream(std::move(socket)),
+                                     listener->limits);
+  connection.keep_alive = false;
+  http_exchange exchange;
+  exchange.connection = &connection;
+  http_response refusal = JsonResponse(
+      503, R"({"error":{"type":"too_many_connections"},"ran":"no"})");
+  refusal.headers.push_back({"Retry-After", "1"});
+  co_await Respond(exchange, std::move(refusal));
+  ReportUnserved(*listener, connection, connection_end::kRefused);
+  co_await DiscardRest(connection.stream);
+  --listener->refusals;
+}
+
 // Closes one connection that waits for a request to free its slot, so that idle
 // callers can't lock others out. False if all connections are busy.
 bool CloseIdleConnection(detail::http_listener& listener) {
@@ -465,11 +488,17 @@
   return false;
 }
 
+// Connections above the limit that are sent a refusal at a time.
+constexpr std::size_t kMaxRefusals = 64;
+
 asio::awaitable<void> AcceptLoop(listener_ptr listener) {
   while (!listener->stopping) {
     auto [error, socket] = co_await listener->acceptor.async_accept(kUseTuple);
-    if (!error && listener->stopping)
-      ReportUnserved(*listener, socket, connection_end::kStopped);
+    if (!error && listener->stopping) {
+      detail::http_connection connection(beast::tcp_stream(std::move(socket)),
+                                         listener->limits);
+      ReportUnserved(*listener, connection, connection_end::kStopped);
+    }
     if (error == asio::error::operation_aborted || listener->stopping)
       co_return;
     if (error) {
@@ -483,7 +512,10 @@
         !CloseIdleConnection(*listener)) {
       LogWarning("connection_refused",
                  {{"connections", listener->connections.size()}});
-      ReportUnserved(*listener, socket, connection_end::kRefused);
+      if (listener->refusals < kMaxRefusals)
+        asio::co_spawn(listener->executor,
+                       RefuseConnection(listener, std::move(socket)),
+                       asio::detached);
       continue;
     }
     asio::co_spawn(listener->executor,
