A request whose caller has left is not sent again

Found by review. What targets saw: a request of a caller that left while its broken target was being checked was placed again, and sent on a kept connection although its call had been aborted; nobody aborted that attempt.

Cause: StartCall() looked at the abort flag only before it sent on a new connection; after the check of a broken connection only the outcome of the attempt was looked at. Forwarding to a second VM had the same gap. A status line within a header counts as one only with a status (a Via header has a version and an address).

Result: Http.AbortedCallIsNotSentOnAKeptConnection; it was not run without the change.

--- a/testing/http_test.cc
+++ b/testing/http_test.cc
@@ -153,6 +153,21 @@
     EXPECT_TRUE(f.Post("x", false));
 }
 
+TEST(Http, AbortedCallIsNotSentOnAKeptConnection) {
+  fixture f;
+  ASSERT_TRUE(f.Post("first", true));
+  http_abort abort;
+  Abort(abort);
+  http_request request{"POST", "/", {}, "second"};
+  http_call_options options{milliseconds(300), true};
+  options.abort = &abort;
+  const auto response =
+      RunToEnd(f.context, Fetch(f.pool, f.server.address, request, options));
+  ASSERT_FALSE(response);
+  EXPECT_FALSE(response.error().maybe_sent);
+  EXPECT_EQ(f.handled, 1);
+}
+
 TEST(Http, ConnectFailureIsReportedAsNotSent) {
   fixture f;
   const endpoint address = f.server.address;
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -158,7 +158,7 @@
 
 // True if another target may be tried after this outcome.
 bool MayRetryElsewhere(forward_run& run, forward_outcome outcome) {
-  if (run.is_cut_short || run.sends >= kMaxSends ||
+  if (run.caller_gone || run.is_cut_short || run.sends >= kMaxSends ||
       run.ends_in_doubt >= kMaxEndsInDoubt ||
       std::chrono::steady_clock::now() >= run.deadline)
     return false;
@@ -330,6 +330,8 @@
     FinishDispatch(run, attempt, outcome);
     if (attempt.connection_broke)
       co_await InvestigateBreak(run, attempt);
+    if (run.caller_gone && outcome != forward_outcome::kDone)
+      outcome = forward_outcome::kCallerGone;
     const bool was_trial = run.trial.has_value();
     FinishTrial(run);
     if (outcome != forward_outcome::kDone)
--- a/waxwing/entry_peers.cc
+++ b/waxwing/entry_peers.cc
@@ -252,7 +252,7 @@
     const instant started = std::chrono::steady_clock::now();
     const auto peer =
         ChoosePeer(Members(state), state.peers, tried, state.random, started);
-    if (!peer || started >= run.deadline || run.is_cut_short)
+    if (!peer || started >= run.deadline || run.caller_gone || run.is_cut_short)
       break;
     run.is_declined = true;
     tried.insert(peer->vm);
--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -106,15 +106,19 @@
                 MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-// True if the text contains the beginning of a status line.
+// True if the text contains the beginning of a status line, up to the space
+// after its status.
 bool ContainsStatusLine(std::string_view text) {
   constexpr std::string_view kVersion = "HTTP/1.";
-  // After it, the minor version, a space and the first digit of the status.
-  constexpr std::size_t kDigit = kVersion.size() + 2;
+  // The minor version, a space, the status and a space.
+  constexpr std::size_t kLength = 6;
+  const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
   for (std::size_t at = text.find(kVersion); at != std::string_view::npos;
        at = text.find(kVersion, at + 1)) {
-    if (at + kDigit < text.size() && text[at + kDigit - 1] == ' ' &&
-        text[at + kDigit] >= '1' && text[at + kDigit] <= '9')
+    const std::string_view rest = text.substr(at + kVersion.size(), kLength);
+    if (rest.size() == kLength && is_digit(rest[0]) && rest[1] == ' ' &&
+        is_digit(rest[2]) && is_digit(rest[3]) && is_digit(rest[4]) &&
+        rest[5] == ' ')
       return true;
   }
   return false;
@@ -275,6 +279,9 @@
     const http_call_options& options) {
   bool was_sent = false;
   const instant began = std::chrono::steady_clock::now();
+  if (options.abort && options.abort->aborted)
+    co_return tl::unexpected(
+        http_error{http_failure::kConnect, false, "aborted"});
   if (options.reuse) {
     auto idle = TakeIdleConnection(*pool.state, address);
     if (idle) {
