Limits of a connection are those in force when its request begins

The memory of longer limits was renewed by each configuration, so that it never ended.

Change: limits are taken when the first byte of a request is seen; each set that a lower one replaced is remembered for 30 s by itself, sizes included.

In the same file, from the review: a response that was begun and not ended closes its connection; the watch for a caller ends with the handler, before a 500 is written (it referred to a request that had ended); a caller that leaves ends its connection as caller_gone; requests that have arrived at a stop are served; refusals beyond 64 are reported; idle connections hold no buffer; unreadable framing is answered before the rest is discarded.

--- a/waxwing/connection_end.cc
+++ b/waxwing/connection_end.cc
@@ -42,7 +42,8 @@
 }
 
 bool LacksResponse(const connection_report& report) {
-  return report.is_read && !report.is_complete;
+  return report.is_read && !report.is_complete &&
+         report.end != connection_end::kCallerGone;
 }
 
 }  // namespace waxwing
--- a/waxwing/connection_end.h
+++ b/waxwing/connection_end.h
@@ -69,8 +69,8 @@
   std::int64_t limits_now = 0;
 };
 
-// True if a request was read completely and its response is missing or
-// incomplete.
+// True if a request was read completely, and its response is missing or
+// incomplete although its caller had not left.
 bool LacksResponse(const connection_report& report);
 
 }  // namespace waxwing
--- a/waxwing/http_server.cc
+++ b/waxwing/http_server.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "waxwing/listener.h"
 #include "waxwing/log.h"
@@ -19,21 +20,22 @@
 
 namespace detail {
 
+struct http_listener;
+
 struct http_connection {
   // Reads use its socket directly: when a time limit of the stream passes, it
   // closes the socket, and no response can be sent.
   beast::tcp_stream stream;
-  const http_limits* limits = nullptr;
+  const http_listener* listener = nullptr;
   bool keep_alive = true;
   bool busy = false;
   instant request_began;
-  // The longest limits that its caller may still go by.
-  milliseconds read_limit{};
+  // The longest limit that its caller may go by while it is idle.
   milliseconds idle_limit{};
   connection_report report;
 
-  http_connection(beast::tcp_stream s, const http_limits& l)
-      : stream(std::move(s)), limits(&l) {}
+  http_connection(beast::tcp_stream s, const http_listener& l)
+      : stream(std::move(s)), listener(&l) {}
 };
 
 // The wait for a caller's disconnect; may outlive its exchange.
@@ -52,6 +54,12 @@
       : timer(c.stream.get_executor()), connection(&c) {}
 };
 
+// Limits that callers may still go by until a time.
+struct past_limits {
+  request_limits limits;
+  instant until;
+};
+
 struct http_listener {
   asio::any_io_executor executor;
   asio::ip::tcp::acceptor acceptor;
@@ -60,9 +68,7 @@
   bool stopping = false;
   bool close_after_responses = false;
   connection_observer observer;
-  // The longest limits that callers may still go by, until a time.
-  request_limits earlier_limits;
-  instant earlier_limits_until;
+  std::vector<past_limits> past;
   std::set<http_connection*> connections;
   std::size_t refusals = 0;
 
@@ -203,6 +209,31 @@
 
 constexpr std::size_t kReadBytes = 16 * 1024;
 
+// Raises the limits in `out` to those of `other` that are higher.
+void RaiseLimits(request_limits& out, const request_limits& other) {
+  out.max_header_bytes = std::max(out.max_header_bytes, other.max_header_bytes);
+  out.max_body_bytes = std::max(out.max_body_bytes, other.max_body_bytes);
+  out.read_timeout = std::max(out.read_timeout, other.read_timeout);
+  out.idle_timeout = std::max(out.idle_timeout, other.idle_timeout);
+}
+
+bool HaveSameValues(const request_limits& a, const request_limits& b) {
+  return a.max_header_bytes == b.max_header_bytes &&
+         a.max_body_bytes == b.max_body_bytes &&
+         a.read_timeout == b.read_timeout && a.idle_timeout == b.idle_timeout;
+}
+
+// Returns the highest limits that callers may go by now.
+request_limits LimitsInForce(const detail::http_listener& listener) {
+  request_limits out = listener.limits;
+  const instant now = std::chrono::steady_clock::now();
+  for (const detail::past_limits& past : listener.past) {
+    if (now < past.until)
+      RaiseLimits(out, past.limits);
+  }
+  return out;
+}
+
 // Discards what the caller still sends, within bounds, so that closing does not
 // reset the connection before the response has been read.
 asio::awaitable<void> DiscardRest(beast::tcp_stream& stream) {
@@ -225,9 +256,9 @@
 asio::awaitable<beast::error_code> ReadMessage(
     detail::http_connection& connection,
     beast::flat_buffer& buffer,
-    request_parser& parser) {
-  const read_limit limit(connection,
-                         connection.request_began + connection.read_limit);
+    request_parser& parser,
+    milliseconds timeout) {
+  const read_limit limit(connection, connection.request_began + timeout);
   asio::ip::tcp::socket& socket = connection.stream.socket();
   std::optional<std::size_t> arrived;
   parser.eager(true);
@@ -307,34 +338,26 @@
   }
 }
 
-// Callers learn of a shorter limit within this time.
-constexpr seconds kLimitMemory{30};
-
-// Returns the longest value of a time limit that callers may still go by.
-milliseconds LongestLimit(const detail::http_listener& listener,
-                          milliseconds request_limits::*limit) {
-  const bool is_remembered =
-      std::chrono::steady_clock::now() < listener.earlier_limits_until;
-  return is_remembered
-             ? std::max(listener.limits.*limit, listener.earlier_limits.*limit)
-             : listener.limits.*limit;
-}
-
 // Reads the next request. Returns false if the connection is to be closed;
 // after a parse error, the error response has been sent by then.
 asio::awaitable<bool> ReadRequest(http_exchange& exchange,
                                   beast::flat_buffer& buffer) {
   detail::http_connection& connection = *exchange.connection;
-  request_parser parser;
-  parser.header_limit(
-      static_cast<std::uint32_t>(connection.limits->max_header_bytes));
-  parser.body_limit(connection.limits->max_body_bytes);
-  if (buffer.size() == 0 && !co_await WaitForRequest(connection))
-    co_return false;
+  connection.idle_limit = LimitsInForce(*connection.listener).idle_timeout;
+  if (buffer.size() == 0) {
+    // Idle connections hold no memory.
+    buffer.shrink_to_fit();
+    if (!co_await WaitForRequest(connection))
+      co_return false;
+  }
   connection.busy = true;
   connection.request_began = std::chrono::steady_clock::now();
+  const request_limits limits = LimitsInForce(*connection.listener);
+  request_parser parser;
+  parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
+  parser.body_limit(limits.max_body_bytes);
   const beast::error_code error =
-      co_await ReadMessage(connection, buffer, parser);
+      co_await ReadMessage(connection, buffer, parser, limits.read_timeout);
   if (error) {
     SetEnd(connection, EndOfRead(parser, error), error);
     if (error != http::error::end_of_stream &&
@@ -352,12 +375,13 @@
     connection.keep_alive = false;
     http_response error_response = ParseFailureResponse({});
     co_await Respond(exchange, std::move(error_response));
+    co_await DiscardRest(connection.stream);
     co_return false;
   }
   connection.keep_alive = parser.keep_alive();
   exchange.request = ReleaseRequest(parser);
   connection.report.is_read = true;
-  connection.report.limits_at_request = connection.limits->version;
+  connection.report.limits_at_request = connection.listener->limits.version;
   ++connection.report.requests;
   co_return true;
 }
@@ -369,36 +393,36 @@
   } catch (const std::exception& error) {
     LogError("handler_failed",
              {{"target", exchange.request.target}, {"error", error.what()}});
-    if (exchange.streaming)
-      AbortExchange(exchange);
-  }
-  if (!exchange.response_started && !exchange.broken) {
-    LogWarning("response_missing", {{"request", exchange.id}});
-    http_response error_response =
-        JsonResponse(500, R"({"error":{"type":"internal"},"ran":"unknown"})");
-    co_await Respond(exchange, std::move(error_response));
   }
+  // What a watch calls belongs to the handler, which has returned.
   if (exchange.watch) {
     exchange.watch->on_disconnect = nullptr;
     beast::error_code ignored;
     exchange.connection->stream.socket().cancel(ignored);
   }
+  if (exchange.broken)
+    co_return;
+  if (!exchange.response_started) {
+    LogWarning("response_missing", {{"request", exchange.id}});
+    http_response error_response =
+        JsonResponse(500, R"({"error":{"type":"internal"},"ran":"unknown"})");
+    co_await Respond(exchange, std::move(error_response));
+  } else if (!exchange.connection->report.is_complete) {
+    AbortExchange(exchange);
+  }
 }
 
 asio::awaitable<void> ServeRequests(const listener_ptr& listener,
                                     detail::http_connection& connection) {
   beast::flat_buffer buffer;
   const instant accepted_at = std::chrono::steady_clock::now();
-  while (connection.keep_alive && !listener->stopping) {
+  while (connection.keep_alive && (!listener->stopping || buffer.size() > 0 ||
+                                   HasArrived(connection.stream.socket()))) {
     http_exchange exchange;
     exchange.connection = &connection;
     exchange.peer = connection.report.peer;
     exchange.accepted_at = accepted_at;
     connection.busy = false;
-    connection.read_limit =
-        LongestLimit(*listener, &request_limits::read_timeout);
-    connection.idle_limit =
-        LongestLimit(*listener, &request_limits::idle_timeout);
     StartRequestReport(connection.report);
     if (!co_await ReadRequest(exchange, buffer))
       co_return;
@@ -416,8 +440,7 @@
 asio::awaitable<void> ServeConnection(listener_ptr listener,
                                       asio::ip::tcp::socket socket) {
   detail::http_connection connection(beast::tcp_stream(std::move(socket)),
-                                     listener->limits);
-  listener->connections.insert(&connection);
+                                     *listener);
   beast::error_code ignored;
   connection.stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
   const auto remote = connection.stream.socket().remote_endpoint(ignored);
@@ -426,6 +449,7 @@
   report.peer =
       remote.address().to_string() + ":" + std::to_string(remote.port());
   connection.request_began = accepted_at;
+  listener->connections.insert(&connection);
   try {
     co_await ServeRequests(listener, connection);
   } catch (const std::exception& error) {
@@ -461,7 +485,7 @@
                                        asio::ip::tcp::socket socket) {
   ++listener->refusals;
   detail::http_connection connection(beast::tcp_stream(std::move(socket)),
-                                     listener->limits);
+                                     *listener);
   connection.keep_alive = false;
   http_exchange exchange;
   exchange.connection = &connection;
@@ -496,7 +520,7 @@
     auto [error, socket] = co_await listener->acceptor.async_accept(kUseTuple);
     if (!error && listener->stopping) {
       detail::http_connection connection(beast::tcp_stream(std::move(socket)),
-                                         listener->limits);
+                                         *listener);
       ReportUnserved(*listener, connection, connection_end::kStopped);
     }
     if (error == asio::error::operation_aborted || listener->stopping)
@@ -512,10 +536,15 @@
         !CloseIdleConnection(*listener)) {
       LogWarning("connection_refused",
                  {{"connections", listener->connections.size()}});
-      if (listener->refusals < kMaxRefusals)
+      if (listener->refusals < kMaxRefusals) {
         asio::co_spawn(listener->executor,
                        RefuseConnection(listener, std::move(socket)),
                        asio::detached);
+      } else {
+        detail::http_connection connection(beast::tcp_stream(std::move(socket)),
+                                           *listener);
+        ReportUnserved(*listener, connection, connection_end::kRefused);
+      }
       continue;
     }
     asio::co_spawn(listener->executor,
@@ -618,7 +647,7 @@
   message.keep_alive(connection.keep_alive);
   message.body() = std::move(response.body);
   message.prepare_payload();
-  connection.stream.expires_after(connection.limits->write_timeout);
+  connection.stream.expires_after(connection.listener->limits.write_timeout);
   auto [error, bytes] =
       co_await http::async_write(connection.stream, message, kUseTuple);
   co_return RecordWriteResult(exchange, error, bytes, true);
@@ -630,7 +659,7 @@
   exchange.streaming = true;
   auto message = MakeStreamHead(head, connection.keep_alive);
   http::response_serializer<http::empty_body> serializer(message);
-  connection.stream.expires_after(connection.limits->write_timeout);
+  connection.stream.expires_after(connection.listener->limits.write_timeout);
   auto [error, bytes] = co_await http::async_write_header(
       connection.stream, serializer, kUseTuple);
   co_return RecordWriteResult(exchange, error, bytes, false);
@@ -645,7 +674,7 @@
   detail::http_connection& connection = *exchange.connection;
   const auto chunk =
       http::make_chunk(asio::const_buffer(data.data(), data.size()));
-  connection.stream.expires_after(connection.limits->write_timeout);
+  connection.stream.expires_after(connection.listener->limits.write_timeout);
   auto [error, bytes] =
       co_await asio::async_write(connection.stream, chunk, kUseTuple);
   co_return RecordWriteResult(exchange, error, bytes, false);
@@ -656,7 +685,7 @@
     co_return false;
   detail::http_connection& connection = *exchange.connection;
   const auto last = http::make_chunk_last();
-  connection.stream.expires_after(connection.limits->write_timeout);
+  connection.stream.expires_after(connection.listener->limits.write_timeout);
   auto [error, bytes] =
       co_await asio::async_write(connection.stream, last, kUseTuple);
   co_return RecordWriteResult(exchange, error, bytes, true);
@@ -674,11 +703,12 @@
           return;
         char byte = 0;
         const auto count =
-            error ? -1
+            error ? 0
                   : ::recv(connection.stream.socket().native_handle(), &byte, 1,
                            MSG_PEEK | MSG_DONTWAIT);
         if (count > 0 || (count < 0 && errno == EAGAIN))
           return;
+        SetEnd(connection, connection_end::kCallerGone, error);
         const auto call = std::move(watch->on_disconnect);
         watch->on_disconnect = nullptr;
         call();
@@ -686,15 +716,23 @@
 }
 
 void SetLimits(http_server& server, const request_limits& limits) {
+  // Callers learn of lower limits within this time.
+  constexpr seconds kMemory{30};
+  constexpr std::size_t kMaxRemembered = 16;
   detail::http_listener& listener = *server.listener;
-  const milliseconds read_timeout =
-      LongestLimit(listener, &request_limits::read_timeout);
-  const milliseconds idle_timeout =
-      LongestLimit(listener, &request_limits::idle_timeout);
-  listener.earlier_limits.read_timeout = read_timeout;
-  listener.earlier_limits.idle_timeout = idle_timeout;
-  listener.earlier_limits_until =
-      std::chrono::steady_clock::now() + kLimitMemory;
+  const instant now = std::chrono::steady_clock::now();
+  request_limits raised = limits;
+  RaiseLimits(raised, listener.limits);
+  std::erase_if(listener.past, [&](const detail::past_limits& past) {
+    return past.until <= now;
+  });
+  const bool is_lower = !HaveSameValues(raised, limits);
+  if (is_lower && listener.past.size() < kMaxRemembered) {
+    listener.past.push_back({listener.limits, now + kMemory});
+  } else if (is_lower) {
+    RaiseLimits(listener.past.back().limits, listener.limits);
+    listener.past.back().until = now + kMemory;
+  }
   static_cast<request_limits&>(listener.limits) = limits;
   for (detail::http_connection* connection : listener.connections)
     connection->idle_limit =
