Return from the accept loop where the socket of a stop has been reported

Cause: clang-tidy took the socket for one that is used after it was moved; that path returned by a second test of the same condition. No change of behaviour.

--- a/waxwing/http_server.cc
+++ b/waxwing/http_server.cc
@@ -522,6 +522,7 @@
       detail::http_connection connection(beast::tcp_stream(std::move(socket)),
                                          *listener);
       ReportUnserved(*listener, connection, connection_end::kStopped);
+      co_return;
     }
     if (error == asio::error::operation_aborted || listener->stopping)
       co_return;
