Review case 4: a forwarded request runs at more targets than allowed

Cause: a VM that forwards a request does not state at how many targets it may have run; the next VM counts from zero. The stand-ins now start processes without their own sockets, so a closed port is really closed.

--- a/review/rig.cc
+++ b/review/rig.cc
@@ -227,6 +227,8 @@
   posix_spawn_file_actions_addopen(&actions, 1, vm.log_path.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  // The process gets none of the sockets of this one.
+  posix_spawn_file_actions_addclosefrom_np(&actions, 3);
   if (posix_spawn(&vm.process, kProgram, &actions, nullptr, arguments,
                   environment.data()) != 0)
     vm.process = 0;
@@ -318,8 +320,10 @@
 
 }  // namespace
 
-store_gate::store_gate(asio::io_context& context, endpoint to)
-    : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}),
+store_gate::store_gate(asio::io_context& context,
+                       const endpoint& own,
+                       endpoint to)
+    : acceptor(context, {asio::ip::make_address(own.host), own.port}),
       store(std::move(to)) {}
 
 endpoint store_gate::Address() const {
@@ -327,11 +331,28 @@
 }
 
 std::shared_ptr<store_gate> OpenGate(rig& r) {
-  auto gate = std::make_shared<store_gate>(r.context, r.store->server.address);
+  return OpenPath(r, r.store->server.address);
+}
+
+std::shared_ptr<store_gate> OpenPath(rig& r, const endpoint& target) {
+  auto gate =
+      std::make_shared<store_gate>(r.context, FindFreeAddress(r), target);
   asio::co_spawn(r.context, AcceptAtGate(gate), asio::detached);
   return gate;
 }
 
+void CutPath(const std::shared_ptr<store_gate>& path, bool is_cut) {
+  TurnAway(*path, is_cut);
+  if (is_cut) {
+    path->own = path->acceptor.local_endpoint();
+    path->acceptor.close();
+    return;
+  }
+  path->acceptor = tcp::acceptor(path->acceptor.get_executor(), path->own);
+  asio::co_spawn(path->acceptor.get_executor(), AcceptAtGate(path),
+                 asio::detached);
+}
+
 void TurnAway(store_gate& gate, bool turns_away) {
   gate.turns_away = turns_away;
   if (!turns_away)
--- a/review/rig.h
+++ b/review/rig.h
@@ -80,17 +80,25 @@
 // its connections, old and new ones.
 struct store_gate {
   boost::asio::ip::tcp::acceptor acceptor;
+  boost::asio::ip::tcp::endpoint own;
   waxwing::endpoint store;
   bool turns_away = false;
   std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>> sockets;
 
-  store_gate(boost::asio::io_context& context, waxwing::endpoint to);
+  store_gate(boost::asio::io_context& context,
+             const waxwing::endpoint& own,
+             waxwing::endpoint to);
   waxwing::endpoint Address() const;
 };
 
 std::shared_ptr<store_gate> OpenGate(rig& r);
 void TurnAway(store_gate& gate, bool turns_away);
 
+// A way to a target that one VM uses. While it is cut, its connections are
+// reset and new ones are refused.
+std::shared_ptr<store_gate> OpenPath(rig& r, const waxwing::endpoint& target);
+void CutPath(const std::shared_ptr<store_gate>& path, bool is_cut);
+
 std::shared_ptr<testing_support::scripted_target> AddTarget(
     rig& r,
     std::function<testing_support::scripted_response(
