--- a/review/rig.cc
+++ b/review/rig.cc
@@ -104,7 +104,7 @@
                               {"control", ToText(vm.peers)},
                               {"directory", ToText(vm.directory)}}},
       {"seeds", std::move(seeds)},
-      {"bootstrap", true},
+      {"bootstrap", !vm.has_started},
       {"loss_counted", false},
       {"limits", json::object{{"cpu_share", 0.25},
                               {"cores", 1},
@@ -210,6 +210,7 @@
 
 void StartVm(rig& r, entry_vm& vm) {
   WriteSettings(r, vm);
+  vm.has_started = true;
   std::vector<std::string> variables{
       "WAXWINGPASS_SETTINGS=" + vm.settings_path,
       "WAXWING_KEY=" + ToText(r.store->server.address),
--- a/review/rig.h
+++ b/review/rig.h
@@ -32,6 +32,7 @@
   std::string name;
   std::string zone;
   pid_t process = 0;
+  bool has_started = false;
   std::string settings_path;
   std::string log_path;
   waxwing::endpoint callers;
