A VM that missed a zone watcher's message asks for what it lacks

Cause: a change that a zone watcher publishes did not say what it follows, and its periodic message said how old its data were, but not which.

Change: each change states the revision that it follows, each periodic message the revision of the newest change, by kind of object. A VM that lacks one asks for it, at most every 0.5 s, and states what it has, so that it is sent only the kinds of which it lacks something. A subscriber that is new, has been dropped or uses another link is sent what it lacks at once. Configuration, targets, weights and holds all take this way. Builds without these fields are treated as before.

Why this works: a VM counts as up to date only if it has all changes that the watcher knows, whatever kept a message from it.

--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -92,6 +92,10 @@
 struct demandsBuilder;
 struct demandsT;
 
+struct shared_revision;
+struct shared_revisionBuilder;
+struct shared_revisionT;
+
 struct shared_request;
 struct shared_requestBuilder;
 struct shared_requestT;
@@ -2891,11 +2895,86 @@
 
 flatbuffers::Offset<demands> Createdemands(flatbuffers::FlatBufferBuilder &_fbb, const demandsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct shared_revisionT : public flatbuffers::NativeTable {
+  typedef shared_revision TableType;
+  uint8_t kind = 0;
+  uint64_t revision = 0;
+};
+
+struct shared_revision FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef shared_revisionT NativeTableType;
+  typedef shared_revisionBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_REVISION = 6
+  };
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           verifier.EndTable();
+  }
+  shared_revisionT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(shared_revisionT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<shared_revision> Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_revisionT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct shared_revisionBuilder {
+  typedef shared_revision Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(shared_revision::VT_KIND, kind, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(shared_revision::VT_REVISION, revision, 0);
+  }
+  explicit shared_revisionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<shared_revision> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<shared_revision>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<shared_revision> Createshared_revision(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    uint64_t revision = 0) {
+  shared_revisionBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+struct shared_revision::Traits {
+  using type = shared_revision;
+  static auto constexpr Create = Createshared_revision;
+};
+
+flatbuffers::Offset<shared_revision> Createshared_revision(flatbuffers::FlatBufferBuilder &_fbb, const shared_revisionT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct shared_requestT : public flatbuffers::NativeTable {
   typedef shared_request TableType;
   bool follows = false;
-  bool is_first = false;
+  bool wants_objects = false;
   float requests_per_s = 0.0f;
+  std::vector<std::unique_ptr<waxwing::wire::shared_revisionT>> known{};
+  uint64_t era = 0;
+  shared_requestT() = default;
+  shared_requestT(const shared_requestT &o);
+  shared_requestT(shared_requestT&&) FLATBUFFERS_NOEXCEPT = default;
+  shared_requestT &operator=(shared_requestT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct shared_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2904,23 +2983,35 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_FOLLOWS = 4,
-    VT_IS_FIRST = 6,
-    VT_REQUESTS_PER_S = 8
+    VT_WANTS_OBJECTS = 6,
+    VT_REQUESTS_PER_S = 8,
+    VT_KNOWN = 10,
+    VT_ERA = 12
   };
   bool follows() const {
     return GetField<uint8_t>(VT_FOLLOWS, 0) != 0;
   }
-  bool is_first() const {
-    return GetField<uint8_t>(VT_IS_FIRST, 0) != 0;
+  bool wants_objects() const {
+    return GetField<uint8_t>(VT_WANTS_OBJECTS, 0) != 0;
   }
   float requests_per_s() const {
     return GetField<float>(VT_REQUESTS_PER_S, 0.0f);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_revision>> *known() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_revision>> *>(VT_KNOWN);
+  }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_FOLLOWS, 1) &&
-           VerifyField<uint8_t>(verifier, VT_IS_FIRST, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WANTS_OBJECTS, 1) &&
            VerifyField<float>(verifier, VT_REQUESTS_PER_S, 4) &&
+           VerifyOffset(verifier, VT_KNOWN) &&
+           verifier.VerifyVector(known()) &&
+           verifier.VerifyVectorOfTables(known()) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
   shared_requestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2935,12 +3026,18 @@
   void add_follows(bool follows) {
     fbb_.AddElement<uint8_t>(shared_request::VT_FOLLOWS, static_cast<uint8_t>(follows), 0);
   }
-  void add_is_first(bool is_first) {
-    fbb_.AddElement<uint8_t>(shared_request::VT_IS_FIRST, static_cast<uint8_t>(is_first), 0);
+  void add_wants_objects(bool wants_objects) {
+    fbb_.AddElement<uint8_t>(shared_request::VT_WANTS_OBJECTS, static_cast<uint8_t>(wants_objects), 0);
   }
   void add_requests_per_s(float requests_per_s) {
     fbb_.AddElement<float>(shared_request::VT_REQUESTS_PER_S, requests_per_s, 0.0f);
   }
+  void add_known(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_revision>>> known) {
+    fbb_.AddOffset(shared_request::VT_KNOWN, known);
+  }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(shared_request::VT_ERA, era, 0);
+  }
   explicit shared_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2955,11 +3052,15 @@
 inline flatbuffers::Offset<shared_request> Createshared_request(
     flatbuffers::FlatBufferBuilder &_fbb,
     bool follows = false,
-    bool is_first = false,
-    float requests_per_s = 0.0f) {
+    bool wants_objects = false,
+    float requests_per_s = 0.0f,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_revision>>> known = 0,
+    uint64_t era = 0) {
   shared_requestBuilder builder_(_fbb);
+  builder_.add_era(era);
+  builder_.add_known(known);
   builder_.add_requests_per_s(requests_per_s);
-  builder_.add_is_first(is_first);
+  builder_.add_wants_objects(wants_objects);
   builder_.add_follows(follows);
   return builder_.Finish();
 }
@@ -2969,6 +3070,23 @@
   static auto constexpr Create = Createshared_request;
 };
 
+inline flatbuffers::Offset<shared_request> Createshared_requestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool follows = false,
+    bool wants_objects = false,
+    float requests_per_s = 0.0f,
+    const std::vector<flatbuffers::Offset<waxwing::wire::shared_revision>> *known = nullptr,
+    uint64_t era = 0) {
+  auto known__ = known ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_revision>>(*known) : 0;
+  return waxwing::wire::Createshared_request(
+      _fbb,
+      follows,
+      wants_objects,
+      requests_per_s,
+      known__,
+      era);
+}
+
 flatbuffers::Offset<shared_request> Createshared_request(flatbuffers::FlatBufferBuilder &_fbb, const shared_requestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct shared_objectT : public flatbuffers::NativeTable {
@@ -3088,6 +3206,7 @@
   std::vector<std::unique_ptr<waxwing::wire::shared_objectT>> objects{};
   int32_t max_age_ms = -1;
   uint64_t era = 0;
+  uint64_t after = 0;
   shared_objectsT() = default;
   shared_objectsT(const shared_objectsT &o);
   shared_objectsT(shared_objectsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3104,7 +3223,8 @@
     VT_IS_WHOLE = 8,
     VT_OBJECTS = 10,
     VT_MAX_AGE_MS = 12,
-    VT_ERA = 14
+    VT_ERA = 14,
+    VT_AFTER = 16
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -3124,6 +3244,9 @@
   uint64_t era() const {
     return GetField<uint64_t>(VT_ERA, 0);
   }
+  uint64_t after() const {
+    return GetField<uint64_t>(VT_AFTER, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -3134,6 +3257,7 @@
            verifier.VerifyVectorOfTables(objects()) &&
            VerifyField<int32_t>(verifier, VT_MAX_AGE_MS, 4) &&
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
            verifier.EndTable();
   }
   shared_objectsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3163,6 +3287,9 @@
   void add_era(uint64_t era) {
     fbb_.AddElement<uint64_t>(shared_objects::VT_ERA, era, 0);
   }
+  void add_after(uint64_t after) {
+    fbb_.AddElement<uint64_t>(shared_objects::VT_AFTER, after, 0);
+  }
   explicit shared_objectsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3181,8 +3308,10 @@
     bool is_whole = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<waxwing::wire::shared_object>>> objects = 0,
     int32_t max_age_ms = -1,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    uint64_t after = 0) {
   shared_objectsBuilder builder_(_fbb);
+  builder_.add_after(after);
   builder_.add_era(era);
   builder_.add_revision(revision);
   builder_.add_max_age_ms(max_age_ms);
@@ -3204,7 +3333,8 @@
     bool is_whole = false,
     const std::vector<flatbuffers::Offset<waxwing::wire::shared_object>> *objects = nullptr,
     int32_t max_age_ms = -1,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    uint64_t after = 0) {
   auto objects__ = objects ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_object>>(*objects) : 0;
   return waxwing::wire::Createshared_objects(
       _fbb,
@@ -3213,7 +3343,8 @@
       is_whole,
       objects__,
       max_age_ms,
-      era);
+      era,
+      after);
 }
 
 flatbuffers::Offset<shared_objects> Createshared_objects(flatbuffers::FlatBufferBuilder &_fbb, const shared_objectsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3222,6 +3353,7 @@
   typedef shared_age TableType;
   uint8_t kind = 0;
   uint32_t age_ms = 0;
+  uint64_t revision = 0;
 };
 
 struct shared_age FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3230,7 +3362,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_KIND = 4,
-    VT_AGE_MS = 6
+    VT_AGE_MS = 6,
+    VT_REVISION = 8
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -3238,10 +3371,14 @@
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
   }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            verifier.EndTable();
   }
   shared_ageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3259,6 +3396,9 @@
   void add_age_ms(uint32_t age_ms) {
     fbb_.AddElement<uint32_t>(shared_age::VT_AGE_MS, age_ms, 0);
   }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(shared_age::VT_REVISION, revision, 0);
+  }
   explicit shared_ageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3273,8 +3413,10 @@
 inline flatbuffers::Offset<shared_age> Createshared_age(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t kind = 0,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    uint64_t revision = 0) {
   shared_ageBuilder builder_(_fbb);
+  builder_.add_revision(revision);
   builder_.add_age_ms(age_ms);
   builder_.add_kind(kind);
   return builder_.Finish();
@@ -6159,6 +6301,53 @@
       _accounts);
 }
 
+inline shared_revisionT *shared_revision::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<shared_revisionT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void shared_revision::UnPackTo(shared_revisionT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = kind(); _o->kind = _e; }
+  { auto _e = revision(); _o->revision = _e; }
+}
+
+inline flatbuffers::Offset<shared_revision> shared_revision::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_revisionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return Createshared_revision(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<shared_revision> Createshared_revision(flatbuffers::FlatBufferBuilder &_fbb, const shared_revisionT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const shared_revisionT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _kind = _o->kind;
+  auto _revision = _o->revision;
+  return waxwing::wire::Createshared_revision(
+      _fbb,
+      _kind,
+      _revision);
+}
+
+inline shared_requestT::shared_requestT(const shared_requestT &o)
+      : follows(o.follows),
+        wants_objects(o.wants_objects),
+        requests_per_s(o.requests_per_s),
+        era(o.era) {
+  known.reserve(o.known.size());
+  for (const auto &known_ : o.known) { known.emplace_back((known_) ? new waxwing::wire::shared_revisionT(*known_) : nullptr); }
+}
+
+inline shared_requestT &shared_requestT::operator=(shared_requestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(follows, o.follows);
+  std::swap(wants_objects, o.wants_objects);
+  std::swap(requests_per_s, o.requests_per_s);
+  std::swap(known, o.known);
+  std::swap(era, o.era);
+  return *this;
+}
+
 inline shared_requestT *shared_request::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<shared_requestT>();
   UnPackTo(_o.get(), _resolver);
@@ -6169,8 +6358,10 @@
   (void)_o;
   (void)_resolver;
   { auto _e = follows(); _o->follows = _e; }
-  { auto _e = is_first(); _o->is_first = _e; }
+  { auto _e = wants_objects(); _o->wants_objects = _e; }
   { auto _e = requests_per_s(); _o->requests_per_s = _e; }
+  { auto _e = known(); if (_e) { _o->known.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->known[_i] = std::unique_ptr<waxwing::wire::shared_revisionT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = era(); _o->era = _e; }
 }
 
 inline flatbuffers::Offset<shared_request> shared_request::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_requestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6182,13 +6373,17 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const shared_requestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _follows = _o->follows;
-  auto _is_first = _o->is_first;
+  auto _wants_objects = _o->wants_objects;
   auto _requests_per_s = _o->requests_per_s;
+  auto _known = _o->known.size() ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_revision>> (_o->known.size(), [](size_t i, _VectorArgs *__va) { return Createshared_revision(*__va->__fbb, __va->__o->known[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _era = _o->era;
   return waxwing::wire::Createshared_request(
       _fbb,
       _follows,
-      _is_first,
-      _requests_per_s);
+      _wants_objects,
+      _requests_per_s,
+      _known,
+      _era);
 }
 
 inline shared_objectT *shared_object::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6231,7 +6426,8 @@
         revision(o.revision),
         is_whole(o.is_whole),
         max_age_ms(o.max_age_ms),
-        era(o.era) {
+        era(o.era),
+        after(o.after) {
   objects.reserve(o.objects.size());
   for (const auto &objects_ : o.objects) { objects.emplace_back((objects_) ? new waxwing::wire::shared_objectT(*objects_) : nullptr); }
 }
@@ -6243,6 +6439,7 @@
   std::swap(objects, o.objects);
   std::swap(max_age_ms, o.max_age_ms);
   std::swap(era, o.era);
+  std::swap(after, o.after);
   return *this;
 }
 
@@ -6261,6 +6458,7 @@
   { auto _e = objects(); if (_e) { _o->objects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->objects[_i] = std::unique_ptr<waxwing::wire::shared_objectT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = max_age_ms(); _o->max_age_ms = _e; }
   { auto _e = era(); _o->era = _e; }
+  { auto _e = after(); _o->after = _e; }
 }
 
 inline flatbuffers::Offset<shared_objects> shared_objects::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_objectsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6277,6 +6475,7 @@
   auto _objects = _o->objects.size() ? _fbb.CreateVector<flatbuffers::Offset<waxwing::wire::shared_object>> (_o->objects.size(), [](size_t i, _VectorArgs *__va) { return Createshared_object(*__va->__fbb, __va->__o->objects[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _max_age_ms = _o->max_age_ms;
   auto _era = _o->era;
+  auto _after = _o->after;
   return waxwing::wire::Createshared_objects(
       _fbb,
       _kind,
@@ -6284,7 +6483,8 @@
       _is_whole,
       _objects,
       _max_age_ms,
-      _era);
+      _era,
+      _after);
 }
 
 inline shared_ageT *shared_age::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6298,6 +6498,7 @@
   (void)_resolver;
   { auto _e = kind(); _o->kind = _e; }
   { auto _e = age_ms(); _o->age_ms = _e; }
+  { auto _e = revision(); _o->revision = _e; }
 }
 
 inline flatbuffers::Offset<shared_age> shared_age::Pack(flatbuffers::FlatBufferBuilder &_fbb, const shared_ageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6310,10 +6511,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const shared_ageT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _kind = _o->kind;
   auto _age_ms = _o->age_ms;
+  auto _revision = _o->revision;
   return waxwing::wire::Createshared_age(
       _fbb,
       _kind,
-      _age_ms);
+      _age_ms,
+      _revision);
 }
 
 inline shared_agesT::shared_agesT(const shared_agesT &o)
--- a/waxwing/entry_era.cc
+++ b/waxwing/entry_era.cc
@@ -17,6 +17,7 @@
   state.store_era = era;
   for (auto& [kind, position] : state.watches) {
     position.revision = 0;
+    position.changed_revision = 0;
     position.is_listed = false;
     position.has_lost_changes = position.confirmed_at.has_value();
   }
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <utility>
 
 #include "waxwing/agent_state.h"
 #include "waxwing/entry_state.h"
@@ -20,6 +21,8 @@
 // three renewals.
 constexpr milliseconds kRenewalPeriod{1'000};
 constexpr int kMaxMissedRenewals = 3;
+// Time between two requests to a zone watcher for objects that were missed.
+constexpr milliseconds kMinRequestPeriod{500};
 constexpr object_kind kReplicatedKinds[] = {
     object_kind::kConfig, object_kind::kTargets, object_kind::kWeights,
     object_kind::kHolds};
@@ -73,6 +76,7 @@
     age->kind = static_cast<std::uint8_t>(kind);
     age->age_ms = static_cast<std::uint32_t>(
         ToMs(SuspendAwareNow() - *found->second.published_at));
+    age->revision = found->second.changed_revision;
     out.ages.push_back(std::move(age));
   }
   if (state.caller_load.requests_per_second)
@@ -89,16 +93,45 @@
   return std::nullopt;
 }
 
+// True if the sender of a request has all changes of a kind that this VM knows.
+bool HasAllChanges(const entry_state& state,
+                   const wire::shared_requestT& request,
+                   object_kind kind) {
+  const auto position = state.watches.find(kind);
+  if (position == state.watches.end() || request.era != state.store_era)
+    return false;
+  return std::any_of(
+      request.known.begin(), request.known.end(), [&](const auto& known) {
+        return known->kind == static_cast<std::uint8_t>(kind) &&
+               known->revision != 0 &&
+               known->revision >= position->second.changed_revision;
+      });
+}
+
+// Registers a subscriber. Returns true if this VM may have published changes
+// that it was not sent.
+bool RenewSubscription(entry_state& state,
+                       const peer_link& link,
+                       const wire::shared_requestT& request) {
+  const auto known = state.subscribers.find(link.peer.vm);
+  const bool is_new = known == state.subscribers.end() ||
+                      known->second.link.state != link.state;
+  state.subscribers[link.peer.vm] = {link, std::chrono::steady_clock::now(),
+                                     request.requests_per_s};
+  return is_new;
+}
+
 void HandleRequest(entry_state& state,
                    const peer_link& link,
                    const wire::shared_requestT& request) {
-  const instant now = std::chrono::steady_clock::now();
-  if (request.follows)
-    state.subscribers[link.peer.vm] = {link, now, request.requests_per_s};
-  if (request.follows && !request.is_first)
+  const bool is_new =
+      request.follows && RenewSubscription(state, link, request);
+  if (request.follows && !request.wants_objects && !is_new)
     return;
-  for (const object_kind kind : kReplicatedKinds)
-    SendSnapshot(state, link, kind);
+  for (const object_kind kind : kReplicatedKinds) {
+    if (!HasAllChanges(state, request, kind))
+      SendSnapshot(state, link, kind);
+  }
   SendKnownNotices(state, link);
   if (request.follows)
     SendAges(state, link);
@@ -118,11 +151,49 @@
   return out;
 }
 
-// Applies objects sent by a peer. Messages of a link arrive in order, so a
-// change always follows the revision that this VM has; objects that are not
-// newer are skipped.
+wire::shared_requestT MakeSubscription(const entry_state& state) {
+  wire::shared_requestT out;
+  out.follows = true;
+  out.requests_per_s = static_cast<float>(state.caller_load.own_rate);
+  out.era = state.store_era;
+  for (const object_kind kind : kReplicatedKinds) {
+    const auto found = state.watches.find(kind);
+    if (found == state.watches.end())
+      continue;
+    auto known = std::make_unique<wire::shared_revisionT>();
+    known->kind = static_cast<std::uint8_t>(kind);
+    known->revision = found->second.revision;
+    out.known.push_back(std::move(known));
+  }
+  return out;
+}
+
+// Requests the objects that this VM has missed from a zone watcher, unless it
+// has just done so.
+void RequestMissedObjects(entry_state& state,
+                          const peer_link& link,
+                          object_kind kind,
+                          std::uint64_t revision) {
+  const auto found = state.upstreams.find(link.peer.vm);
+  const instant now = std::chrono::steady_clock::now();
+  if (found == state.upstreams.end() ||
+      now < found->second.last_requested + kMinRequestPeriod)
+    return;
+  found->second.last_requested = now;
+  wire::shared_requestT request = MakeSubscription(state);
+  request.wants_objects = true;
+  SendMessage(link, std::move(request));
+  Count(state.stats, "waxwing_missed_objects_requests_total");
+  LogInfo("objects_missed", {{"reader", link.peer.vm},
+                             {"kind", static_cast<int>(kind)},
+                             {"revision", state.watches[kind].revision},
+                             {"changed_at", revision}});
+}
+
+// Applies objects sent by a peer. Objects that are not newer are skipped, and
+// so are changes after others that this VM does not have.
 void HandleObjects(entry_state& state,
-                   std::string_view peer,
+                   const peer_link& link,
                    const wire::shared_objectsT& message) {
   const auto kind = KindOf(message.kind);
   if (!kind || !ObserveEra(state, message.era))
@@ -131,6 +202,10 @@
   const bool is_known = position.revision != 0;
   if (is_known ? message.revision <= position.revision : !message.is_whole)
     return;
+  if (!message.is_whole && message.after > position.revision) {
+    RequestMissedObjects(state, link, *kind, message.after);
+    return;
+  }
   const instant arrived = EarliestArrival(state.stalls, SuspendAwareNow());
   const auto made_after = MadeAfter(position, message, arrived);
   object_list snapshot;
@@ -147,7 +222,9 @@
     position.has_lost_changes = false;
   }
   position.revision = std::max(position.revision, message.revision);
-  LogDebug("objects_from_peer", {{"peer", peer},
+  position.changed_revision =
+      std::max(position.changed_revision, message.revision);
+  LogDebug("objects_from_peer", {{"peer", link.peer.vm},
                                  {"kind", static_cast<int>(*kind)},
                                  {"objects", message.objects.size()},
                                  {"whole", message.is_whole},
@@ -176,26 +253,28 @@
   const instant arrived =
       std::min(EarliestArrival(state.stalls, heard), heard - held_up);
   // A kind that is left out is not up to date at the zone watcher.
-  upstream->second.current_at.clear();
+  const auto current_before = std::exchange(upstream->second.current_at, {});
   for (const auto& age : message.ages) {
     const auto kind = KindOf(age->kind);
     if (!kind)
       continue;
-    upstream->second.current_at[*kind] = now - milliseconds(age->age_ms);
     watch_position& position = state.watches[*kind];
+    if (age->revision > position.revision) {
+      // What is missing is on its way; until it is late, it replaces a call to
+      // the store.
+      if (const auto before = current_before.find(*kind);
+          before != current_before.end())
+        upstream->second.current_at.insert(*before);
+      RequestMissedObjects(state, link, *kind, age->revision);
+      continue;
+    }
+    upstream->second.current_at[*kind] = now - milliseconds(age->age_ms);
     position.confirmed_at = std::max(position.confirmed_at.value_or(instant{}),
                                      arrived - milliseconds(age->age_ms));
   }
 }
 
-wire::shared_requestT MakeSubscription(const entry_state& state) {
-  wire::shared_requestT out;
-  out.follows = true;
-  out.requests_per_s = static_cast<float>(state.caller_load.own_rate);
-  return out;
-}
-
-// Connects to a zone watcher and requests all objects from it.
+// Connects to a zone watcher and requests what it knows and this VM does not.
 asio::awaitable<void> Subscribe(entry_ptr state, std::string watcher) {
   const auto link = co_await EnsureLink(state->membership_agent.state, watcher);
   const auto found = state->upstreams.find(watcher);
@@ -210,7 +289,7 @@
   upstream.transit = {};
   upstream.last_subscribed = std::chrono::steady_clock::now();
   wire::shared_requestT request = MakeSubscription(*state);
-  request.is_first = true;
+  request.wants_objects = true;
   SendMessage(upstream.link, request);
   LogInfo("reader_followed", {{"reader", watcher}});
 }
@@ -248,7 +327,7 @@
         if (const auto* request = message.Asshared_request())
           HandleRequest(*locked, link, *request);
         else if (const auto* objects = message.Asshared_objects())
-          HandleObjects(*locked, link.peer.vm, *objects);
+          HandleObjects(*locked, link, *objects);
         else if (const auto* ages = message.Asshared_ages())
           HandleAges(*locked, link, *ages);
         else if (const auto* caches = message.Ascache_changes())
@@ -281,10 +360,12 @@
 void PublishChanges(entry_state& state,
                     object_kind kind,
                     const object_changes& changes,
+                    std::uint64_t after,
                     std::optional<instant> made_after) {
   if (state.subscribers.empty() || changes.changes.empty())
     return;
   wire::shared_objectsT out = MakeObjectsMessage(state, kind, changes.revision);
+  out.after = after;
   if (made_after)
     out.max_age_ms =
         static_cast<std::int32_t>(ToMs(SuspendAwareNow() - *made_after));
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -78,7 +78,11 @@
 
 // How far one kind of object has been read from the store.
 struct watch_position {
+  // This VM has all changes up to this revision, and knows none after it.
   std::uint64_t revision = 0;
+  // At most `revision`: this VM knows no change after it. The store's revision
+  // also increases by changes of other kinds.
+  std::uint64_t changed_revision = 0;
   bool is_listed = false;
   // The store has lost changes of which this VM knew, and has not been listed
   // since.
@@ -101,8 +105,10 @@
 struct replication_upstream {
   peer_link link;
   bool is_connecting = false;
-  // When this VM last sent or renewed its subscription.
+  // When this VM last sent or renewed its subscription, and when it last
+  // requested objects that it had missed.
   instant last_subscribed;
+  instant last_requested;
   instant last_contact;
   // When the watcher's data was last up to date, by kind of object.
   std::map<object_kind, instant> current_at;
@@ -698,10 +704,12 @@
 
 // Publish to the subscribers of this VM what the store has just returned, or
 // all known objects of a kind.
-// The changes were made after `made_after`, if that is known.
+// The changes follow what the store held at revision `after`; they were made
+// after `made_after`, if that is known.
 void PublishChanges(entry_state& state,
                     object_kind kind,
                     const object_changes& changes,
+                    std::uint64_t after,
                     std::optional<instant> made_after);
 void PublishSnapshot(entry_state& state, object_kind kind);
 
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -178,6 +178,7 @@
   listed.revision = revision;
   DropMissing(*state, kind, listed);
   position.revision = std::max(position.revision, revision);
+  position.changed_revision = std::max(position.changed_revision, revision);
   position.is_listed = true;
   position.has_lost_changes = false;
   position.confirmed_at = began;
@@ -222,6 +223,7 @@
   watch_position& position = state->watches[kind];
   const instant began = SuspendAwareNow();
   const std::uint64_t era = state->store_era;
+  const std::uint64_t after = position.changed_revision;
   const auto changes = co_await state->protocol.watch(
       state->store, kind, position.revision, WatchWait(kind));
   if (!ObserveEra(*state, changes))
@@ -245,9 +247,12 @@
   if (!changes->changes.empty())
     RefreshTargets(*state, std::chrono::steady_clock::now());
   position.revision = std::max(position.revision, changes->revision);
+  if (!changes->changes.empty())
+    position.changed_revision =
+        std::max(position.changed_revision, changes->revision);
   position.confirmed_at = arrived;
   position.published_at = arrived;
-  PublishChanges(*state, kind, *changes, made_after);
+  PublishChanges(*state, kind, *changes, after, made_after);
   co_return true;
 }
 
