--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -92,6 +92,7 @@
 }
 
 asio::awaitable<void> Watch(object_store_standin& store,
+                            const bool& is_refused,
                             http_exchange& exchange,
                             const std::string& kind) {
   const std::string watch_text(QueryValue(exchange.request.target, "watch"));
@@ -107,7 +108,7 @@
       co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
       continue;
     }
-    if (store.is_down || revision < store.oldest_revision ||
+    if (store.is_down || is_refused || revision < store.oldest_revision ||
         revision > store.revision)
       break;
     const std::string events = EventsSince(store, kind, revision);
@@ -121,7 +122,7 @@
     timer.expires_after(kPollInterval);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
-  auto response = JsonResponse(store.is_down ? 503 : 410, "{}");
+  auto response = JsonResponse(store.is_down || is_refused ? 503 : 410, "{}");
   co_await Reply(store, exchange, response);
 }
 
@@ -148,7 +149,9 @@
   return JsonResponse(200, ToJson(name, store.objects_by_kind[kind][name]));
 }
 
+// Responds to a call; with status 503 while `is_refused`.
 asio::awaitable<void> Serve(object_store_standin& store,
+                            const bool& is_refused,
                             http_exchange& exchange) {
   ++store.calls;
   std::string path(PathOf(exchange.request.target).substr(kObjectsPath.size()));
@@ -157,21 +160,22 @@
   const bool is_get = exchange.request.method == "GET";
   waxwing::http_response response = JsonResponse(503, "{}");
   if (is_get && !QueryValue(exchange.request.target, "watch").empty()) {
-    co_await Watch(store, exchange, kind);
+    co_await Watch(store, is_refused, exchange, kind);
     co_return;
   }
-  if (!store.is_down && is_get && slash == std::string::npos) {
+  const bool is_served = !store.is_down && !is_refused;
+  if (is_served && is_get && slash == std::string::npos) {
     response = JsonResponse(
         200, ListPage(store, kind,
                       Unescape(QueryValue(exchange.request.target, "after"))));
-  } else if (!store.is_down && is_get) {
+  } else if (is_served && is_get) {
     const std::string name = Unescape(path.substr(slash + 1));
     const bool exists = store.objects_by_kind[kind].contains(name);
     response =
         exists
             ? JsonResponse(200, ToJson(name, store.objects_by_kind[kind][name]))
             : JsonResponse(404, "{}");
-  } else if (!store.is_down) {
+  } else if (is_served) {
     response = Write(store, exchange.request, kind);
   }
   co_await Reply(store, exchange, response);
@@ -259,12 +263,24 @@
   auto store = std::make_unique<object_store_standin>();
   store->context = &context;
   object_store_standin* raw = store.get();
-  store->server = *waxwing::StartHttpServer(
-      context.get_executor(), {"127.0.0.1", 0}, {},
-      [raw](http_exchange& exchange) { return Serve(*raw, exchange); });
+  store->server =
+      *waxwing::StartHttpServer(context.get_executor(), {"127.0.0.1", 0}, {},
+                                [raw](http_exchange& exchange) {
+                                  return Serve(*raw, raw->is_down, exchange);
+                                });
   return store;
 }
 
+std::unique_ptr<store_access> OpenStoreAccess(object_store_standin& store) {
+  auto access = std::make_unique<store_access>();
+  access->server = *waxwing::StartHttpServer(
+      store.context->get_executor(), {"127.0.0.1", 0}, {},
+      [&store, raw = access.get()](http_exchange& exchange) {
+        return Serve(store, raw->is_refused, exchange);
+      });
+  return access;
+}
+
 store_copy CopyStore(const object_store_standin& store) {
   return {store.revision, store.objects_by_kind, store.changes};
 }
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -55,6 +55,14 @@
 std::unique_ptr<object_store_standin> StartObjectStore(
     boost::asio::io_context& context);
 
+// An address of a store for one VM, which the store may refuse.
+struct store_access {
+  waxwing::http_server server;
+  bool is_refused = false;
+};
+
+std::unique_ptr<store_access> OpenStoreAccess(object_store_standin& store);
+
 void PutObject(object_store_standin& store,
                const std::string& kind,
                const std::string& name,
