A response of the store that a peer has overtaken is not applied

Cause: VMs that read the store are told of changes by zone watchers at the same time, zone watchers by each other. If a removal arrives that way while an older response of the store waits to be read, the response put the target back. The position stayed at the removal's revision, so no watch returned it again.

Change: the pages of a list are applied together at its end, and neither a list nor the changes of a watch are applied if this VM has been told of newer changes since the call began. It has all changes up to its position then.

--- a/testing/missed_changes_test.cc
+++ b/testing/missed_changes_test.cc
@@ -3,6 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+#include <utility>
+
+#include "platform/store.h"
 #include "testing/entry_fixture.h"
 
 namespace waxwing {
@@ -156,5 +160,106 @@
   EXPECT_TRUE(f.GetsAllChanges());
 }
 
+// --- Responses of the store that a zone watcher's message has overtaken.
+
+// Called once when the store has responded to a list or a watch of targets,
+// before the VM handles the response.
+std::function<void()> on_list;
+std::function<void()> on_watch;
+
+void CallOnce(std::function<void()>& hook, object_kind kind) {
+  if (kind == object_kind::kTargets && hook)
+    std::exchange(hook, nullptr)();
+}
+
+store_task<object_list> ListAndCall(object_store& store,
+                                    object_kind kind,
+                                    std::string after) {
+  auto out = co_await platform::ListObjects(store, kind, std::move(after));
+  CallOnce(on_list, kind);
+  co_return out;
+}
+
+store_task<object_changes> WatchAndCall(object_store& store,
+                                        object_kind kind,
+                                        std::uint64_t revision,
+                                        milliseconds wait) {
+  auto out = co_await platform::WatchObjects(store, kind, revision, wait);
+  CallOnce(on_watch, kind);
+  co_return out;
+}
+
+// A VM whose target t1 is removed while a response is on its way that lists it.
+struct overtaken_fixture : entry_fixture {
+  overtaken_fixture() {
+    AddTarget("t1", "panel", RespondOk);
+    AddTarget("t2", "panel", RespondOk);
+    Start(2);
+    running.state->protocol.list = ListAndCall;
+    running.state->protocol.watch = WatchAndCall;
+    // The call in progress ends with the change, the next one is intercepted.
+    ChangeT2();
+  }
+  ~overtaken_fixture() {
+    on_list = nullptr;
+    on_watch = nullptr;
+  }
+
+  void ChangeT2() {
+    const std::uint64_t revision = store->revision;
+    PutObject(*store, "servers", "t2",
+              EntryTargetRecord(targets[1]->Address(), "panel", 0, "draining"));
+    RunUntil([&] {
+      return running.state->watches[object_kind::kTargets].revision > revision;
+    });
+  }
+  void RemoveT1On(std::function<void()>& hook) {
+    hook = [this] {
+      const std::uint64_t before = store->revision;
+      RemoveObject(*store, "servers", "t1");
+      wire::shared_objectsT told;
+      told.kind = static_cast<std::uint8_t>(object_kind::kTargets);
+      told.revision = store->revision;
+      told.after = running.state->watches[object_kind::kTargets].revision;
+      auto object = std::make_unique<wire::shared_objectT>();
+      object->name = "t1";
+      object->revision = before + 1;
+      object->is_removed = true;
+      told.objects.push_back(std::move(object));
+      wire::messageUnion message;
+      message.Set(std::move(told));
+      running.state->membership_agent.state->on_replication_message({},
+                                                                    message);
+    };
+  }
+  bool KeepsT1() {
+    RunUntil([&] { return !on_list && !on_watch; });
+    RunUntil([&] { return !running.state->targets.contains("t1"); });
+    return running.state->targets.contains("t1");
+  }
+};
+
+// A target that had left got requests again, as an older list of targets was
+// applied after the news of its removal.
+TEST(MissedChanges, ListThatIsOvertakenDoesNotBringATargetBack) {
+  overtaken_fixture f;
+  f.RemoveT1On(on_list);
+  // Ends the watch in progress; a list follows.
+  f.store->oldest_revision = f.store->revision + 1;
+  f.RunUntil([&] {
+    return !f.running.state->watches[object_kind::kTargets].is_listed;
+  });
+  f.store->oldest_revision = 0;
+  EXPECT_FALSE(f.KeepsT1());
+}
+
+TEST(MissedChanges, WatchThatIsOvertakenDoesNotBringATargetBack) {
+  overtaken_fixture f;
+  f.RemoveT1On(on_watch);
+  PutObject(*f.store, "servers", "t1",
+            EntryTargetRecord(f.targets[0]->Address(), "panel", 0));
+  EXPECT_FALSE(f.KeepsT1());
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -141,9 +141,29 @@
   return std::max(*position.confirmed_at, position.unreachable_at);
 }
 
+// True if a peer has told this VM of changes after `revision`, since a call to
+// the store that began at `began`. What the call has returned would undo them.
+bool IsOvertaken(const watch_position& position,
+                 std::uint64_t began,
+                 std::uint64_t revision) {
+  return position.revision > began && revision < position.revision;
+}
+
+// Applies a complete list of a kind.
+void ApplyList(entry_state& state,
+               object_kind kind,
+               const object_list& listed) {
+  const auto made_after = ListedChangesMadeAfter(state.watches[kind]);
+  for (const stored_object& object : listed.objects)
+    ApplyObject(state, kind, object, false, made_after);
+  RefreshTargets(state, std::chrono::steady_clock::now());
+  DropMissing(state, kind, listed);
+}
+
 // Reads all pages of a kind. Returns false if a call failed.
 asio::awaitable<bool> ListAll(entry_ptr state, object_kind kind) {
   watch_position& position = state->watches[kind];
+  const std::uint64_t known_revision = position.revision;
   const instant began = SuspendAwareNow();
   object_list listed;
   std::string after;
@@ -167,16 +187,14 @@
     if (revision == 0)
       revision = page->revision;
     for (const stored_object& object : page->objects) {
-      ApplyObject(*state, kind, object, false,
-                  ListedChangesMadeAfter(position));
       listed.objects.push_back(object);
       after = object.name;
     }
-    RefreshTargets(*state, std::chrono::steady_clock::now());
     more = page->has_more && !page->objects.empty();
   }
   listed.revision = revision;
-  DropMissing(*state, kind, listed);
+  if (!IsOvertaken(position, known_revision, revision))
+    ApplyList(*state, kind, listed);
   position.revision = std::max(position.revision, revision);
   position.changed_revision = std::max(position.changed_revision, revision);
   position.is_listed = true;
@@ -224,8 +242,9 @@
   const instant began = SuspendAwareNow();
   const std::uint64_t era = state->store_era;
   const std::uint64_t after = position.changed_revision;
+  const std::uint64_t known_revision = position.revision;
   const auto changes = co_await state->protocol.watch(
-      state->store, kind, position.revision, WatchWait(kind));
+      state->store, kind, known_revision, WatchWait(kind));
   if (!ObserveEra(*state, changes))
     co_return false;
   // The watched revision was of an earlier era; the list that is due now has
@@ -242,10 +261,12 @@
   const instant arrived = EarliestArrival(state->stalls, SuspendAwareNow());
   const instant made_after =
       EarliestChange(position.confirmed_at.value_or(began), began, arrived);
-  for (const object_change& change : changes->changes)
-    ApplyObject(*state, kind, change.object, change.is_removed, made_after);
-  if (!changes->changes.empty())
+  if (!changes->changes.empty() &&
+      !IsOvertaken(position, known_revision, changes->revision)) {
+    for (const object_change& change : changes->changes)
+      ApplyObject(*state, kind, change.object, change.is_removed, made_after);
     RefreshTargets(*state, std::chrono::steady_clock::now());
+  }
   position.revision = std::max(position.revision, changes->revision);
   if (!changes->changes.empty())
     position.changed_revision =
