Messages that were held up do not make a VM's data current

Cause: the time for which a zone watcher's data count as current was taken from the arrival of its message, not from when it was sent.

Evidence: MissedChanges.MessagesThatWereHeldUpDoNotMakeDataCurrent failed before (synced by messages that were 2.5 s late) and passes now.

Change: the delay that is known already for the age of changes (transit of the sender's messages, a stall of this process) is taken off here too.

--- a/testing/missed_changes_test.cc
+++ b/testing/missed_changes_test.cc
@@ -160,6 +160,36 @@
   EXPECT_TRUE(f.GetsAllChanges());
 }
 
+// Messages that a partition or a busy VM had held up were taken for new ones,
+// so that the VM relied on data of the time before and did not read the store.
+TEST(MissedChanges, MessagesThatWereHeldUpDoNotMakeDataCurrent) {
+  constexpr milliseconds kHeldUp{2'500};
+  follower_fixture f;
+  ASSERT_TRUE(f.follower);
+  struct held_message {
+    peer_link link;
+    wire::messageUnion content;
+  };
+  std::vector<held_message> held;
+  auto& handler = f.State().membership_agent.state->on_replication_message;
+  const auto pass = handler;
+  handler = [&](const peer_link& link, wire::messageUnion& message) {
+    if (message.Asshared_ages())
+      held.push_back({link, std::move(message)});
+    else
+      pass(link, message);
+  };
+  f.RunFor(kHeldUp);
+  ASSERT_FALSE(f.IsFullySynced(*f.follower));
+  for (std::size_t i = 0; i < held.size() / 4; ++i)
+    pass(held[i].link, held[i].content);
+  EXPECT_FALSE(f.IsFullySynced(*f.follower));
+  for (held_message& each : held)
+    pass(each.link, each.content);
+  handler = pass;
+  EXPECT_TRUE(f.RunUntil([&] { return f.IsFullySynced(*f.follower); }));
+}
+
 // --- Responses of the store that a zone watcher's message has overtaken.
 
 // Called once when the store has responded to a list or a watch of targets,
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -252,6 +252,7 @@
                           instant(milliseconds(message.sent_ms)), heard);
   const instant arrived =
       std::min(EarliestArrival(state.stalls, heard), heard - held_up);
+  const duration delay = heard - arrived;
   // A kind that is left out is not up to date at the zone watcher.
   const auto current_before = std::exchange(upstream->second.current_at, {});
   for (const auto& age : message.ages) {
@@ -268,7 +269,8 @@
       RequestMissedObjects(state, link, *kind, age->revision);
       continue;
     }
-    upstream->second.current_at[*kind] = now - milliseconds(age->age_ms);
+    upstream->second.current_at[*kind] =
+        now - delay - milliseconds(age->age_ms);
     position.confirmed_at = std::max(position.confirmed_at.value_or(instant{}),
                                      arrived - milliseconds(age->age_ms));
   }
