An empty response that is no stream does not end a stream

Cause here: of a stream that goes on at another target after its last event, only the end may be left, so a response with status 200 and no event ended it, also one that is no event stream.

Evidence: CutResponse.ErrorAfterABrokenStreamIsNotPartOfIt plays eight answers of the next target (500, 503, 404, 200 with a text, 200 empty, 204, unframed 500, a cut head). One of the eight failed before: 200 with an empty body and no Content-Type. The text or the head of the error was in none of the streams.

Change: a response without an event ends a stream only if its head says text/event-stream.

--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -34,6 +34,8 @@
 // of no use.
 constexpr milliseconds kConnectTimeout{250};
 
+constexpr std::string_view kEventStream = "text/event-stream";
+
 // A target that sends a further event has survived the first one.
 constexpr int kEventsToSurvive = 2;
 
@@ -219,6 +221,12 @@
   return forward_outcome::kBroken;
 }
 
+bool IsEventStream(const http_response& head) {
+  return boost::beast::iequals(
+      FindHeader(head.headers, "Content-Type").substr(0, kEventStream.size()),
+      kEventStream);
+}
+
 asio::awaitable<forward_outcome> RelayStream(forward_run& run,
                                              dispatch& attempt,
                                              http_call& call) {
@@ -263,9 +271,11 @@
     if (is_late)
       co_return forward_outcome::kTimedOut;
   }
-  // Of a stream that is taken up after its last event, only the end is left.
-  const bool has_begun = run.stream_started || IsTakenUp(run);
-  if (!buffer.empty() || !has_begun ||
+  // Of a stream that goes on after its last event, only the end is left. An
+  // empty response that is no stream is not its end.
+  const bool goes_on = run.stream_started || IsTakenUp(run);
+  const bool has_stream = received_events > 0 || IsEventStream(call.head);
+  if (!buffer.empty() || !goes_on || !has_stream ||
       co_await IsCutByEnd(run, attempt, call)) {
     attempt.connection_broke = true;
     co_return forward_outcome::kBroken;
