A VM counts the attempts made before a request was forwarded to it

Cause: the statement that goes with a forwarded request did not say at how many targets it may have run; the receiving VM counted from zero. The VM that was cut off also took targets that it no longer reached for ended ones, which do not count, and sent a request to a further VM after one had broken off, whose attempts it does not know.

Change: the statement has the number of targets that may have run the request; a request that has used its attempts is not forwarded, nor sent to another VM after one that may have run it.

--- a/testing/vm_without_targets_test.cc
+++ b/testing/vm_without_targets_test.cc
@@ -265,7 +265,8 @@
 TEST(VmsWithoutTargets, ForwardedRequestKeepsItsServiceDeadlineAndOrigin) {
   http_request request;
   const stream_origin origin{"llm", "v2", "engine-1", 7};
-  AddForwarded(request, {"vm-1", "llm", 3, milliseconds(250), true, 12, origin},
+  AddForwarded(request,
+               {"vm-1", "llm", 3, milliseconds(250), true, 2, 12, origin},
                "key");
   const auto read = TakeForwarded(request, "key");
   ASSERT_TRUE(read);
@@ -273,6 +274,7 @@
   EXPECT_EQ(read->config_version, 3);
   EXPECT_EQ(read->time_left, milliseconds(250));
   EXPECT_TRUE(read->is_counted);
+  EXPECT_EQ(read->attempts, 2);
   EXPECT_EQ(read->resume_after, 12u);
   EXPECT_EQ(read->origin, origin);
   EXPECT_EQ(FindHeader(request.headers, kForwardedHeader), "");
@@ -282,6 +284,31 @@
 }
 
 // A VM that is cut off must not make others hold back requests.
+// An idempotent request ran at three targets, two are allowed: first for the VM
+// that is cut, then twice for the VM that it is forwarded to, which counted
+// from zero.
+TEST(VmsWithoutTargets, ForwardedRequestRunsAtNoMoreTargetsThanAllowed) {
+  for (const path_cut kind : {path_cut::kResetting, path_cut::kHanging}) {
+    cut_fixture f(3);
+    for (const auto& target : f.targets)
+      target->script = [](const http_request& request) {
+        scripted_response out{{PlainResponse(500, IdOf(request), "sorry")}};
+        out.delay = milliseconds(150);
+        return out;
+      };
+    std::size_t ended = 0;
+    constexpr std::size_t kRequests = 10;
+    for (std::size_t i = 0; i < kRequests; ++i)
+      asio::co_spawn(f.context, f.Call(0, f.MakeRequest(kIdempotentPath)),
+                     [&](const std::exception_ptr&, const auto&) { ++ended; });
+    f.RunUntil([&] { return f.Arrivals().size() == kRequests; });
+    f.Cut(0, kind);
+    f.RunUntil([&] { return ended == kRequests; });
+    for (const auto& [id, arrivals] : f.Arrivals())
+      EXPECT_LE(arrivals, 2) << id;
+  }
+}
+
 TEST(VmsWithoutTargets, ResetConnectionsAreNotReportedAsEndsOfTargets) {
   cut_fixture f(2);
   for (const auto& target : f.targets)
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -138,6 +138,7 @@
   if (run.forwarded) {
     if (run.table->version < run.forwarded->config_version)
       return refusal{503, kOlderConfig, kNoConfigRetryAfter};
+    run.attempts_before = run.forwarded->attempts;
     run.request.time_left = run.forwarded->time_left;
     run.request.resume_after = run.forwarded->resume_after;
     run.last_event_id = run.request.resume_after.value_or(0);
@@ -168,10 +169,8 @@
       outcome != forward_outcome::kFailed &&
       outcome != forward_outcome::kWithdrawn)
     return false;
-  // Targets that have terminated don't count as attempts.
-  const int attempts = run.possible_runs - run.possible_runs_at_gone;
   return MayRepeat(*run.matched_route) &&
-         attempts < run.matched_route->max_attempts &&
+         UsedAttempts(run) < run.matched_route->max_attempts &&
          SpendRetry(run.state->retry_budgets[run.service]);
 }
 
@@ -430,6 +429,11 @@
   return "unknown";
 }
 
+// Targets that have terminated don't count.
+int UsedAttempts(const forward_run& run) {
+  return run.attempts_before + run.possible_runs - run.possible_runs_at_gone;
+}
+
 milliseconds TimeLeft(const forward_run& run) {
   return std::max(milliseconds(1),
                   std::chrono::ceil<milliseconds>(
--- a/waxwing/entry_peers.cc
+++ b/waxwing/entry_peers.cc
@@ -1,10 +1,10 @@
 // Forwards requests to other VMs while this one reaches no target, and finds
 // out when it does again (target_reach.h).
 //
-// A VM to which a request is forwarded never forwards it. It states in its
-// response if it has not sent the request to a target; only then, or if no
-// connection came about, another VM is tried for a request that must not be
-// repeated.
+// A VM to which a request is forwarded never forwards it, and counts the
+// attempts that were made before. It states in its response if it has not sent
+// the request to a target; only then, or if no connection came about, another
+// VM is tried.
 
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -109,6 +109,7 @@
 
 bool ShouldForward(const forward_run& run) {
   return !run.forwarded && !run.peers_failed &&
+         run.possible_runs < run.matched_route->max_attempts &&
          (run.prefers_peer || ReachesTooFewTargets(*run.state, run.service));
 }
 
@@ -129,6 +130,8 @@
   forwarded.time_left =
       std::max(milliseconds(1), TimeLeft(run) - kPeerTransitTime);
   forwarded.is_counted = run.is_counted;
+  // A target that refuses connections to a VM that is cut off has not ended.
+  forwarded.attempts = run.possible_runs;
   forwarded.resume_after = run.request.resume_after;
   if (run.stream_started)
     forwarded.resume_after = run.last_event_id;
@@ -266,11 +269,8 @@
              {"peer", peer->vm},
              {"end", NameOf(outcome)},
              {"took_ms", ToMs(std::chrono::steady_clock::now() - started)}});
-    const bool may_repeat = outcome == forward_outcome::kBroken &&
-                            !run.stream_started &&
-                            MayRepeat(*run.matched_route) &&
-                            SpendRetry(state.retry_budgets[run.service]);
-    if (outcome != forward_outcome::kNotRun && !may_repeat)
+    // The VM may have used all attempts that were left.
+    if (outcome != forward_outcome::kNotRun)
       co_return outcome;
   }
   co_return outcome;
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -140,11 +140,9 @@
                               error.failure == http_failure::kConnect);
   if (run.caller_gone)
     return forward_outcome::kCallerGone;
-  if (run.start.is_cut_off) {
-    run.possible_runs_at_gone += error.maybe_sent ? 1 : 0;
+  if (run.start.is_cut_off)
     return error.maybe_sent ? forward_outcome::kBroken
                             : forward_outcome::kNotRun;
-  }
   if (run.start.is_withdrawn)
     return error.maybe_sent ? forward_outcome::kWithdrawn
                             : forward_outcome::kNotRun;
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -85,6 +85,9 @@
   int sends = 0;
   int possible_runs = 0;
   int possible_runs_at_gone = 0;
+  // Of the route's attempts, those that the VM that forwarded the request has
+  // used.
+  int attempts_before = 0;
   // Set if another VM has forwarded the request to this one.
   std::optional<forwarded_request> forwarded;
   // Targets to which no connection came about.
@@ -174,6 +177,9 @@
 
 std::string_view NameOf(forward_outcome outcome);
 
+// Returns how many of the route's attempts the request has used.
+int UsedAttempts(const forward_run& run);
+
 // Returns the time until the request's deadline, at least 1 ms.
 milliseconds TimeLeft(const forward_run& run);
 
--- a/waxwing/forwarded_request.cc
+++ b/waxwing/forwarded_request.cc
@@ -12,6 +12,7 @@
 
 namespace json = boost::json;
 
+constexpr std::int64_t kMaxAttempts = 1'000;
 constexpr std::int64_t kMaxInteger = std::numeric_limits<std::int64_t>::max();
 
 void RemoveHeader(http_headers& headers, std::string_view name) {
@@ -55,14 +56,17 @@
   const auto config = ReadInteger(*object, "config", 0, kMaxInteger);
   const auto left = ReadInteger(*object, "left_ms", 0, kMaxInteger);
   const auto counted = ReadBoolOr(*object, "counted", false);
+  const auto attempts = ReadIntegerOr(*object, "attempts", 0, kMaxAttempts, 0);
   const auto resume = ReadIntegerOr(*object, "resume", -1, kMaxInteger, -1);
   const auto target = ReadStringOr(*object, "target", "");
   const auto incarnation =
       ReadIntegerOr(*object, "incarnation", 0, kMaxInteger, 0);
-  if (!vm || !service || !config || !left || !counted || !resume || !target ||
-      !incarnation)
+  if (!vm || !service || !config || !left || !counted || !attempts || !resume ||
+      !target || !incarnation)
     return std::nullopt;
-  forwarded_request out{*vm, *service, *config, milliseconds(*left), *counted};
+  forwarded_request out{*vm,      *service,
+                        *config,  milliseconds(*left),
+                        *counted, static_cast<int>(*attempts)};
   if (*resume >= 0)
     out.resume_after = static_cast<std::uint64_t>(*resume);
   if (object->contains("build")) {
@@ -84,7 +88,8 @@
                       {"service", forwarded.service},
                       {"config", forwarded.config_version},
                       {"left_ms", forwarded.time_left.count()},
-                      {"counted", forwarded.is_counted}};
+                      {"counted", forwarded.is_counted},
+                      {"attempts", forwarded.attempts}};
   if (forwarded.resume_after)
     object["resume"] = static_cast<std::int64_t>(*forwarded.resume_after);
   if (forwarded.origin) {
--- a/waxwing/forwarded_request.h
+++ b/waxwing/forwarded_request.h
@@ -3,8 +3,8 @@
 // only VMs know.
 //
 // The VM that received the request from its caller decides once what the other
-// one must not decide anew: the service, the time left, and the origin of a
-// stream that is continued.
+// one must not decide anew: the service, the time left, the attempts left, and
+// the origin of a stream that is continued.
 
 #ifndef WAXWING_FORWARDED_REQUEST_H_
 #define WAXWING_FORWARDED_REQUEST_H_
@@ -34,6 +34,8 @@
   milliseconds time_left{0};
   // The request has been counted in a retry budget already.
   bool is_counted = false;
+  // Targets that may have run it, of those that its route allows.
+  int attempts = 0;
   // Last event that the caller has, and where the stream began, if it is known.
   std::optional<std::uint64_t> resume_after;
   std::optional<stream_origin> origin;
