Accounts share no cache with one that was isolated since

Cause: the cache salt of the accounts that are not isolated was the same text whatever accounts had been among them.

Change: the salt of the shared cache contains a hash of the names of all isolated accounts, so that it changes with them. All VMs compute it from the configuration alone. A change of the set makes the shared segments be read once more; configurations without isolated accounts keep the salt that they have.

--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -337,6 +337,47 @@
   EXPECT_EQ(f.running.state->table->version, 5);
 }
 
+// Accounts used the cached segments that an account had made before it was
+// isolated, and so did the isolated account theirs.
+TEST(Entry, AccountThatIsNowIsolatedSharesNoEarlierCache) {
+  entry_fixture f;
+  std::string salt;
+  f.AddTarget("e1", "llm", [&](const http_request& request) {
+    if (!request.target.starts_with("/api/"))
+      salt = FindHeader(request.headers, "Cache-Salt");
+    return StreamTwoEvents(request);
+  });
+  const auto put_config = [&](int version, bool is_isolated) {
+    json::object config = json::parse(EntryConfig(version)).as_object();
+    config["tenants"] = json::array{
+        json::object{{"name", "shop"}, {"api_keys", json::array{"key-1"}}},
+        json::object{{"name", "desk"},
+                     {"api_keys", json::array{"key-2"}},
+                     {"isolated", is_isolated}}};
+    PutObject(*f.store, "config", "main", json::serialize(config));
+  };
+  const auto salt_of = [&](const std::string& key) {
+    EXPECT_EQ(f.Send(kStreamPath,
+                     {{"Model", "m"},
+                      {"Token-Count", "64,8"},
+                      {"Prefix-Hash", "a1:32,b2:32"}},
+                     key)
+                  ->status,
+              200u);
+    return salt;
+  };
+  put_config(2, false);
+  f.Start(1);
+  const std::string shared = salt_of("key-1");
+  EXPECT_FALSE(shared.empty());
+  EXPECT_EQ(salt_of("key-2"), shared);
+  put_config(3, true);
+  f.RunUntil([&] { return f.running.state->table->version == 3; });
+  EXPECT_NE(salt_of("key-1"), shared);
+  EXPECT_NE(salt_of("key-2"), shared);
+  EXPECT_NE(salt_of("key-2"), salt_of("key-1"));
+}
+
 TEST(Entry, InvalidConfigurationKeepsTheCurrentOne) {
   entry_fixture f;
   f.AddTarget("t1", "panel", RespondOk);
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -16,8 +16,15 @@
 constexpr milliseconds kResponseTransitTime{5};
 
 // Accounts that are not isolated share cache entries.
+// Accounts that are not isolated share their cache entries, but not with those
+// that the same accounts and others shared before one of them was isolated.
 std::string CacheOwner(const forward_run& run) {
-  return run.account.is_isolated ? "a-" + run.account.name : "shared";
+  if (run.account.is_isolated)
+    return "a-" + run.account.name;
+  std::string out = "shared";
+  if (run.table->isolated_accounts != 0)
+    out.append("-").append(ToHex(run.table->isolated_accounts));
+  return out;
 }
 
 // The salt contains the weights version, so that entries of other weights never
--- a/waxwing/route_table.h
+++ b/waxwing/route_table.h
@@ -116,6 +116,8 @@
   bool has_accounts = false;
   // By account key.
   std::map<std::string, account_info, std::less<>> account_of_key;
+  // Hash of the names of all isolated accounts; 0 if there are none.
+  std::uint64_t isolated_accounts = 0;
   // By account, of those that have one.
   std::map<std::string, account_limit, std::less<>> limits_by_account;
   caller_limits limits;
