Zone watchers are the VMs with the largest capacity

Cause: the zone watchers were chosen by a hash alone, so mostly among the many VMs with 0.09 to 0.12 cores and 10 Mbit/s. Such a VM sends each change of a large configuration to some 25 others; its link is full for seconds, the others take it for dead and choose another small one, which is then sent all subscriptions.

Change: VMs are ordered by the capacity that they state of themselves, equal ones as before. Feed.ZoneWatchersAreTheVmsWithTheLargestCapacity failed before: it needs ChooseZoneWatchers(); by the hash alone each of the six VMs would have to come first.

--- a/testing/entry_policy_test.cc
+++ b/testing/entry_policy_test.cc
@@ -986,6 +986,27 @@
   return out;
 }
 
+// Small VMs could not send each change of a large configuration to all VMs of
+// their zone in time, took each other for dead, and changed the zone watchers
+// several times a second.
+TEST(Feed, ZoneWatchersAreTheVmsWithTheLargestCapacity) {
+  const std::string zone = "z0";
+  for (int large = 0; large < 6; ++large) {
+    membership table = MakeZones("", 1, 6);
+    const auto by_key =
+        ChooseVmsInZone(table, "store/" + zone, zone, table.members.size());
+    EXPECT_EQ(ChooseZoneWatchers(table, zone),
+              std::vector<std::string>(by_key.begin(), by_key.begin() + 2));
+    const auto chosen = std::next(table.members.begin(), large);
+    chosen->second.data.request_capacity = 1'000;
+    const auto watchers = ChooseZoneWatchers(table, zone);
+    ASSERT_EQ(watchers.size(), kWatchersPerZone);
+    EXPECT_EQ(watchers[0], chosen->first);
+    chosen->second.data.status = member_status::kDead;
+    EXPECT_NE(ChooseZoneWatchers(table, zone)[0], chosen->first);
+  }
+}
+
 TEST(Feed, AllVmsSubscribeWithinTheLimitOfTheCache) {
   EXPECT_EQ(CountByDuty(3, 2, "e1", 9)[cache_subscriber_role::kForSelf], 6);
   EXPECT_EQ(CountByDuty(5, 15, "e1", 0)[cache_subscriber_role::kForSelf], 75);
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -408,10 +408,8 @@
   while (!IsStopping(state->root)) {
     co_await Pause(state->root, kPublishInterval);
     const instant now = std::chrono::steady_clock::now();
-    const std::string& zone = state->options.zone;
-    state->zone_watchers =
-        ChooseVmsInZone(state->membership_agent.state->members, "store/" + zone,
-                        zone, kWatchersPerZone);
+    state->zone_watchers = ChooseZoneWatchers(
+        state->membership_agent.state->members, state->options.zone);
     std::erase_if(state->upstreams, [&](const auto& entry) {
       return std::find(state->zone_watchers.begin(), state->zone_watchers.end(),
                        entry.first) == state->zone_watchers.end();
--- a/waxwing/replication.cc
+++ b/waxwing/replication.cc
@@ -15,6 +15,21 @@
 
 }  // namespace
 
+std::vector<std::string> ChooseZoneWatchers(const membership& table,
+                                            std::string_view zone) {
+  std::vector<std::string> out = ChooseVmsInZone(
+      table, "store/" + std::string(zone), zone, table.members.size());
+  const auto capacity = [&](const std::string& vm) {
+    return table.members.at(vm).data.request_capacity;
+  };
+  std::stable_sort(out.begin(), out.end(),
+                   [&](const std::string& a, const std::string& b) {
+                     return capacity(a) > capacity(b);
+                   });
+  out.resize(std::min(out.size(), kWatchersPerZone));
+  return out;
+}
+
 cache_subscriber_pool MakeCacheSubscriberPool(
     const membership& table,
     std::string_view zone,
