--- a/waxwing/replication.h
+++ b/waxwing/replication.h
@@ -33,9 +33,9 @@
 // A zone watcher that has sent nothing for three intervals counts as failed.
 inline constexpr milliseconds kWatcherTimeout{750};
 
-// Returns the zone watchers of a zone, as this VM sees its members: the VMs with
-// the largest capacity, since a small one can't send every change to all the
-// others in time.
+// Returns the zone watchers of a zone, as this VM sees its members: the VMs
+// with the largest capacity, since a small one can't send every change to all
+// the others in time.
 std::vector<std::string> ChooseZoneWatchers(const membership& table,
                                             std::string_view zone);
 
