--- a/testing/entry_zone_soak_test.cc
+++ b/testing/entry_zone_soak_test.cc
@@ -8,14 +8,11 @@
 // makes N rounds; the default is what CI runs. WAXWING_ZONE_LOGS=DIR keeps the
 // VMs' logs.
 
-#include <fcntl.h>
 #include <gtest/gtest.h>
-#include <signal.h>
 
 #include <cstdlib>
 #include <fstream>
 #include <random>
-#include <set>
 
 #include "testing/event_loop.h"
 #include "testing/platform_standin.h"
@@ -116,7 +113,6 @@
                                      RouteOf(z.version), "idempotent", "panel",
                                      2, false)}))
           .as_object();
-  // VMs of a zone share their load where accounts have limits.
   PutObject(*z.store, "config", "main", json::serialize(config));
   z.changed_at = clock::now();
 }
