A request is sent to a further VM while attempts are left, as before

The repetition is back, within the attempts that are left by this VM's count, which the second VM is told. The test is unchanged and passes, with the 102 tests of VMs without targets.

A VM that breaks off counts as one attempt; it may have made two.

--- a/waxwing/entry_peers.cc
+++ b/waxwing/entry_peers.cc
@@ -4,7 +4,7 @@
 // A VM to which a request is forwarded never forwards it, and counts the
 // attempts that were made before. It states in its response if it has not sent
 // the request to a target; only then, or if no connection came about, another
-// VM is tried.
+// VM is tried for a request that must not be repeated.
 
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -269,8 +269,12 @@
              {"peer", peer->vm},
              {"end", NameOf(outcome)},
              {"took_ms", ToMs(std::chrono::steady_clock::now() - started)}});
-    // The VM may have used all attempts that were left.
-    if (outcome != forward_outcome::kNotRun)
+    const bool may_repeat =
+        outcome == forward_outcome::kBroken && !run.stream_started &&
+        MayRepeat(*run.matched_route) &&
+        run.possible_runs < run.matched_route->max_attempts &&
+        SpendRetry(state.retry_budgets[run.service]);
+    if (outcome != forward_outcome::kNotRun && !may_repeat)
       co_return outcome;
   }
   co_return outcome;
