Logs name the source, age and version of what decided

Change: config_in_force names the version before, the revision known, the source (list, watch or VM), how late it may be and the era; target_leaving and target_gone their source and age; the lines of a request the age of what the VM knew of the configuration when it arrived and of targets when one was chosen. knowledge_unconfirmed and knowledge_confirmed are warnings, and so is objects_missed now. No decision depends on any of it.

The call in entry_test.cc follows the new signature.

--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -816,7 +816,7 @@
   const std::uint64_t revision =
       state.objects[object_kind::kTargets].at("t1").revision;
   ApplyObject(state, object_kind::kTargets, {"t1", revision - 1, "null"}, true,
-              std::nullopt);
+              {});
   EXPECT_TRUE(state.targets.contains("t1"));
   object_list older;
   older.revision = revision - 1;
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -124,6 +124,7 @@
     RefreshTargets(*state, now);
     AgeSuspects(state->suspects, now);
     RecordTick(state->stalls, SuspendAwareNow());
+    CheckConfirmations(*state);
     WithdrawLateStarts(*state);
     MaintainStreamRecords(state);
     for (auto& [service, queue] : state->dispatch_queues) {
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -180,6 +180,7 @@
   run.target_waiting = view.others_waiting;
   run.target_rate = view.rate.per_second;
   out.started = std::chrono::steady_clock::now();
+  run.targets_age = KnowledgeAge(state, object_kind::kTargets);
   if (DependsOnWeights(run, out))
     out.time_to_start = TimeToStart(state, out.target.record.model,
                                     out.target.record.weights_version);
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -57,6 +57,11 @@
 constexpr std::string_view kOlderConfig = "older_config";
 constexpr std::string_view kNoTargetReached = "no_target_reached";
 
+// Returns the time in milliseconds, or -1 if there is none.
+std::int64_t ToMsOrNone(const std::optional<duration>& d) {
+  return d ? ToMs(*d) : -1;
+}
+
 // True if another VM might serve a request that this one refuses.
 bool IsReasonOfVm(std::string_view reason) {
   return reason == kLeaving || reason == kNoConfig || reason == kOlderConfig ||
@@ -80,6 +85,7 @@
        {"account", run.account.name},
        {"retry_ms", retry_after ? ToMs(*retry_after) : -1},
        {"config", run.table->version},
+       {"config_age_ms", ToMsOrNone(run.config_age)},
        {"sends", run.sends}});
   http_response response = run.state->protocol.write_error_response(
       run.request, status, reason, retry_after);
@@ -279,11 +285,6 @@
   return out;
 }
 
-// Returns the time in milliseconds, or -1 if there is none.
-std::int64_t ToMsOrNone(const std::optional<duration>& d) {
-  return d ? ToMs(*d) : -1;
-}
-
 // Tries targets until one succeeds or no further one may be tried.
 asio::awaitable<forward_outcome> RunWithRetries(forward_run& run) {
   forward_outcome outcome = forward_outcome::kNotRun;
@@ -340,6 +341,9 @@
                {"end", NameOf(outcome)},
                {"failure", attempt.failure},
                {"sends", run.sends},
+               {"config", run.table->version},
+               {"config_age_ms", ToMsOrNone(run.config_age)},
+               {"targets_age_ms", ToMsOrNone(run.targets_age)},
                {"trial", was_trial},
                {"survived", listing.listed.has_survived},
                {"rate", run.target_rate.value_or(-1)},
@@ -384,6 +388,8 @@
        {"fingerprint", ToHex(run.fingerprint)},
        {"segments", SegmentIds(run)},
        {"config", run.table->version},
+       {"config_age_ms", ToMsOrNone(run.config_age)},
+       {"targets_age_ms", ToMsOrNone(run.targets_age)},
        {"target", run.target_id},
        {"build", run.target_build},
        {"resumes", run.request.resumed_request},
@@ -454,6 +460,7 @@
   forward_run run{state, exchange};
   const run_listing listing(run);
   run.table = state->table;
+  run.config_age = KnowledgeAge(*state, object_kind::kConfig);
   run.arrived = std::chrono::steady_clock::now();
   Count(state->stats, "waxwing_requests_total");
   ++state->caller_load.requests;
--- a/waxwing/entry_notices.cc
+++ b/waxwing/entry_notices.cc
@@ -37,9 +37,12 @@
   target.record.is_draining = true;
   state.placement.targets[target.index].is_in_service = false;
   Count(state.stats, "waxwing_targets_leaving_total");
-  LogInfo(
-      "target_leaving",
-      {{"target", target.record.id}, {"request", request_id}, {"peer", peer}});
+  const auto age = KnowledgeAge(state, object_kind::kTargets);
+  LogInfo("target_leaving", {{"target", target.record.id},
+                             {"source", peer.empty() ? "target" : peer},
+                             {"request", request_id},
+                             {"age_ms", age ? ToMs(*age) : -1},
+                             {"era", state.store_era}});
   wire::target_noticeT notice;
   notice.target = target.record.id;
   notice.incarnation = target.record.incarnation;
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -419,7 +419,7 @@
     // Another target has the address now; the intended one is gone.
     if (!facts->target.empty() && facts->target != attempt.target.record.id &&
         IsCurrent(*run.state, attempt))
-      DropTarget(*run.state, attempt.target.record.id);
+      DropTarget(*run.state, attempt.target.record.id, {"target", {}});
     attempt.failure = "refused by target";
     co_return forward_outcome::kNotRun;
   }
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -184,10 +184,12 @@
   request.wants_objects = true;
   SendMessage(link, std::move(request));
   Count(state.stats, "waxwing_missed_objects_requests_total");
-  LogInfo("objects_missed", {{"reader", link.peer.vm},
-                             {"kind", static_cast<int>(kind)},
-                             {"revision", state.watches[kind].revision},
-                             {"changed_at", revision}});
+  const auto age = KnowledgeAge(state, kind);
+  LogWarning("objects_missed", {{"reader", link.peer.vm},
+                                {"kind", static_cast<int>(kind)},
+                                {"revision", state.watches[kind].revision},
+                                {"changed_at", revision},
+                                {"age_ms", age ? ToMs(*age) : -1}});
 }
 
 // Applies objects sent by a peer. Objects that are not newer are skipped, and
@@ -207,17 +209,18 @@
     return;
   }
   const instant arrived = EarliestArrival(state.stalls, SuspendAwareNow());
-  const auto made_after = MadeAfter(position, message, arrived);
+  const change_source source{link.peer.vm,
+                             MadeAfter(position, message, arrived)};
   object_list snapshot;
   snapshot.revision = message.revision;
   for (const auto& object : message.objects) {
     const stored_object stored{object->name, object->revision, object->spec};
-    ApplyObject(state, *kind, stored, object->is_removed, made_after);
+    ApplyObject(state, *kind, stored, object->is_removed, source);
     snapshot.objects.push_back(stored);
   }
   RefreshTargets(state, std::chrono::steady_clock::now());
   if (message.is_whole && message.revision != 0) {
-    DropMissing(state, *kind, snapshot);
+    DropMissing(state, *kind, snapshot, source);
     position.is_listed = true;
     position.has_lost_changes = false;
   }
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -56,6 +56,8 @@
   http_exchange& exchange;
   inbound_request request;
   std::shared_ptr<const route_table> table;
+  // Age of what this VM knew of the configuration when the request arrived.
+  std::optional<duration> config_age;
   const route* matched_route = nullptr;
   account_info account;
   // Equal for the copies of a request that a caller sends under several IDs.
@@ -127,6 +129,8 @@
   // it knew none), and the time from sending to the first byte of the response.
   std::int64_t weights_version = 0;
   std::optional<duration> outdated_for;
+  // Age of what this VM knew of targets when it chose one.
+  std::optional<duration> targets_age;
   std::optional<duration> time_to_start;
   // The last attempt, listed in the entry's state until it starts.
   pending_start start;
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -42,6 +42,14 @@
 
 namespace waxwing {
 
+// Where a change came from, for the log, and when it was made.
+struct change_source {
+  // "list" or "watch" of the store, "target", or the VM that has passed it on.
+  std::string_view name;
+  // The change was made after this time, if that is known.
+  std::optional<instant> made_after;
+};
+
 // A target as listed in the store, and its index in the placement list.
 struct listed_target {
   // Its weights version may be an assumption, see `reported_weights`.
@@ -99,6 +107,8 @@
   instant unreachable_at;
   // Since when calls to the store have failed, if they do.
   std::optional<instant> unavailable_since;
+  // No source has confirmed for some time that this VM has all changes.
+  bool is_unconfirmed = false;
 };
 
 // A zone watcher that this VM is subscribed to.
@@ -424,7 +434,9 @@
 
 // Adds a target to the placement list, or updates it, from its record. The
 // caller updates the costs with RefreshTargets(), once for all changed records.
-void AddOrUpdateTarget(entry_state& state, const target_record& record);
+void AddOrUpdateTarget(entry_state& state,
+                       const target_record& record,
+                       const change_source& source = {});
 
 // Records the weights version that a target states itself.
 void RecordTargetWeights(entry_state& state,
@@ -438,7 +450,9 @@
 bool IsEarlierStart(const entry_state& state, const target_record& record);
 
 // Removes a target from the list; it gets no new requests.
-void DropTarget(entry_state& state, const std::string& id);
+void DropTarget(entry_state& state,
+                const std::string& id,
+                const change_source& source = {});
 
 // Updates the costs of all targets by zone, responsiveness, weights and
 // rollouts, and drops targets whose `drop_at` has passed.
@@ -480,19 +494,32 @@
 
 boost::asio::awaitable<void> WatchKind(entry_ptr state, object_kind kind);
 
-// Applies an object of the store, or its removal, which was made after
-// `made_after`, if that is known. The caller updates the costs of the targets
-// with RefreshTargets(), once for all applied objects.
+// Logs when the data of this VM has not been confirmed for some time, and when
+// it is again.
+void CheckConfirmations(entry_state& state);
+
+// Applies an object of the store, or its removal. The caller updates the costs
+// of the targets with RefreshTargets(), once for all applied objects.
 void ApplyObject(entry_state& state,
                  object_kind kind,
                  const stored_object& object,
                  bool is_removed,
-                 std::optional<instant> made_after);
+                 const change_source& source);
 
 // Drops the objects of a kind that are missing from a complete list.
 void DropMissing(entry_state& state,
                  object_kind kind,
-                 const object_list& listed);
+                 const object_list& listed,
+                 const change_source& source = {});
+
+// Returns the time since the store is known to have confirmed that this VM has
+// all changes of a kind, or empty if it never has.
+std::optional<duration> KnowledgeAge(const entry_state& state,
+                                     object_kind kind);
+
+// Returns the time since a change was made at most, in milliseconds, or -1 if
+// that is not known.
+std::int64_t LatenessMs(const change_source& source);
 
 // True if the entry can serve, that is, if it has a configuration.
 bool CanServe(const entry_state& state);
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -86,7 +86,9 @@
 
 }  // namespace
 
-void AddOrUpdateTarget(entry_state& state, const target_record& record) {
+void AddOrUpdateTarget(entry_state& state,
+                       const target_record& record,
+                       const change_source& source) {
   const auto found = state.targets.find(record.id);
   if (found != state.targets.end() &&
       IsSameIncarnation(found->second.record, record)) {
@@ -102,7 +104,10 @@
     view.is_in_service = !is_draining;
     view.build = record.build;
     if (record.is_draining && !target.record.is_draining)
-      LogInfo("target_leaving", {{"target", record.id}});
+      LogInfo("target_leaving", {{"target", record.id},
+                                 {"source", source.name},
+                                 {"late_ms", LatenessMs(source)},
+                                 {"era", state.store_era}});
     if (record.weights_version != target.record.weights_version)
       LogInfo("target_weights",
               {{"target", record.id}, {"version", record.weights_version}});
@@ -120,7 +125,7 @@
     return;
   }
   if (found != state.targets.end())
-    DropTarget(state, record.id);
+    DropTarget(state, record.id, source);
   const std::uint32_t index = FindFreeIndex(state.placement);
   target_view& view = state.placement.targets[index];
   const std::uint32_t epoch = view.epoch;
@@ -136,7 +141,8 @@
                             {"build", record.build},
                             {"incarnation", record.incarnation},
                             {"weights", record.weights_version},
-                            {"leaving", record.is_draining}});
+                            {"leaving", record.is_draining},
+                            {"source", source.name}});
 }
 
 namespace {
@@ -193,11 +199,13 @@
   }
   target_record updated = target.record;
   updated.weights_version = std::max(updated.weights_version, version);
-  AddOrUpdateTarget(state, updated);
+  AddOrUpdateTarget(state, updated, {"target", {}});
   RefreshTargets(state, now);
 }
 
-void DropTarget(entry_state& state, const std::string& id) {
+void DropTarget(entry_state& state,
+                const std::string& id,
+                const change_source& source) {
   const auto found = state.targets.find(id);
   if (found == state.targets.end())
     return;
@@ -205,7 +213,10 @@
   view.is_in_service = false;
   view.name.clear();
   ++view.epoch;
-  LogInfo("target_gone", {{"target", id}});
+  LogInfo("target_gone", {{"target", id},
+                          {"source", source.name},
+                          {"late_ms", LatenessMs(source)},
+                          {"era", state.store_era}});
   state.removed_targets[id] = {found->second.record.incarnation,
                                std::chrono::steady_clock::now()};
   state.permit_buckets.erase(id);
@@ -336,7 +347,7 @@
   for (const auto& [id, version] : assumed_weights)
     AssumeWeights(state, id, version);
   for (const std::string& id : expired_ids)
-    DropTarget(state, id);
+    DropTarget(state, id, {"outage", {}});
   std::erase_if(state.removed_targets, [&](const auto& entry) {
     return now > entry.second.removed_at + kRemovalMemory;
   });
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -34,6 +34,8 @@
 constexpr milliseconds kSyncedPause{50};
 constexpr milliseconds kMinRetryPause{50};
 constexpr milliseconds kMaxRetryPause{1'000};
+// Age of what this VM knows above which that is logged.
+constexpr milliseconds kMaxKnowledgeAge{3'000};
 constexpr std::string_view kConfigName = "main";
 
 std::string_view NameOf(object_kind kind) {
@@ -59,7 +61,9 @@
 }
 
 // Applies a configuration object. Returns false if a newer one is in force.
-bool ApplyConfigObject(entry_state& state, const stored_object& object) {
+bool ApplyConfigObject(entry_state& state,
+                       const stored_object& object,
+                       const change_source& source) {
   if (object.name != kConfigName)
     return true;
   auto parsed = state.protocol.read_config(object.spec);
@@ -70,6 +74,7 @@
   }
   if (parsed->version <= state.table->version)
     return parsed->version == state.table->version;
+  const std::int64_t version_before = state.table->version;
   state.table = std::make_shared<const route_table>(std::move(*parsed));
   request_limits limits;
   limits.max_header_bytes = state.table->limits.header_bytes;
@@ -81,21 +86,32 @@
   UpdateCacheStores(state);
   UpdateResumableServices(state);
   UpdateAccountLimits(state);
-  LogInfo("config_in_force", {{"version", state.table->version},
-                              {"revision", object.revision},
-                              {"services", state.table->services.size()},
-                              {"keys", state.table->account_of_key.size()}});
+  LogInfo("config_in_force",
+          {{"version", state.table->version},
+           {"revision", object.revision},
+           {"before", version_before},
+           {"known", state.watches[object_kind::kConfig].revision},
+           {"source", source.name},
+           {"late_ms", LatenessMs(source)},
+           {"era", state.store_era},
+           {"services", state.table->services.size()},
+           {"keys", state.table->account_of_key.size()}});
+  if (source.made_after)
+    Observe(state.stats, "waxwing_config_late_seconds",
+            SuspendAwareNow() - *source.made_after);
   return true;
 }
 
-void ApplyTargetObject(entry_state& state, const stored_object& object) {
+void ApplyTargetObject(entry_state& state,
+                       const stored_object& object,
+                       const change_source& source) {
   const auto parsed =
       state.protocol.read_target_record(object.name, object.spec);
   if (!parsed) {
     LogWarning("target_unreadable", {{"target", object.name},
                                      {"revision", object.revision},
                                      {"error", parsed.error()}});
-    DropTarget(state, object.name);
+    DropTarget(state, object.name, source);
     return;
   }
   // The copy from which the store returned may still list a target that has
@@ -107,13 +123,13 @@
             {{"target", object.name}, {"revision", object.revision}});
     return;
   }
-  AddOrUpdateTarget(state, *parsed);
+  AddOrUpdateTarget(state, *parsed, source);
 }
 
 // Applies an announcement of weights. Returns false if a newer one is known.
 bool ApplyWeightsObject(entry_state& state,
                         const stored_object& object,
-                        std::optional<instant> made_after) {
+                        const change_source& source) {
   const auto parsed = state.protocol.read_desired_weights(object.spec);
   if (!parsed) {
     LogWarning("weights_unreadable",
@@ -122,13 +138,13 @@
   }
   const instant now = SuspendAwareNow();
   weights_history& history = state.desired_weights[parsed->model];
-  if (!RecordAnnouncement(history, parsed->version, made_after, now))
+  if (!RecordAnnouncement(history, parsed->version, source.made_after, now))
     return parsed->version == DesiredVersion(history);
-  LogInfo("weights_named",
-          {{"model", parsed->model},
-           {"version", parsed->version},
-           {"late_ms", made_after ? ToMs(now - *made_after) : -1},
-           {"revision", object.revision}});
+  LogInfo("weights_named", {{"model", parsed->model},
+                            {"version", parsed->version},
+                            {"late_ms", LatenessMs(source)},
+                            {"source", source.name},
+                            {"revision", object.revision}});
   return true;
 }
 
@@ -153,11 +169,12 @@
 void ApplyList(entry_state& state,
                object_kind kind,
                const object_list& listed) {
-  const auto made_after = ListedChangesMadeAfter(state.watches[kind]);
+  const change_source source{"list",
+                             ListedChangesMadeAfter(state.watches[kind])};
   for (const stored_object& object : listed.objects)
-    ApplyObject(state, kind, object, false, made_after);
+    ApplyObject(state, kind, object, false, source);
   RefreshTargets(state, std::chrono::steady_clock::now());
-  DropMissing(state, kind, listed);
+  DropMissing(state, kind, listed, source);
 }
 
 // Reads all pages of a kind. Returns false if a call failed.
@@ -264,7 +281,8 @@
   if (!changes->changes.empty() &&
       !IsOvertaken(position, known_revision, changes->revision)) {
     for (const object_change& change : changes->changes)
-      ApplyObject(*state, kind, change.object, change.is_removed, made_after);
+      ApplyObject(*state, kind, change.object, change.is_removed,
+                  {"watch", made_after});
     RefreshTargets(*state, std::chrono::steady_clock::now());
   }
   position.revision = std::max(position.revision, changes->revision);
@@ -283,7 +301,8 @@
 // nothing, otherwise after the time in which records may be listed again.
 void DropMissing(entry_state& state,
                  object_kind kind,
-                 const object_list& listed) {
+                 const object_list& listed,
+                 const change_source& source) {
   std::set<std::string_view> names;
   for (const stored_object& object : listed.objects)
     names.insert(object.name);
@@ -311,14 +330,14 @@
       gone.push_back(id);
   }
   for (const std::string& id : gone)
-    DropTarget(state, id);
+    DropTarget(state, id, source);
 }
 
 void ApplyObject(entry_state& state,
                  object_kind kind,
                  const stored_object& object,
                  bool is_removed,
-                 std::optional<instant> made_after) {
+                 const change_source& source) {
   auto& known = state.objects[kind];
   // Revisions only increase, whatever source they come from.
   const auto older = known.find(object.name);
@@ -328,13 +347,13 @@
   // not passed on to peers, since they may have only this copy of it.
   bool is_newest = true;
   if (kind == object_kind::kConfig && !is_removed)
-    is_newest = ApplyConfigObject(state, object);
+    is_newest = ApplyConfigObject(state, object, source);
   else if (kind == object_kind::kTargets && is_removed)
-    DropTarget(state, object.name);
+    DropTarget(state, object.name, source);
   else if (kind == object_kind::kTargets)
-    ApplyTargetObject(state, object);
+    ApplyTargetObject(state, object, source);
   else if (kind == object_kind::kWeights && !is_removed)
-    is_newest = ApplyWeightsObject(state, object, made_after);
+    is_newest = ApplyWeightsObject(state, object, source);
   else if (kind == object_kind::kHolds && !is_removed)
     ApplyHoldObject(state, object);
   if (is_removed)
@@ -358,6 +377,37 @@
 
 }  // namespace
 
+std::optional<duration> KnowledgeAge(const entry_state& state,
+                                     object_kind kind) {
+  const auto found = state.watches.find(kind);
+  if (found == state.watches.end() || !found->second.confirmed_at)
+    return std::nullopt;
+  return SuspendAwareNow() - *found->second.confirmed_at;
+}
+
+std::int64_t LatenessMs(const change_source& source) {
+  return source.made_after ? ToMs(SuspendAwareNow() - *source.made_after) : -1;
+}
+
+void CheckConfirmations(entry_state& state) {
+  for (const object_kind kind : {object_kind::kConfig, object_kind::kTargets}) {
+    const auto age = KnowledgeAge(state, kind);
+    watch_position& position = state.watches[kind];
+    if (!age || (*age > kMaxKnowledgeAge) == position.is_unconfirmed)
+      continue;
+    position.is_unconfirmed = !position.is_unconfirmed;
+    if (position.is_unconfirmed)
+      Count(state.stats, "waxwing_knowledge_unconfirmed_total");
+    LogWarning(position.is_unconfirmed ? "knowledge_unconfirmed"
+                                       : "knowledge_confirmed",
+               {{"kind", NameOf(kind)},
+                {"revision", position.revision},
+                {"age_ms", ToMs(*age)},
+                {"store", position.unavailable_since ? "lost" : "available"},
+                {"readers", state.upstreams.size()}});
+  }
+}
+
 bool CanServe(const entry_state& state) {
   return state.table->version > 0 && AreHoldsKnown(state);
 }
