A VM that missed a target's departure is told again

Cause: what a target states of its departure was flooded once, by every VM to which it was news. A VM that was frozen, had no links or did not list the target yet at that moment, or that started later, learned of it from the store or from the target's own response.

Evidence, on: DepartureReachesAVmThatHasMissedItsNotice and DepartureReachesAVmThatStartsLater failed (the VM sent to the target for the 3 s that the tests wait, and nothing else would have told it).

Change: heartbeats carry a hash over the departures that targets have stated; a VM that receives another hash sends the departures that it knows. New subscribers get them with the rates. VMs of older builds state no hash and are sent the departures again while there are any.

--- a/schema/wire_generated.h
+++ b/schema/wire_generated.h
@@ -1439,6 +1439,7 @@
   uint64_t generation = 0;
   uint64_t table_hash = 0;
   bool wants_reply = false;
+  uint64_t departures_hash = 0;
 };
 
 struct heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1448,7 +1449,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_GENERATION = 4,
     VT_TABLE_HASH = 6,
-    VT_WANTS_REPLY = 8
+    VT_WANTS_REPLY = 8,
+    VT_DEPARTURES_HASH = 10
   };
   uint64_t generation() const {
     return GetField<uint64_t>(VT_GENERATION, 0);
@@ -1459,11 +1461,15 @@
   bool wants_reply() const {
     return GetField<uint8_t>(VT_WANTS_REPLY, 0) != 0;
   }
+  uint64_t departures_hash() const {
+    return GetField<uint64_t>(VT_DEPARTURES_HASH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_TABLE_HASH, 8) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_REPLY, 1) &&
+           VerifyField<uint64_t>(verifier, VT_DEPARTURES_HASH, 8) &&
            verifier.EndTable();
   }
   heartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1484,6 +1490,9 @@
   void add_wants_reply(bool wants_reply) {
     fbb_.AddElement<uint8_t>(heartbeat::VT_WANTS_REPLY, static_cast<uint8_t>(wants_reply), 0);
   }
+  void add_departures_hash(uint64_t departures_hash) {
+    fbb_.AddElement<uint64_t>(heartbeat::VT_DEPARTURES_HASH, departures_hash, 0);
+  }
   explicit heartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1499,8 +1508,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t generation = 0,
     uint64_t table_hash = 0,
-    bool wants_reply = false) {
+    bool wants_reply = false,
+    uint64_t departures_hash = 0) {
   heartbeatBuilder builder_(_fbb);
+  builder_.add_departures_hash(departures_hash);
   builder_.add_table_hash(table_hash);
   builder_.add_generation(generation);
   builder_.add_wants_reply(wants_reply);
@@ -5733,6 +5744,7 @@
   { auto _e = generation(); _o->generation = _e; }
   { auto _e = table_hash(); _o->table_hash = _e; }
   { auto _e = wants_reply(); _o->wants_reply = _e; }
+  { auto _e = departures_hash(); _o->departures_hash = _e; }
 }
 
 inline flatbuffers::Offset<heartbeat> heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const heartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5746,11 +5758,13 @@
   auto _generation = _o->generation;
   auto _table_hash = _o->table_hash;
   auto _wants_reply = _o->wants_reply;
+  auto _departures_hash = _o->departures_hash;
   return waxwing::wire::Createheartbeat(
       _fbb,
       _generation,
       _table_hash,
-      _wants_reply);
+      _wants_reply,
+      _departures_hash);
 }
 
 inline member_listT::member_listT(const member_listT &o)
--- a/testing/entry_fixture.h
+++ b/testing/entry_fixture.h
@@ -128,13 +128,14 @@
   explicit zone_fixture(std::size_t count) { StartVms(count); }
   ~zone_fixture() { StopVms(); }
 
-  void StartVms(std::size_t count) {
+  // Starts VMs with names made of a prefix and their index.
+  void StartVms(std::size_t count, const std::string& prefix = "vm-") {
     for (std::size_t i = 0; i < count; ++i) {
       entry_options options;
-      options.vm = "vm-" + std::to_string(i);
+      options.vm = prefix + std::to_string(i);
       options.store = store->server.address;
       options.key = "test";
-      if (i > 0)
+      if (!vms.empty())
         options.seeds = {vms[0].state->membership_agent.address};
       vms.push_back(*StartEntry(context.get_executor(), options,
                                 platform::MakeProtocolAdapter()));
--- a/testing/target_notice_test.cc
+++ b/testing/target_notice_test.cc
@@ -165,6 +165,53 @@
   EXPECT_TRUE(all(true));
 }
 
+// Returns whether `vm` knows that t1 is leaving.
+bool KnowsDeparture(const entry& vm) {
+  const auto found = vm.state->targets.find("t1");
+  return found != vm.state->targets.end() && found->second.record.is_draining;
+}
+
+// A VM that was frozen or had no links when a departure was told sent requests
+// to the target until the store listed the departure.
+TEST(TargetNotice, DepartureReachesAVmThatHasMissedItsNotice) {
+  zone_fixture f(4);
+  f.AddTarget("t1", "panel", RespondOk);
+  ASSERT_TRUE(f.WaitUntilSettled());
+  ASSERT_TRUE(f.RunUntil([&] {
+    return std::all_of(f.vms.begin(), f.vms.end(), [](const entry& vm) {
+      return vm.state->targets.contains("t1");
+    });
+  }));
+  auto& handler =
+      f.vms[0].state->membership_agent.state->on_replication_message;
+  const auto pass = handler;
+  handler = [&](const peer_link& link, wire::messageUnion& message) {
+    if (!message.Astarget_notice())
+      pass(link, message);
+  };
+  ObserveResponse(*f.vms[2].state, "t1", "r", {.is_leaving = true});
+  ASSERT_TRUE(f.RunUntil(
+      [&] { return KnowsDeparture(f.vms[1]) && KnowsDeparture(f.vms[3]); }));
+  // Until no copy of the notice is on its way any more.
+  const instant passed = std::chrono::steady_clock::now() + milliseconds(300);
+  f.RunUntil([&] { return std::chrono::steady_clock::now() >= passed; });
+  EXPECT_FALSE(KnowsDeparture(f.vms[0]));
+  handler = pass;
+  EXPECT_TRUE(f.RunUntil([&] { return KnowsDeparture(f.vms[0]); }));
+}
+
+// The same for a VM that starts after a departure has been told.
+TEST(TargetNotice, DepartureReachesAVmThatStartsLater) {
+  zone_fixture f(3);
+  f.AddTarget("t1", "panel", RespondOk);
+  ASSERT_TRUE(f.WaitUntilSettled());
+  ASSERT_TRUE(
+      f.RunUntil([&] { return f.vms[2].state->targets.contains("t1"); }));
+  ObserveResponse(*f.vms[2].state, "t1", "r", {.is_leaving = true});
+  f.StartVms(1, "vm-late");
+  EXPECT_TRUE(f.RunUntil([&] { return KnowsDeparture(f.vms[3]); }));
+}
+
 TEST(TargetNotice, PausedTargetGetsNoRequestsUntilThePauseEnds) {
   notice_fixture f;
   f.StartPair(Once("Not-Executed: 1\r\nRetry-After: 0.8\r\n", 503));
--- a/waxwing/agent_links.cc
+++ b/waxwing/agent_links.cc
@@ -32,6 +32,8 @@
   out.wants_reply = wants_reply;
   out.generation = state.active_root.generation;
   out.table_hash = TableHash(state.members);
+  if (state.on_heartbeat_due)
+    state.on_heartbeat_due(out);
   return out;
 }
 
@@ -113,6 +115,8 @@
     link.table_mismatches = 0;
     SendMessage(link.connection, MakeMemberList(AllMembers(state)));
   }
+  if (state.on_heartbeat)
+    state.on_heartbeat(link.connection, heartbeat);
 }
 
 bool IsReplicationMessage(wire::message type) {
--- a/waxwing/agent_state.h
+++ b/waxwing/agent_state.h
@@ -113,6 +113,10 @@
       on_replication_message;
   // Called for each link to another agent; may be null.
   std::function<void(const peer_link&)> on_link_opened;
+  // Called for each heartbeat to be sent, and for each that was received; may
+  // be null.
+  std::function<void(wire::heartbeatT&)> on_heartbeat_due;
+  std::function<void(const peer_link&, const wire::heartbeatT&)> on_heartbeat;
   std::uint64_t next_query_number = 1;
   // By query number. The queries are owned by the coroutine frames of
   // QueryInForce().
--- a/waxwing/entry_notices.cc
+++ b/waxwing/entry_notices.cc
@@ -2,13 +2,15 @@
 // that they want no requests for some time, or how many requests they take.
 //
 // A departure holds until the target's incarnation changes, whatever the store
-// says. A pause binds this VM alone; to others it is a sign of load. A rate
-// binds all VMs together (entry_permits.cc).
+// says. It is passed on once; heartbeats show who has missed it. A pause binds
+// this VM alone; to others it is a sign of load. A rate binds all VMs together
+// (entry_permits.cc).
 
 #include <utility>
 
 #include "waxwing/agent_state.h"
 #include "waxwing/entry_state.h"
+#include "waxwing/hash.h"
 #include "waxwing/log.h"
 
 namespace waxwing {
@@ -26,12 +28,21 @@
   }
 }
 
+wire::target_noticeT MakeDepartureNotice(const listed_target& target) {
+  wire::target_noticeT notice;
+  notice.target = target.record.id;
+  notice.incarnation = target.record.incarnation;
+  notice.is_leaving = true;
+  return notice;
+}
+
 // Takes the target out of service and passes the news on. Has no effect if its
 // departure is known.
 void RecordLeaving(entry_state& state,
                    listed_target& target,
                    std::string_view peer,
                    std::string_view request_id) {
+  target.has_stated_departure = true;
   if (target.record.is_draining)
     return;
   target.record.is_draining = true;
@@ -43,11 +54,7 @@
                              {"request", request_id},
                              {"age_ms", age ? ToMs(*age) : -1},
                              {"era", state.store_era}});
-  wire::target_noticeT notice;
-  notice.target = target.record.id;
-  notice.incarnation = target.record.incarnation;
-  notice.is_leaving = true;
-  SendNotice(state, notice, peer);
+  SendNotice(state, MakeDepartureNotice(target), peer);
 }
 
 void RecordTargetPause(entry_state& state,
@@ -107,6 +114,23 @@
     if (rate.per_second)
       SendMessage(link, MakeRateNotice(target, rate));
   }
+  SendKnownDepartures(state, link);
+}
+
+std::uint64_t DeparturesHash(const entry_state& state) {
+  std::uint64_t hash = 0;
+  for (const auto& [id, target] : state.targets) {
+    if (target.has_stated_departure)
+      hash ^= Hash64(id, static_cast<std::uint64_t>(target.record.incarnation));
+  }
+  return hash;
+}
+
+void SendKnownDepartures(const entry_state& state, const peer_link& link) {
+  for (const auto& [id, target] : state.targets) {
+    if (target.has_stated_departure)
+      SendMessage(link, MakeDepartureNotice(target));
+  }
 }
 
 void ObserveResponse(entry_state& state,
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -324,6 +324,17 @@
         if (const auto locked = weak.lock())
           SendKnownSuspects(*locked, link);
       };
+  state->membership_agent.state->on_heartbeat_due =
+      [weak](wire::heartbeatT& heartbeat) {
+        if (const auto locked = weak.lock())
+          heartbeat.departures_hash = DeparturesHash(*locked);
+      };
+  state->membership_agent.state->on_heartbeat =
+      [weak](const peer_link& link, const wire::heartbeatT& heartbeat) {
+        const auto locked = weak.lock();
+        if (locked && heartbeat.departures_hash != DeparturesHash(*locked))
+          SendKnownDepartures(*locked, link);
+      };
   state->membership_agent.state->on_replication_message =
       [weak](const peer_link& link, wire::messageUnion& message) {
         const auto locked = weak.lock();
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -63,6 +63,8 @@
   // When this start of the target was first listed, on a clock that keeps
   // running while the VM is suspended.
   instant listed_at;
+  // The target itself has stated that it is leaving.
+  bool has_stated_departure = false;
   // Set if the target is missing from the store after an outage: it is dropped
   // at this time unless it is listed again.
   std::optional<instant> drop_at;
@@ -556,6 +558,11 @@
 // Sends a VM that has just connected what targets have stated.
 void SendKnownNotices(const entry_state& state, const peer_link& link);
 
+// Returns a hash over the departures that targets have stated, or 0 if there
+// are none. Sends them to a VM that knows others.
+std::uint64_t DeparturesHash(const entry_state& state);
+void SendKnownDepartures(const entry_state& state, const peer_link& link);
+
 // --- entry_permits.cc
 
 // Handle a peer's request for a permit, and the response to one of this VM.
