A VM without a source of changes in its zone follows another zone

Callers saw (rules CONFIG and DRAIN): requests ran as only an older configuration allows, and at targets that had left, at several VMs of one zone.

Cause: a follower learns of changes from its zone's two watchers, or from the store if they are not up to date; a watcher from the store or from the other watcher. When the store turns away both watchers and some of their followers, those VMs have nobody to learn from, however many others know the change. Both kinds of object fail at once, in one zone only, and the VMs log no request.

Change: a VM whose calls to the store fail, and to which no watcher of its zone confirms that it is up to date, subscribes to the watchers of another zone, and of the next one if these confirm nothing within 500 ms, until its own source is back. Calls to the store go on as before. Events source_lost, source_regained; reader_followed has outside.

Not covered: if the store turns away the watchers of all zones, VMs that it turns away learn nothing from followers that it serves.

--- a/waxwing/entry_directory.cc
+++ b/waxwing/entry_directory.cc
@@ -108,7 +108,7 @@
   }
   std::optional<double> out;
   for (const auto& [vm, upstream] : state.upstreams) {
-    if (now < upstream.last_contact + kWatcherTimeout &&
+    if (!upstream.is_outside && now < upstream.last_contact + kWatcherTimeout &&
         upstream.zone_requests_per_second)
       out = std::max(out.value_or(0), *upstream.zone_requests_per_second);
   }
--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -1,13 +1,17 @@
 // Replication of the store's objects between entries: zone watchers publish
 // them to the other VMs of their zone, and an entry that starts while the store
-// is unavailable requests them from any peer.
+// is unavailable requests them from any peer. A VM that neither the store nor a
+// watcher of its zone serves follows the watchers of another zone.
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <iterator>
+#include <set>
 #include <utility>
 
 #include "waxwing/agent_state.h"
 #include "waxwing/entry_state.h"
+#include "waxwing/hash.h"
 #include "waxwing/log.h"
 
 namespace waxwing {
@@ -23,6 +27,8 @@
 constexpr int kMaxMissedRenewals = 3;
 // Time between two requests to a zone watcher for objects that were missed.
 constexpr milliseconds kMinRequestPeriod{500};
+// A VM without a source in its zone tries another zone after this time.
+constexpr milliseconds kOutsidePatience{500};
 constexpr object_kind kReplicatedKinds[] = {
     object_kind::kConfig, object_kind::kTargets, object_kind::kWeights,
     object_kind::kHolds};
@@ -151,10 +157,12 @@
   return out;
 }
 
-wire::shared_requestT MakeSubscription(const entry_state& state) {
+wire::shared_requestT MakeSubscription(const entry_state& state,
+                                       const replication_upstream& upstream) {
   wire::shared_requestT out;
   out.follows = true;
-  out.requests_per_s = static_cast<float>(state.caller_load.own_rate);
+  if (!upstream.is_outside)
+    out.requests_per_s = static_cast<float>(state.caller_load.own_rate);
   out.era = state.store_era;
   for (const object_kind kind : kReplicatedKinds) {
     const auto found = state.watches.find(kind);
@@ -180,7 +188,7 @@
       now < found->second.last_requested + kMinRequestPeriod)
     return;
   found->second.last_requested = now;
-  wire::shared_requestT request = MakeSubscription(state);
+  wire::shared_requestT request = MakeSubscription(state, found->second);
   request.wants_objects = true;
   SendMessage(link, std::move(request));
   Count(state.stats, "waxwing_missed_objects_requests_total");
@@ -293,17 +301,20 @@
   // The VM may have started again, and its clock with it.
   upstream.transit = {};
   upstream.last_subscribed = std::chrono::steady_clock::now();
-  wire::shared_requestT request = MakeSubscription(*state);
+  wire::shared_requestT request = MakeSubscription(*state, upstream);
   request.wants_objects = true;
   SendMessage(upstream.link, request);
-  LogInfo("reader_followed", {{"reader", watcher}});
+  LogInfo("reader_followed",
+          {{"reader", watcher}, {"outside", upstream.is_outside}});
 }
 
 // Connects to a zone watcher, or renews the subscription if that is due.
 void MaintainUpstream(const entry_ptr& state,
                       const std::string& watcher,
+                      bool is_outside,
                       instant now) {
   replication_upstream& upstream = state->upstreams[watcher];
+  upstream.is_outside = is_outside;
   if (upstream.is_connecting)
     return;
   if (!upstream.link.state || !IsOpen(upstream.link)) {
@@ -311,10 +322,84 @@
     asio::co_spawn(state->executor, Subscribe(state, watcher), asio::detached);
   } else if (now >= upstream.last_subscribed + kRenewalPeriod) {
     upstream.last_subscribed = now;
-    SendMessage(upstream.link, MakeSubscription(*state));
+    SendMessage(upstream.link, MakeSubscription(*state, upstream));
   }
 }
 
+// True if a zone watcher, of this zone or of another one, confirms to this VM
+// that it has all changes of a kind.
+bool HasUpstream(const entry_state& state,
+                 object_kind kind,
+                 bool is_outside,
+                 milliseconds watch_wait,
+                 instant now) {
+  return std::any_of(
+      state.upstreams.begin(), state.upstreams.end(), [&](const auto& entry) {
+        const auto found = entry.second.current_at.find(kind);
+        return entry.second.is_outside == is_outside &&
+               found != entry.second.current_at.end() &&
+               IsUpToDate({entry.second.last_contact, found->second},
+                          watch_wait, now);
+      });
+}
+
+// True if neither the store nor a watcher of its zone serves this VM.
+bool LacksSource(const entry_state& state, object_kind kind, instant now) {
+  const auto found = state.watches.find(kind);
+  return found != state.watches.end() && found->second.unavailable_since &&
+         !HasUpstream(state, kind, false, WatchWait(kind), now);
+}
+
+// Returns the zone after `name`, in a fixed order, that is not this VM's own.
+// The first one depends on the VM, so that the zones share the load.
+std::string NextZone(const entry_state& state, const std::string& name) {
+  std::set<std::string> zones;
+  for (const auto& [vm, record] :
+       state.membership_agent.state->members.members) {
+    if (record.data.status == member_status::kAlive &&
+        record.data.zone != state.options.zone)
+      zones.insert(record.data.zone);
+  }
+  if (zones.empty())
+    return "";
+  auto next = zones.upper_bound(name);
+  if (name.empty())
+    next = std::next(
+        zones.begin(),
+        static_cast<std::ptrdiff_t>(Hash64(state.options.vm) % zones.size()));
+  return next == zones.end() ? *zones.begin() : *next;
+}
+
+// Chooses the zone whose watchers this VM follows beside those of its own.
+void UpdateOutsideZone(entry_state& state, instant now) {
+  bool lacks_source = false;
+  bool is_served = true;
+  for (const object_kind kind :
+       {object_kind::kConfig, object_kind::kTargets, object_kind::kWeights}) {
+    if (!LacksSource(state, kind, now))
+      continue;
+    lacks_source = true;
+    is_served =
+        is_served && HasUpstream(state, kind, true, WatchWait(kind), now);
+  }
+  outside_zone& outside = state.outside;
+  if (!lacks_source) {
+    if (!outside.name.empty())
+      LogInfo("source_regained", {{"outside", outside.name}});
+    outside = {};
+    return;
+  }
+  if (!outside.name.empty() &&
+      (is_served || now < outside.chosen_at + kOutsidePatience))
+    return;
+  if (outside.name.empty()) {
+    Count(state.stats, "waxwing_sources_lost_total");
+    LogWarning("source_lost", {{"zone", state.options.zone},
+                               {"readers", state.zone_watchers.size()}});
+  }
+  outside = {NextZone(state, outside.name), now};
+}
+
 }  // namespace
 
 void HandlePeerMessages(const entry_ptr& state) {
@@ -409,13 +494,7 @@
               instant now) {
   if (IsZoneWatcher(state))
     return false;
-  return std::any_of(
-      state.upstreams.begin(), state.upstreams.end(), [&](const auto& entry) {
-        const auto found = entry.second.current_at.find(kind);
-        return found != entry.second.current_at.end() &&
-               IsUpToDate({entry.second.last_contact, found->second},
-                          watch_wait, now);
-      });
+  return HasUpstream(state, kind, false, watch_wait, now);
 }
 
 asio::awaitable<void> RunReplication(entry_ptr state) {
@@ -424,14 +503,23 @@
     const instant now = std::chrono::steady_clock::now();
     state->zone_watchers = ChooseZoneWatchers(
         state->membership_agent.state->members, state->options.zone);
+    UpdateOutsideZone(*state, now);
+    std::vector<std::string> outside;
+    if (!state->outside.name.empty())
+      outside = ChooseZoneWatchers(state->membership_agent.state->members,
+                                   state->outside.name);
     std::erase_if(state->upstreams, [&](const auto& entry) {
-      return std::find(state->zone_watchers.begin(), state->zone_watchers.end(),
-                       entry.first) == state->zone_watchers.end();
+      const auto& followed =
+          entry.second.is_outside ? outside : state->zone_watchers;
+      return std::find(followed.begin(), followed.end(), entry.first) ==
+             followed.end();
     });
     for (const std::string& watcher : state->zone_watchers) {
       if (watcher != state->options.vm)
-        MaintainUpstream(state, watcher, now);
+        MaintainUpstream(state, watcher, false, now);
     }
+    for (const std::string& watcher : outside)
+      MaintainUpstream(state, watcher, true, now);
     std::erase_if(state->subscribers, [&](const auto& entry) {
       return !IsOpen(entry.second.link) ||
              now > entry.second.last_contact +
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -117,6 +117,8 @@
 struct replication_upstream {
   peer_link link;
   bool is_connecting = false;
+  // It is of another zone.
+  bool is_outside = false;
   // When this VM last sent or renewed its subscription, and when it last
   // requested objects that it had missed.
   instant last_subscribed;
@@ -136,6 +138,13 @@
   double requests_per_second = 0;
 };
 
+// The zone whose watchers this VM follows while it has no source of changes in
+// its own; empty if it has.
+struct outside_zone {
+  std::string name;
+  instant chosen_at;
+};
+
 // Requests that callers send to the VMs of this zone, and the VMs that
 // directory responses therefore list.
 struct zone_load {
@@ -345,6 +354,7 @@
   zone_load caller_load;
   // By VM.
   std::map<std::string, replication_upstream> upstreams;
+  outside_zone outside;
   std::map<std::string, replication_subscriber> subscribers;
   // Objects as last read, to be sent to peers.
   std::map<object_kind, std::map<std::string, stored_object>> objects;
@@ -496,6 +506,9 @@
 
 boost::asio::awaitable<void> WatchKind(entry_ptr state, object_kind kind);
 
+// Longest wait of a call that watches a kind of object.
+milliseconds WatchWait(object_kind kind);
+
 // Logs when the data of this VM has not been confirmed for some time, and when
 // it is again.
 void CheckConfirmations(entry_state& state);
@@ -750,7 +763,8 @@
 // True if this VM watches the store for its zone.
 bool IsZoneWatcher(const entry_state& state);
 
-// True if a zone watcher keeps this VM up to date on a kind of object.
+// True if a watcher of its own zone keeps this VM up to date on a kind of
+// object.
 bool IsSynced(const entry_state& state,
               object_kind kind,
               milliseconds watch_wait,
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -56,10 +56,6 @@
   return "unknown";
 }
 
-milliseconds WatchWait(object_kind kind) {
-  return kind == object_kind::kHolds ? kHoldsWatchWait : kWatchWait;
-}
-
 // Applies a configuration object. Returns false if a newer one is in force.
 bool ApplyConfigObject(entry_state& state,
                        const stored_object& object,
@@ -297,6 +293,10 @@
 
 }  // namespace
 
+milliseconds WatchWait(object_kind kind) {
+  return kind == object_kind::kHolds ? kHoldsWatchWait : kWatchWait;
+}
+
 // Targets are dropped at once if the store was available all along and has lost
 // nothing, otherwise after the time in which records may be listed again.
 void DropMissing(entry_state& state,
