--- a/testing/entry_soak_test.cc
+++ b/testing/entry_soak_test.cc
@@ -50,11 +50,6 @@
 
 using clock = std::chrono::steady_clock;
 
-std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
-  const char* text = std::getenv(name);
-  return text ? std::strtoull(text, nullptr, 10) : fallback;
-}
-
 struct entry_vm {
   pid_t process = 0;
   endpoint callers;
--- a/testing/processes.cc
+++ b/testing/processes.cc
@@ -17,6 +17,11 @@
 namespace asio = boost::asio;
 using waxwing::endpoint;
 
+std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
 // Uses ports below the range that the system assigns to outgoing connections.
 // Each process has its own range, chosen by its id, so that test processes
 // running in parallel rarely collide.
@@ -45,7 +50,9 @@
             std::vector<std::string> arguments,
             std::vector<std::string> variables,
             bool inherits_stdout) {
-  const std::string path = std::string(WAXWING_PROGRAM_DIR) + "/" + program;
+  const char* folder = std::getenv("WAXWING_TEST_PROGRAMS");
+  const std::string path =
+      std::string(folder ? folder : WAXWING_PROGRAM_DIR) + "/" + program;
   arguments.insert(arguments.begin(), path);
   std::vector<char*> argv;
   argv.reserve(arguments.size() + 1);
--- a/testing/processes.h
+++ b/testing/processes.h
@@ -6,6 +6,7 @@
 #include <sys/types.h>
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -13,13 +14,17 @@
 
 namespace testing_support {
 
+// Returns a number from the environment, or `fallback` if it is not set.
+std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback);
+
 // Returns a loopback address whose port is free at the time of the call.
 waxwing::endpoint FindFreeAddress(boost::asio::io_context& context);
 
-// Starts a program from the build folder. `variables` are added to the
-// environment, as "NAME=value". Standard error is appended to the file named by
-// WAXWING_TEST_LOG, or discarded if that is not set. So is standard output if
-// `inherits_stdout` is false.
+// Starts a program from the build folder, or from the folder that
+// WAXWING_TEST_PROGRAMS names, to run an older build. `variables` are added to
+// the environment, as "NAME=value". Standard error is appended to the file
+// named by WAXWING_TEST_LOG, or discarded if that is not set. So is standard
+// output if `inherits_stdout` is false.
 pid_t Spawn(const std::string& program,
             std::vector<std::string> arguments,
             std::vector<std::string> variables = {},
