All bodies that an entry holds share one bound on memory

Cause: memory_mb was not read. A body of a request was held three times (as read, in the request to the target, in the message that is written), with no bound on all together. Responses had a bound of 16 MiB whatever the VM's memory.

Change: a quarter of memory_mb (64 MiB if unknown, 8 MiB at least) bounds the bodies of requests and responses together, less 16 KiB each. A request for whose body there is no room is refused at once: 503, Retry-After 1, not run; event body_refused. The body is written from where it was read, so it is held once.

Not bounded by it: responses of the store (64 MiB each), request heads.

--- a/waxwing/adapter.h
+++ b/waxwing/adapter.h
@@ -321,6 +321,7 @@
   http_headers (*filter_response_headers)(const http_headers&) = nullptr;
 
   // Targets.
+  // The body may be left out if it is the caller's.
   http_request (*write_target_request)(const http_request& caller_request,
                                        const inbound_request&,
                                        const attempt_parameters&) = nullptr;
--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -57,6 +57,8 @@
 
 tl::expected<void, std::string> StartListeners(const entry_ptr& state) {
   http_limits limits;
+  state->held->limit = HeldMemoryLimit(state->options.memory_bytes);
+  limits.held = state->held;
   limits.max_connections =
       state->options.max_descriptors > 2 * kReservedDescriptors
           ? state->options.max_descriptors - kReservedDescriptors
--- a/waxwing/entry.h
+++ b/waxwing/entry.h
@@ -75,6 +75,8 @@
   std::string key;
   std::size_t max_descriptors = 4'096;
   vm_resources resources;
+  // Memory that the process may use; 0 if unknown.
+  std::size_t memory_bytes = 0;
   entry_bounds bounds;
   // The whole system starts for the first time, so there is no earlier state.
   bool is_first_start = false;
--- a/waxwing/entry_peers.cc
+++ b/waxwing/entry_peers.cc
@@ -117,7 +117,8 @@
 
 http_request MakeForwardedRequest(forward_run& run) {
   const entry_state& state = *run.state;
-  http_request out = run.exchange.request;
+  http_request out{run.exchange.request.method, run.exchange.request.target,
+                   run.exchange.request.headers, ""};
   // Headers that concern one connection are dropped in both directions alike.
   out.headers = state.protocol.filter_response_headers(out.headers);
   std::erase_if(out.headers, [](const http_header& header) {
@@ -154,7 +155,7 @@
   http_response response{
       call.head.status,
       run.state->protocol.filter_response_headers(call.head.headers), ""};
-  held_bytes held(*run.state);
+  held_share held(run.state->held);
   body_limit limit{run.deadline};
   while (true) {
     const auto more =
@@ -167,7 +168,7 @@
           : forward_outcome::kBroken;
     if (!*more)
       break;
-    if (!held.Update(response.body.size()))
+    if (!UpdateSize(held, response.body.size()))
       co_return RejectLongResponse(run, response.body.size());
     if (!is_stream)
       continue;
@@ -206,6 +207,7 @@
   options.reuse = MayRepeat(*run.matched_route);
   options.connect_timeout = kConnectTimeout;
   options.abort = &run.abort;
+  options.body = run.exchange.request.body;
   auto call = co_await StartCall(state.pool, peer.router,
                                  MakeForwardedRequest(run), options);
   if (!call) {
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -22,10 +22,6 @@
 constexpr int kMaxSkippedResponses = 3;
 // Responses with a lower status are followed by the final one.
 constexpr unsigned kFirstFinalStatus = 200;
-// Each response may hold this many bytes in memory; the parts of responses that
-// exceed it may together hold a larger number.
-constexpr std::size_t kOwnHeldBytes = 16 * 1024;
-constexpr std::size_t kMaxHeldBytes = 16 * 1024 * 1024;
 // A request whose kept connection fails later than this is placed anew instead
 // of being sent to the same target again.
 constexpr milliseconds kMaxResendDelay{200};
@@ -79,19 +75,12 @@
 
 }  // namespace
 
-bool held_bytes::Update(std::size_t size) {
-  state.held_response_bytes -= shared;
-  shared = size > kOwnHeldBytes ? size - kOwnHeldBytes : 0;
-  state.held_response_bytes += shared;
-  return shared == 0 || state.held_response_bytes <= kMaxHeldBytes;
-}
-
 forward_outcome RejectLongResponse(forward_run& run, std::size_t size) {
   Count(run.state->stats, "waxwing_responses_too_long_total");
   LogWarning("response_too_long", {{"request", run.request.id},
                                    {"target", run.target_id},
                                    {"bytes", size},
-                                   {"held", run.state->held_response_bytes}});
+                                   {"held", run.state->held->used}});
   return forward_outcome::kBroken;
 }
 
@@ -158,7 +147,7 @@
   http_response response;
   response.status = call.head.status;
   response.headers = RelayedHeaders(run, call);
-  held_bytes held(*run.state);
+  held_share held(run.state->held);
   while (true) {
     const bool is_late = IsPastDeadline(run);
     const auto more = co_await ReadSomeBody(run.state->pool, call,
@@ -167,7 +156,7 @@
       co_return FailureOutcome(run, attempt, more.error());
     if (!*more)
       break;
-    if (!held.Update(response.body.size()))
+    if (!UpdateSize(held, response.body.size()))
       co_return RejectLongResponse(run, response.body.size());
     if (is_late)
       co_return forward_outcome::kTimedOut;
@@ -229,7 +218,7 @@
                                              dispatch& attempt,
                                              http_call& call) {
   std::string buffer;
-  held_bytes held(*run.state);
+  held_share held(run.state->held);
   int received_events = 0;
   while (true) {
     const bool is_late = IsPastDeadline(run);
@@ -262,7 +251,7 @@
     if (received_events >= kEventsToSurvive)
       MarkSurvived(run, attempt);
     buffer.erase(0, buffer.size() - rest.size());
-    if (buffer.size() > kMaxEventBytes || !held.Update(buffer.size()))
+    if (buffer.size() > kMaxEventBytes || !UpdateSize(held, buffer.size()))
       co_return RejectLongResponse(run, buffer.size());
     if (!events.empty() && !co_await DeliverEvents(run, attempt, call, events))
       co_return forward_outcome::kCallerGone;
@@ -383,6 +372,7 @@
   options.max_resend_delay = kMaxResendDelay;
   options.connect_timeout = kConnectTimeout;
   options.abort = &run.abort;
+  options.body = run.exchange.request.body;
   const pending_start_listing listing(run, attempt);
   ++run.sends;
   auto call = co_await StartCall(run.state->pool, attempt.target.record.address,
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -343,21 +343,6 @@
 
 // --- entry_relay.cc
 
-// Counts the bytes of a response that are held in memory, for the lifetime of
-// this object.
-struct held_bytes {
-  entry_state& state;
-  std::size_t shared = 0;
-
-  explicit held_bytes(entry_state& s) : state(s) {}
-  ~held_bytes() { state.held_response_bytes -= shared; }
-  held_bytes(const held_bytes&) = delete;
-  held_bytes& operator=(const held_bytes&) = delete;
-
-  // Returns false if the response is too long to be held.
-  bool Update(std::size_t size);
-};
-
 // Returns the outcome of a response that is too long.
 forward_outcome RejectLongResponse(forward_run& run, std::size_t size);
 
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -21,6 +21,7 @@
 #include "waxwing/engine_choice.h"
 #include "waxwing/entry.h"
 #include "waxwing/freshness.h"
+#include "waxwing/held_memory.h"
 #include "waxwing/http_server.h"
 #include "waxwing/lease.h"
 #include "waxwing/metrics.h"
@@ -423,8 +424,8 @@
   std::map<suspect_key, hold> stored_holds;
   // By service.
   std::map<std::string, retry_budget, std::less<>> retry_budgets;
-  // Bytes of responses that are held until they can be relayed.
-  std::size_t held_response_bytes = 0;
+  // Bodies of requests and responses.
+  std::shared_ptr<held_memory> held = std::make_shared<held_memory>();
   // By service.
   std::map<std::string, dispatch_queue, std::less<>> dispatch_queues;
   lease_view lease;
--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -210,9 +210,11 @@
   co_return call;
 }
 
-http::request<http::string_body> ToBeast(const http_request& request,
-                                         const endpoint& address) {
-  http::request<http::string_body> out;
+// The message refers to the body, which may be large.
+http::request<http::span_body<const char>> ToBeast(const http_request& request,
+                                                   std::string_view body,
+                                                   const endpoint& address) {
+  http::request<http::span_body<const char>> out;
   out.method_string(request.method);
   out.target(request.target);
   out.version(11);
@@ -220,7 +222,7 @@
     out.set(http::field::host, ToText(address));
   for (const http_header& header : request.headers)
     out.insert(header.name, header.value);
-  out.body() = request.body;
+  out.body() = {body.data(), body.size()};
   out.prepare_payload();
   return out;
 }
@@ -239,10 +241,12 @@
 asio::awaitable<tl::expected<http_call, http_error>> SendRequest(
     state_ptr call,
     const http_request& request,
-    std::size_t max_response_bytes,
-    milliseconds timeout) {
-  const auto message = ToBeast(request, call->address);
-  call->stream.expires_after(timeout);
+    const http_call_options& options,
+    std::size_t max_response_bytes) {
+  const std::string_view body =
+      request.body.empty() ? options.body : request.body;
+  const auto message = ToBeast(request, body, call->address);
+  call->stream.expires_after(options.header_timeout);
   auto [write_error, written] =
       co_await http::async_write(call->stream, message, kUseTuple);
   if (write_error)
@@ -290,8 +294,7 @@
       if (options.abort)
         options.abort->call = call;
       auto response = co_await SendRequest(
-          call, request, pool.state->limits.max_response_bytes,
-          options.header_timeout);
+          call, request, options, pool.state->limits.max_response_bytes);
       if (response)
         co_return response;
       was_sent = true;
@@ -319,9 +322,8 @@
   if (HasData((*connected)->stream))
     co_return tl::unexpected(http_error{http_failure::kMalformed, was_sent,
                                         "data before the request"});
-  auto response = co_await SendRequest(*connected, request,
-                                       pool.state->limits.max_response_bytes,
-                                       options.header_timeout);
+  auto response = co_await SendRequest(*connected, request, options,
+                                       pool.state->limits.max_response_bytes);
   if (response) {
     response->was_sent_before = was_sent;
     response->is_on_new_connection = true;
--- a/waxwing/http_client.h
+++ b/waxwing/http_client.h
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 #include <tl/expected.hpp>
 
@@ -80,6 +81,8 @@
   milliseconds max_resend_delay = milliseconds::max();
   // Longest response body that Fetch() accepts.
   std::size_t max_body_bytes = 64 * 1024 * 1024;
+  // Is sent if the request itself has no body; must outlive the call.
+  std::string_view body;
   // Time to connect; that of the pool if it is not set.
   std::optional<milliseconds> connect_timeout;
 };
--- a/waxwing/http_server.cc
+++ b/waxwing/http_server.cc
@@ -88,6 +88,9 @@
 using listener_ptr = std::shared_ptr<detail::http_listener>;
 using request_parser = http::request_parser<http::string_body>;
 
+// The bodies of all requests and responses exceed the memory for them.
+constexpr auto kOutOfMemory = asio::error::no_memory;
+
 void LogEnd(const connection_report& report) {
   const auto log = LacksResponse(report) ? LogWarning : LogInfo;
   log("connection_ended", {{"reason", NameOf(report.end)},
@@ -144,6 +147,12 @@
   if (error == beast::error::timeout)
     return JsonResponse(408,
                         R"({"error":{"type":"request_timeout"},"ran":"no"})");
+  if (error == kOutOfMemory) {
+    http_response refusal =
+        JsonResponse(503, R"({"error":{"type":"out_of_memory"},"ran":"no"})");
+    refusal.headers.push_back({"Retry-After", "1"});
+    return refusal;
+  }
   return JsonResponse(400,
                       R"({"error":{"type":"malformed_request"},"ran":"no"})");
 }
@@ -251,12 +260,33 @@
   }
 }
 
+// Counts the body as far as it has been read. Returns false if it, or what the
+// header states, exceeds the memory for bodies.
+bool CountBody(const detail::http_connection& connection,
+               const request_parser& parser,
+               held_share& share) {
+  if (!parser.is_header_done())
+    return true;
+  const std::size_t size = parser.get().body().size();
+  const auto rest = parser.content_length_remaining();
+  const auto& memory = connection.listener->limits.held;
+  if (UpdateSize(share, size) &&
+      (!rest || HasRoom(*memory, static_cast<std::size_t>(*rest))))
+    return true;
+  LogWarning("body_refused", {{"peer", connection.report.peer},
+                              {"bytes", size + rest.value_or(0)},
+                              {"held", memory->used},
+                              {"limit", memory->limit}});
+  return false;
+}
+
 // Reads one request. After the time limit only what has already arrived is
 // read: a request that was complete in time is not lost if this process stalls.
 asio::awaitable<beast::error_code> ReadMessage(
     detail::http_connection& connection,
     beast::flat_buffer& buffer,
     request_parser& parser,
+    held_share& share,
     milliseconds timeout) {
   const read_limit limit(connection, connection.request_began + timeout);
   asio::ip::tcp::socket& socket = connection.stream.socket();
@@ -267,9 +297,12 @@
     const std::size_t parsed = parser.put(buffer.data(), parse_error);
     buffer.consume(parsed);
     if (parser.is_done())
-      co_return beast::error_code();
+      co_return CountBody(connection, parser, share) ? beast::error_code()
+                                                     : kOutOfMemory;
     if (parse_error && parse_error != http::error::need_more)
       co_return parse_error;
+    if (!CountBody(connection, parser, share))
+      co_return kOutOfMemory;
     if (limit.state->is_over && !arrived) {
       beast::error_code ignored;
       arrived = socket.available(ignored);
@@ -300,6 +333,8 @@
                          const beast::error_code& error) {
   if (error == beast::error::timeout)
     return connection_end::kLate;
+  if (error == kOutOfMemory)
+    return connection_end::kRefused;
   if (!parser.got_some())
     return connection_end::kCallerLeft;
   const bool is_broken = error == http::error::partial_message ||
@@ -356,9 +391,13 @@
   request_parser parser;
   parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
   parser.body_limit(limits.max_body_bytes);
-  const beast::error_code error =
-      co_await ReadMessage(connection, buffer, parser, limits.read_timeout);
+  exchange.share.emplace(connection.listener->limits.held);
+  const beast::error_code error = co_await ReadMessage(
+      connection, buffer, parser, *exchange.share, limits.read_timeout);
   if (error) {
+    // Other requests may need the memory before this connection is closed.
+    std::string().swap(parser.get().body());
+    exchange.share.reset();
     SetEnd(connection, EndOfRead(parser, error), error);
     if (error != http::error::end_of_stream &&
         error != asio::error::connection_reset &&
--- a/waxwing/http_server.h
+++ b/waxwing/http_server.h
@@ -6,7 +6,8 @@
 // so that every request gets a response.
 //
 // Limits bound the resources of a hostile or slow caller: the number of
-// connections, the size of header and body, and the time each may take.
+// connections, the size of header and body, the memory of all bodies, and the
+// time each may take.
 
 #ifndef WAXWING_HTTP_SERVER_H_
 #define WAXWING_HTTP_SERVER_H_
@@ -17,10 +18,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <tl/expected.hpp>
 
 #include "waxwing/connection_end.h"
+#include "waxwing/held_memory.h"
 #include "waxwing/http.h"
 #include "waxwing/types.h"
 
@@ -40,6 +43,8 @@
 struct http_limits : request_limits {
   std::size_t max_connections = 4096;
   milliseconds write_timeout{20'000};  // for one write of a response
+  // Requests whose bodies exceed it are refused with status 503.
+  std::shared_ptr<held_memory> held = std::make_shared<held_memory>();
 };
 
 namespace detail {
@@ -64,6 +69,8 @@
   bool broken = false;
   detail::http_connection* connection = nullptr;
   std::shared_ptr<detail::caller_watch> watch;
+  // What the body of the request holds.
+  std::optional<held_share> share;
 };
 
 using http_handler =
