--- a/testing/crash_suspects_test.cc
+++ b/testing/crash_suspects_test.cc
@@ -121,6 +121,15 @@
   EXPECT_TRUE(f.RunUntil([&] { return f.IsStored(); }));
 }
 
+// The notice of a hold is sent once; who misses it learns of it from the store.
+TEST(CrashSuspects, HoldReachesAVmThatHasMissedItsNotice) {
+  hold_fixture f;
+  ASSERT_TRUE(f.WaitUntilSettled());
+  MergeHold(f.vms[0].state->suspects, MakeHold(hold_fixture::kSegment));
+  EXPECT_FALSE(f.Knows(f.vms[1]));
+  EXPECT_TRUE(f.RunUntil([&] { return f.Knows(f.vms[1]); }));
+}
+
 TEST(CrashSuspects, HoldOutlivesAStoreThatReturnsFromAnOlderCopy) {
   hold_fixture f;
   f.store->era = 1;
--- a/testing/missed_changes_test.cc
+++ b/testing/missed_changes_test.cc
@@ -190,6 +190,23 @@
   EXPECT_TRUE(f.RunUntil([&] { return f.IsFullySynced(*f.follower); }));
 }
 
+// A member's record is sent once; who misses it is sent the whole table.
+TEST(MissedChanges, MemberRecordThatWasLostReachesAllVms) {
+  zone_fixture f(kVms);
+  ASSERT_TRUE(f.WaitUntilSettled());
+  constexpr std::uint32_t kCapacity = 77;
+  member& changed =
+      f.vms[2].state->membership_agent.state->members.members.at("vm-2").data;
+  changed.request_capacity = kCapacity;
+  ++changed.version;
+  EXPECT_TRUE(f.RunUntil([&] {
+    return std::all_of(f.vms.begin(), f.vms.end(), [&](const entry& vm) {
+      return vm.state->membership_agent.state->members.members.at("vm-2")
+                 .data.request_capacity == kCapacity;
+    });
+  }));
+}
+
 // --- Responses of the store that a zone watcher's message has overtaken.
 
 // Called once when the store has responded to a list or a watch of targets,
