VMs without a source also follow VMs of their own zone

Cause: let a VM that the store turns away follow the watchers of other zones only. In a deployment of one zone, or if the store turns away the watchers of all zones, it still had nobody to learn from, though others of its zone read the store themselves.

--- a/waxwing/entry_replication.cc
+++ b/waxwing/entry_replication.cc
@@ -1,7 +1,7 @@
 // Replication of the store's objects between entries: zone watchers publish
 // them to the other VMs of their zone, and an entry that starts while the store
 // is unavailable requests them from any peer. A VM that neither the store nor a
-// watcher of its zone serves follows the watchers of another zone.
+// watcher of its zone serves follows other VMs.
 
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -27,7 +27,7 @@
 constexpr int kMaxMissedRenewals = 3;
 // Time between two requests to a zone watcher for objects that were missed.
 constexpr milliseconds kMinRequestPeriod{500};
-// A VM without a source in its zone tries another zone after this time.
+// A VM without a source tries others after this time.
 constexpr milliseconds kOutsidePatience{500};
 constexpr object_kind kReplicatedKinds[] = {
     object_kind::kConfig, object_kind::kTargets, object_kind::kWeights,
@@ -326,8 +326,8 @@
   }
 }
 
-// True if a zone watcher, of this zone or of another one, confirms to this VM
-// that it has all changes of a kind.
+// True if a watcher of its zone, or an outside VM, confirms to this VM that it
+// has all changes of a kind.
 bool HasUpstream(const entry_state& state,
                  object_kind kind,
                  bool is_outside,
@@ -350,28 +350,37 @@
          !HasUpstream(state, kind, false, WatchWait(kind), now);
 }
 
-// Returns the zone after `name`, in a fixed order, that is not this VM's own.
-// The first one depends on the VM, so that the zones share the load.
-std::string NextZone(const entry_state& state, const std::string& name) {
-  std::set<std::string> zones;
-  for (const auto& [vm, record] :
-       state.membership_agent.state->members.members) {
-    if (record.data.status == member_status::kAlive &&
-        record.data.zone != state.options.zone)
+// Chooses the VMs that this one follows while it has no source: the watchers of
+// one zone after the other, and VMs of its own zone, which read the store
+// themselves if the watchers do not serve them. The first choice depends on the
+// VM, so that all share the load.
+std::vector<std::string> ChooseOutsideVms(entry_state& state) {
+  const membership& members = state.membership_agent.state->members;
+  std::set<std::string_view> zones;
+  std::vector<std::string> own;
+  for (const auto& [vm, record] : members.members) {
+    if (record.data.status != member_status::kAlive || vm == state.options.vm)
+      continue;
+    if (record.data.zone != state.options.zone)
       zones.insert(record.data.zone);
+    else if (std::find(state.zone_watchers.begin(), state.zone_watchers.end(),
+                       vm) == state.zone_watchers.end())
+      own.push_back(vm);
   }
-  if (zones.empty())
-    return "";
-  auto next = zones.upper_bound(name);
-  if (name.empty())
-    next = std::next(
-        zones.begin(),
-        static_cast<std::ptrdiff_t>(Hash64(state.options.vm) % zones.size()));
-  return next == zones.end() ? *zones.begin() : *next;
+  const std::size_t choice =
+      (Hash64(state.options.vm) + state.outside.attempt) % (zones.size() + 1);
+  if (choice < zones.size())
+    return ChooseZoneWatchers(
+        members,
+        *std::next(zones.begin(), static_cast<std::ptrdiff_t>(choice)));
+  std::shuffle(own.begin(), own.end(), state.random);
+  own.resize(std::min(own.size(), kWatchersPerZone));
+  return own;
 }
 
-// Chooses the zone whose watchers this VM follows beside those of its own.
-void UpdateOutsideZone(entry_state& state, instant now) {
+// Decides whether this VM follows others than the watchers of its zone, and
+// which.
+void UpdateOutsideSource(entry_state& state, instant now) {
   bool lacks_source = false;
   bool is_served = true;
   for (const object_kind kind :
@@ -382,22 +391,25 @@
     is_served =
         is_served && HasUpstream(state, kind, true, WatchWait(kind), now);
   }
-  outside_zone& outside = state.outside;
+  outside_source& outside = state.outside;
   if (!lacks_source) {
-    if (!outside.name.empty())
-      LogInfo("source_regained", {{"outside", outside.name}});
+    if (outside.is_needed)
+      LogInfo("source_regained", {{"attempts", outside.attempt}});
     outside = {};
     return;
   }
-  if (!outside.name.empty() &&
+  if (outside.is_needed &&
       (is_served || now < outside.chosen_at + kOutsidePatience))
     return;
-  if (outside.name.empty()) {
+  if (!outside.is_needed) {
     Count(state.stats, "waxwing_sources_lost_total");
     LogWarning("source_lost", {{"zone", state.options.zone},
                                {"readers", state.zone_watchers.size()}});
   }
-  outside = {NextZone(state, outside.name), now};
+  outside.is_needed = true;
+  outside.vms = ChooseOutsideVms(state);
+  outside.chosen_at = now;
+  ++outside.attempt;
 }
 
 }  // namespace
@@ -503,14 +515,10 @@
     const instant now = std::chrono::steady_clock::now();
     state->zone_watchers = ChooseZoneWatchers(
         state->membership_agent.state->members, state->options.zone);
-    UpdateOutsideZone(*state, now);
-    std::vector<std::string> outside;
-    if (!state->outside.name.empty())
-      outside = ChooseZoneWatchers(state->membership_agent.state->members,
-                                   state->outside.name);
+    UpdateOutsideSource(*state, now);
     std::erase_if(state->upstreams, [&](const auto& entry) {
       const auto& followed =
-          entry.second.is_outside ? outside : state->zone_watchers;
+          entry.second.is_outside ? state->outside.vms : state->zone_watchers;
       return std::find(followed.begin(), followed.end(), entry.first) ==
              followed.end();
     });
@@ -518,8 +526,8 @@
       if (watcher != state->options.vm)
         MaintainUpstream(state, watcher, false, now);
     }
-    for (const std::string& watcher : outside)
-      MaintainUpstream(state, watcher, true, now);
+    for (const std::string& vm : state->outside.vms)
+      MaintainUpstream(state, vm, true, now);
     std::erase_if(state->subscribers, [&](const auto& entry) {
       return !IsOpen(entry.second.link) ||
              now > entry.second.last_contact +
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -118,7 +118,7 @@
 struct replication_upstream {
   peer_link link;
   bool is_connecting = false;
-  // It is of another zone.
+  // It is no watcher of this VM's zone.
   bool is_outside = false;
   // When this VM last sent or renewed its subscription, and when it last
   // requested objects that it had missed.
@@ -139,10 +139,13 @@
   double requests_per_second = 0;
 };
 
-// The zone whose watchers this VM follows while it has no source of changes in
-// its own; empty if it has.
-struct outside_zone {
-  std::string name;
+// The VMs that this one follows while neither the store nor a watcher of its
+// zone serves it.
+struct outside_source {
+  bool is_needed = false;
+  std::vector<std::string> vms;
+  // Counts the choices of VMs.
+  std::size_t attempt = 0;
   instant chosen_at;
 };
 
@@ -355,7 +358,7 @@
   zone_load caller_load;
   // By VM.
   std::map<std::string, replication_upstream> upstreams;
-  outside_zone outside;
+  outside_source outside;
   std::map<std::string, replication_subscriber> subscribers;
   // Objects as last read, to be sent to peers.
   std::map<object_kind, std::map<std::string, stored_object>> objects;
