--- a/waxwing/entry_peers.cc
+++ b/waxwing/entry_peers.cc
@@ -137,7 +137,7 @@
     forwarded.resume_after = run.last_event_id;
   forwarded.origin = run.origin;
   AddForwarded(out, forwarded, state.options.key);
-  // It is part of the statement's MAC; the call sends it from where it was read.
+  // The MAC covers the body; the call sends it from where it was read.
   std::string().swap(out.body);
   return out;
 }
