--- a/testing/refused_vms_test.cc
+++ b/testing/refused_vms_test.cc
@@ -60,6 +60,16 @@
     return state.watches.at(object_kind::kConfig).unavailable_since &&
            state.watches.at(object_kind::kTargets).unavailable_since;
   }
+  // The store turns the first VMs away, as these notice within 3 s.
+  bool Refuse(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i)
+      ways[i]->is_refused = true;
+    return RunUntil([&] {
+      return std::all_of(
+          vms.begin(), vms.begin() + static_cast<std::ptrdiff_t>(count),
+          [](const entry& vm) { return HasLostStore(*vm.state); });
+    });
+  }
   static bool HasAllChanges(const entry_state& state) {
     const auto found = state.targets.find("t1");
     return state.table->version == 2 &&
@@ -92,13 +102,7 @@
 TEST(RefusedVms, ChangesReachAZoneThatTheStoreTurnsAway) {
   zones_fixture f(2);
   ASSERT_TRUE(f.WaitUntilSettled());
-  for (std::size_t i = 0; i < kVmsPerZone; ++i)
-    f.ways[i]->is_refused = true;
-  ASSERT_TRUE(f.RunUntil([&] {
-    return std::all_of(
-        f.vms.begin(), f.vms.begin() + kVmsPerZone,
-        [](const entry& vm) { return zones_fixture::HasLostStore(*vm.state); });
-  }));
+  ASSERT_TRUE(f.Refuse(kVmsPerZone));
   f.Change();
   EXPECT_EQ(f.CountStale(), 0u);
 }
@@ -107,13 +111,7 @@
 TEST(RefusedVms, ChangesReachThemFromTheOnlyZoneThatIsServed) {
   zones_fixture f(3);
   ASSERT_TRUE(f.WaitUntilSettled());
-  for (std::size_t i = 0; i < 2 * kVmsPerZone; ++i)
-    f.ways[i]->is_refused = true;
-  ASSERT_TRUE(f.RunUntil([&] {
-    return std::all_of(
-        f.vms.begin(), f.vms.begin() + 2 * kVmsPerZone,
-        [](const entry& vm) { return zones_fixture::HasLostStore(*vm.state); });
-  }));
+  ASSERT_TRUE(f.Refuse(2 * kVmsPerZone));
   f.Change();
   EXPECT_EQ(f.CountStale(), 0u);
 }
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -15,7 +15,6 @@
 // which the response needs to reach the caller.
 constexpr milliseconds kResponseTransitTime{5};
 
-// Accounts that are not isolated share cache entries.
 // Accounts that are not isolated share their cache entries, but not with those
 // that the same accounts and others shared before one of them was isolated.
 std::string CacheOwner(const forward_run& run) {
