--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -21,6 +21,8 @@
 constexpr std::string_view kObjectsPath = "/api/objects/";
 // A waiting watch looks for changes this often.
 constexpr auto kPollInterval = std::chrono::milliseconds(5);
+// The longest head that a target reads.
+constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
 
 std::string ToJson(const std::string& name,
                    const object_store_standin::object& object) {
@@ -199,11 +201,14 @@
   asio::ip::tcp::socket& socket = *connection;
   boost::beast::flat_buffer buffer;
   while (true) {
-    http::request<http::string_body> message;
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    parser.header_limit(kMaxHeadBytes);
     auto [error, bytes] = co_await http::async_read(
-        socket, buffer, message, asio::as_tuple(asio::use_awaitable));
+        socket, buffer, parser, asio::as_tuple(asio::use_awaitable));
     if (error)
       co_return;
+    const auto& message = parser.get();
     http_request request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
