Bound trailers and chunk headers while they are read

A client that sent a chunk header or trailers without end made the process hold all of it: the parser's header limit covers the head only, and for these two it asks for more input until it finds their end. Two dozen such clients took an entry of 44 MB to 115 MB, at any of its ports, and the router and the agent to 250 to 310 MB.

What waits unparsed behind the head may now be as long as the limit of a head, for a chunk header, and as long again for the trailers behind the last one; beyond that the request is refused with 431, as a head is. A client inside the limits is not refused: head, chunk header and trailers have the limit each.

SingleRequestsAtTheLimitsAreServed passes as before.

--- a/waxwing/http_server.cc
+++ b/waxwing/http_server.cc
@@ -280,6 +280,17 @@
   return false;
 }
 
+// Returns how many bytes may wait in the buffer for the rest of the header of a
+// chunk, or of the last one and the trailers.
+std::size_t UnparsedLimit(const beast::flat_buffer& buffer,
+                          std::size_t max_header_bytes) {
+  const std::string_view text(static_cast<const char*>(buffer.data().data()),
+                              buffer.size());
+  const std::size_t begin = text.starts_with("\r\n") ? 2 : 0;
+  const std::size_t line_end = text.find("\r\n", begin);
+  return max_header_bytes + (line_end == std::string_view::npos ? 0 : line_end);
+}
+
 // Reads one request. After the time limit only what has already arrived is
 // read: a request that was complete in time is not lost if this process stalls.
 asio::awaitable<beast::error_code> ReadMessage(
@@ -287,8 +298,9 @@
     beast::flat_buffer& buffer,
     request_parser& parser,
     held_share& share,
-    milliseconds timeout) {
-  const read_limit limit(connection, connection.request_began + timeout);
+    const request_limits& limits) {
+  const read_limit limit(connection,
+                         connection.request_began + limits.read_timeout);
   asio::ip::tcp::socket& socket = connection.stream.socket();
   std::optional<std::size_t> arrived;
   parser.eager(true);
@@ -301,6 +313,9 @@
                                                      : kOutOfMemory;
     if (parse_error && parse_error != http::error::need_more)
       co_return parse_error;
+    if (parser.is_header_done() &&
+        buffer.size() > UnparsedLimit(buffer, limits.max_header_bytes))
+      co_return beast::error_code(http::error::header_limit);
     if (!CountBody(connection, parser, share))
       co_return kOutOfMemory;
     if (limit.state->is_over && !arrived) {
@@ -392,8 +407,8 @@
   parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
   parser.body_limit(limits.max_body_bytes);
   exchange.share.emplace(connection.listener->limits.held);
-  const beast::error_code error = co_await ReadMessage(
-      connection, buffer, parser, *exchange.share, limits.read_timeout);
+  const beast::error_code error =
+      co_await ReadMessage(connection, buffer, parser, *exchange.share, limits);
   if (error) {
     // Other requests may need the memory before this connection is closed.
     std::string().swap(parser.get().body());
