One account of memory and connections for all callers of a process

Clients that stop short of the end of a body or a head, send heads of very short lines, bodies beyond the limit, bytes behind a request in progress, or do not read responses took an entry of 44 MB to 45 to 274 MB; connections spread over its three ports used 3,023 of 2,050 descriptors; 96 clients that stop short locked operators out of an agent.

Cause: only the sizes of bodies were counted, not what is held for them (capacity, buffers, heads and the parser's nodes, up to 20 bytes a byte), nor what the system has received; the limit of connections was each port's own; and a request that stops short kept its place until its time limit.

All connections of a process now share one account, in which each counts with all that it holds, before it grows, and one number of connections. When it is full, the connection that holds most and moves least is closed (a pure function; requests that have not run get 503), so that a small request finds room. What is not counted is bounded by arithmetic: 8 KB of unread bytes for a connection, 16 KB that a target sends ahead. A displaced request is freed at once, not when its coroutine runs again: 128 that became ready together held 40 MB beyond the account. Trailers no longer become fields of the head. Lines about connections without a request are at most 50 a second for a port.

--- a/waxwing/entry.cc
+++ b/waxwing/entry.cc
@@ -24,8 +24,6 @@
 constexpr milliseconds kRefreshPeriod{100};
 // Period in which idle connections that cannot be reused are closed.
 constexpr milliseconds kPrunePeriod{1'000};
-// File descriptors reserved for targets, the store, peers and files.
-constexpr std::size_t kReservedDescriptors = 1'000;
 constexpr milliseconds kHealthyAfter{5'000};
 
 asio::awaitable<void> HandleReadiness(entry_ptr state,
@@ -55,14 +53,13 @@
   };
 }
 
+// Starts the servers that callers reach. They share memory and connections.
 tl::expected<void, std::string> StartListeners(const entry_ptr& state) {
   http_limits limits;
   state->held->limit = HeldMemoryLimit(state->options.memory_bytes);
   limits.held = state->held;
-  limits.max_connections =
-      state->options.max_descriptors > 2 * kReservedDescriptors
-          ? state->options.max_descriptors - kReservedDescriptors
-          : kReservedDescriptors;
+  limits.max_connections = MaxConnections(state->options.max_descriptors,
+                                          state->options.memory_bytes);
   const auto start = [&](const endpoint& address, entry_handler handler,
                          http_server& out) -> tl::expected<void, std::string> {
     auto server =
--- a/waxwing/entry_peers.cc
+++ b/waxwing/entry_peers.cc
@@ -169,7 +169,7 @@
           : forward_outcome::kBroken;
     if (!*more)
       break;
-    if (!UpdateSize(held, response.body.size()))
+    if (!UpdateSize(held, response.body.capacity()))
       co_return RejectLongResponse(run, response.body.size());
     if (!is_stream)
       continue;
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -156,7 +156,7 @@
       co_return FailureOutcome(run, attempt, more.error());
     if (!*more)
       break;
-    if (!UpdateSize(held, response.body.size()))
+    if (!UpdateSize(held, response.body.capacity()))
       co_return RejectLongResponse(run, response.body.size());
     if (is_late)
       co_return forward_outcome::kTimedOut;
@@ -251,7 +251,7 @@
     if (received_events >= kEventsToSurvive)
       MarkSurvived(run, attempt);
     buffer.erase(0, buffer.size() - rest.size());
-    if (buffer.size() > kMaxEventBytes || !UpdateSize(held, buffer.size()))
+    if (buffer.size() > kMaxEventBytes || !UpdateSize(held, buffer.capacity()))
       co_return RejectLongResponse(run, buffer.size());
     if (!events.empty() && !co_await DeliverEvents(run, attempt, call, events))
       co_return forward_outcome::kCallerGone;
@@ -357,6 +357,9 @@
                                       "only responses to other requests"});
 }
 
+// What a target may send ahead of the caller that reads its response.
+constexpr int kTargetWindow = 16 * 1024;
+
 }  // namespace
 
 asio::awaitable<forward_outcome> RunAtTarget(forward_run& run,
@@ -373,6 +376,7 @@
   options.connect_timeout = kConnectTimeout;
   options.abort = &run.abort;
   options.body = run.exchange.request.body;
+  options.receive_window = kTargetWindow;
   const pending_start_listing listing(run, attempt);
   ++run.sends;
   auto call = co_await StartCall(run.state->pool, attempt.target.record.address,
--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -199,6 +199,11 @@
   if (code)
     co_return tl::unexpected(
         http_error{http_failure::kConnect, false, code.message()});
+  if (options.receive_window > 0) {
+    call->stream.socket().open(remote.protocol(), code);
+    call->stream.socket().set_option(
+        asio::socket_base::receive_buffer_size(options.receive_window), code);
+  }
   call->stream.expires_after(
       options.connect_timeout.value_or(pool.state->limits.connect_timeout));
   auto [error] = co_await call->stream.async_connect(remote, kUseTuple);
--- a/waxwing/http_client.h
+++ b/waxwing/http_client.h
@@ -83,6 +83,9 @@
   std::size_t max_body_bytes = 64 * 1024 * 1024;
   // Is sent if the request itself has no body; must outlive the call.
   std::string_view body;
+  // Bytes that the peer may send on a new connection ahead of what is read; 0:
+  // as the system decides.
+  int receive_window = 0;
   // Time to connect; that of the pool if it is not set.
   std::optional<milliseconds> connect_timeout;
 };
--- a/waxwing/http_server.cc
+++ b/waxwing/http_server.cc
@@ -1,6 +1,9 @@
 #include "waxwing/http_server.h"
 
+#include <netinet/tcp.h>
+
 #include <algorithm>
+#include <array>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 #include <cerrno>
@@ -26,16 +29,25 @@
   // Reads use its socket directly: when a time limit of the stream passes, it
   // closes the socket, and no response can be sent.
   beast::tcp_stream stream;
-  const http_listener* listener = nullptr;
+  http_listener* listener = nullptr;
   bool keep_alive = true;
   bool busy = false;
   instant request_began;
   // The longest limit that its caller may go by while it is idle.
   milliseconds idle_limit{};
   connection_report report;
-
-  http_connection(beast::tcp_stream s, const http_listener& l)
-      : stream(std::move(s)), listener(&l) {}
+  // What it holds, while it is counted in the memory of the listener.
+  connection_load load;
+  bool is_window_large = false;
+  // Frees what has been read of a request.
+  std::function<void()> drop_request;
+  // Of the request in progress, if its handler watches its caller.
+  std::weak_ptr<caller_watch> watch;
+
+  http_connection(beast::tcp_stream s, http_listener& l);
+  ~http_connection();
+  http_connection(const http_connection&) = delete;
+  http_connection& operator=(const http_connection&) = delete;
 };
 
 // The wait for a caller's disconnect; may outlive its exchange.
@@ -70,7 +82,11 @@
   connection_observer observer;
   std::vector<past_limits> past;
   std::set<http_connection*> connections;
+  // Refused connections whose callers are given time to read the refusal.
   std::size_t refusals = 0;
+  // Lines logged since a time about connections without a request.
+  instant log_start;
+  int logged = 0;
 
   http_listener(asio::ip::tcp::acceptor a, const http_limits& l, http_handler h)
       : executor(a.get_executor()),
@@ -79,6 +95,13 @@
         handler(std::move(h)) {}
 };
 
+http_connection::http_connection(beast::tcp_stream s, http_listener& l)
+    : stream(std::move(s)), listener(&l) {}
+
+http_connection::~http_connection() {
+  RemoveConnection(*listener->limits.held, load);
+}
+
 }  // namespace detail
 
 namespace {
@@ -88,9 +111,29 @@
 using listener_ptr = std::shared_ptr<detail::http_listener>;
 using request_parser = http::request_parser<http::string_body>;
 
-// The bodies of all requests and responses exceed the memory for them.
+// The memory for connections and responses is used up.
 constexpr auto kOutOfMemory = asio::error::no_memory;
 
+// Receive windows. Bytes that arrive while a request is in progress wait in the
+// small one; the large one is for bodies that don't fit into the small one.
+constexpr int kSmallWindow = static_cast<int>(kUnreadBytes);
+constexpr int kLargeWindow = 64 * 1024;
+
+// What is read at a time, of heads and of bodies.
+constexpr std::size_t kHeadReadBytes = 4 * 1024;
+constexpr std::size_t kReadBytes = 16 * 1024;
+// The parser and coroutines of a request that is being read, and those of one
+// that is in progress.
+constexpr std::size_t kReadingBytes = 2 * 1024;
+constexpr std::size_t kServingBytes = 24 * 1024;
+// A request in progress has copies of its header fields: as read, as passed on,
+// for a target, and as written to it.
+constexpr std::size_t kHeaderCopies = 4;
+// The parser holds a node for each field, the shortest of which has five bytes.
+constexpr std::size_t kParsedFactor = 20;
+// A node of the heap beside the text that it holds.
+constexpr std::size_t kNodeBytes = 32;
+
 void LogEnd(const connection_report& report) {
   const auto log = LacksResponse(report) ? LogWarning : LogInfo;
   log("connection_ended", {{"reason", NameOf(report.end)},
@@ -109,9 +152,22 @@
                            {"limits_now", report.limits_now}});
 }
 
-void ReportEnd(const detail::http_listener& listener,
+// Returns false if a line about a connection without a request is left out, so
+// that a crowd of them does not displace other lines.
+bool MayLog(detail::http_listener& listener) {
+  constexpr int kMaxLinesPerSecond = 50;
+  const instant now = std::chrono::steady_clock::now();
+  if (now - listener.log_start >= seconds(1)) {
+    listener.log_start = now;
+    listener.logged = 0;
+  }
+  return ++listener.logged <= kMaxLinesPerSecond;
+}
+
+void ReportEnd(detail::http_listener& listener,
                const connection_report& report) {
-  if (!IsRegular(report.end) || LacksResponse(report))
+  if (LacksResponse(report) ||
+      (!IsRegular(report.end) && (report.requests > 0 || MayLog(listener))))
     LogEnd(report);
   if (listener.observer)
     listener.observer(report);
@@ -136,6 +192,43 @@
     report.error = error.message();
 }
 
+// Records a write of `bytes`, which ends the response if `is_last`.
+bool RecordWriteResult(http_exchange& exchange,
+                       const beast::error_code& error,
+                       std::size_t bytes,
+                       bool is_last) {
+  connection_report& report = exchange.connection->report;
+  report.has_response = true;
+  report.bytes_written += bytes;
+  report.is_complete = !error && is_last;
+  if (error) {
+    exchange.broken = true;
+    SetEnd(*exchange.connection,
+           error == beast::error::timeout ? connection_end::kUnread
+                                          : connection_end::kCallerGone,
+           error);
+  }
+  return !error;
+}
+
+asio::awaitable<bool> WriteResponse(http_exchange& exchange,
+                                    http_response response,
+                                    milliseconds timeout) {
+  detail::http_connection& connection = *exchange.connection;
+  exchange.response_started = true;
+  http::response<http::string_body> message;
+  message.result(response.status);
+  for (const http_header& header : response.headers)
+    message.set(header.name, header.value);
+  message.keep_alive(connection.keep_alive);
+  message.body() = std::move(response.body);
+  message.prepare_payload();
+  connection.stream.expires_after(timeout);
+  auto [error, bytes] =
+      co_await http::async_write(connection.stream, message, kUseTuple);
+  co_return RecordWriteResult(exchange, error, bytes, true);
+}
+
 // The response to a request that could not be parsed.
 http_response ParseFailureResponse(const beast::error_code& error) {
   if (error == http::error::body_limit)
@@ -159,8 +252,7 @@
 
 // True if the header defines the end of the body unambiguously. Beast ignores
 // unknown transfer codings, which another server may apply (request smuggling).
-bool HasStrictFraming(const request_parser& parser) {
-  const auto& message = parser.get();
+bool HasStrictFraming(const request_parser::value_type& message) {
   const auto codings = message.equal_range(http::field::transfer_encoding);
   for (auto it = codings.first; it != codings.second; ++it) {
     if (!beast::iequals(it->value(), "chunked") || message.version() != 11)
@@ -170,16 +262,24 @@
   return std::distance(lengths.first, lengths.second) <= 1;
 }
 
-http_request ReleaseRequest(request_parser& parser) {
-  auto message = parser.release();
-  http_request out;
+// Moves the head out of the message, which then takes the trailers.
+void TakeHead(request_parser::value_type& message, http_request& out) {
   out.method = std::string(message.method_string());
   out.target = std::string(message.target());
+  out.headers.reserve(
+      static_cast<std::size_t>(std::distance(message.begin(), message.end())));
   for (const auto& field : message)
     out.headers.push_back(
         {std::string(field.name_string()), std::string(field.value())});
-  out.body = std::move(message.body());
-  return out;
+  message.clear();
+}
+
+std::size_t HeaderBytes(const http_request& request) {
+  std::size_t sum = request.target.size();
+  for (const http_header& header : request.headers)
+    sum +=
+        sizeof(header) + header.name.size() + header.value.size() + kNodeBytes;
+  return sum;
 }
 
 // A read that ended just before it was interrupted may be followed by another
@@ -216,8 +316,6 @@
   read_limit& operator=(const read_limit&) = delete;
 };
 
-constexpr std::size_t kReadBytes = 16 * 1024;
-
 // Raises the limits in `out` to those of `other` that are higher.
 void RaiseLimits(request_limits& out, const request_limits& other) {
   out.max_header_bytes = std::max(out.max_header_bytes, other.max_header_bytes);
@@ -243,96 +341,191 @@
   return out;
 }
 
+void SetWindow(detail::http_connection& connection, int bytes) {
+  asio::ip::tcp::socket& socket = connection.stream.socket();
+  beast::error_code ignored;
+  socket.set_option(asio::socket_base::receive_buffer_size(bytes), ignored);
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_WINDOW_CLAMP, &bytes,
+               sizeof bytes);
+  connection.is_window_large = bytes == kLargeWindow;
+}
+
+constexpr milliseconds kRefusalTime{500};
+// Refused connections at a time whose callers are given time to read the
+// refusal.
+constexpr std::size_t kMaxRefusals = 64;
+
 // Discards what the caller still sends, within bounds, so that closing does not
 // reset the connection before the response has been read.
-asio::awaitable<void> DiscardRest(beast::tcp_stream& stream) {
-  constexpr milliseconds kMaxTime{500};
+asio::awaitable<void> DiscardRest(detail::http_connection& connection,
+                                  std::size_t& refusals) {
   constexpr int kMaxReads = 1024;
+  if (refusals >= kMaxRefusals)
+    co_return;
+  ++refusals;
+  // What is read is never looked at, so all connections share it.
+  static std::array<char, kReadBytes> discarded;
+  beast::tcp_stream& stream = connection.stream;
   beast::error_code ignored;
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-  std::string discarded(kReadBytes, '\0');
-  stream.expires_after(kMaxTime);
+  stream.expires_after(kRefusalTime);
   for (int i = 0; i < kMaxReads; ++i) {
     auto [error, bytes] =
         co_await stream.async_read_some(asio::buffer(discarded), kUseTuple);
     if (error)
       break;
   }
+  --refusals;
 }
 
-// Counts the body as far as it has been read. Returns false if it, or what the
-// header states, exceeds the memory for bodies.
-bool CountBody(const detail::http_connection& connection,
-               const request_parser& parser,
-               held_share& share) {
-  if (!parser.is_header_done())
-    return true;
-  const std::size_t size = parser.get().body().size();
-  const auto rest = parser.content_length_remaining();
-  const auto& memory = connection.listener->limits.held;
-  if (UpdateSize(share, size) &&
-      (!rest || HasRoom(*memory, static_cast<std::size_t>(*rest))))
+// A request that is being read.
+struct request_reader {
+  http_exchange& exchange;
+  beast::flat_buffer& buffer;
+  request_limits limits;
+  request_parser parser;
+  // Bytes of the head that were parsed; all of it has been.
+  std::size_t parsed_head = 0;
+  bool has_head = false;
+
+  detail::http_connection& Connection() const { return *exchange.connection; }
+  std::string& Body() { return parser.get().body(); }
+};
+
+// Counts what the request holds, with `more` bytes. Returns false if the memory
+// is used up, or if the connection is to be closed for another one.
+bool CountRequest(request_reader& reader, std::size_t more) {
+  detail::http_connection& connection = reader.Connection();
+  held_memory& memory = *connection.listener->limits.held;
+  const std::size_t held =
+      kReadingBytes + reader.buffer.capacity() + reader.Body().capacity() +
+      (reader.has_head ? HeaderBytes(reader.exchange.request)
+                       : reader.parsed_head * kParsedFactor) +
+      more + (connection.is_window_large ? kLargeWindow : 0);
+  if (SetHeld(memory, connection.load, held, std::chrono::steady_clock::now()))
     return true;
-  LogWarning("body_refused", {{"peer", connection.report.peer},
-                              {"bytes", size + rest.value_or(0)},
-                              {"held", memory->used},
-                              {"limit", memory->limit}});
+  if (MayLog(*connection.listener))
+    LogWarning("request_not_read", {{"peer", connection.report.peer},
+                                    {"bytes", connection.load.received},
+                                    {"announced", connection.load.remaining},
+                                    {"needed", held},
+                                    {"held", memory.used},
+                                    {"limit", memory.limit}});
   return false;
 }
 
+// Makes room in the body for all that is in the buffer. The body grows in steps
+// that are counted before.
+bool ReserveBody(request_reader& reader) {
+  std::string& body = reader.Body();
+  const std::size_t needed = body.size() + reader.buffer.size();
+  if (!reader.has_head || needed <= body.capacity())
+    return true;
+  const std::size_t capacity = std::max(
+      needed, std::min(2 * body.capacity(), reader.limits.max_body_bytes));
+  if (!CountRequest(reader, capacity))
+    return false;
+  std::string grown;
+  grown.reserve(capacity);
+  grown += body;
+  body.swap(grown);
+  return true;
+}
+
 // Returns how many bytes may wait in the buffer for the rest of the header of a
 // chunk, or of the last one and the trailers.
-std::size_t UnparsedLimit(const beast::flat_buffer& buffer,
-                          std::size_t max_header_bytes) {
-  const std::string_view text(static_cast<const char*>(buffer.data().data()),
-                              buffer.size());
+std::size_t UnparsedLimit(const request_reader& reader) {
+  const std::string_view text(
+      static_cast<const char*>(reader.buffer.data().data()),
+      reader.buffer.size());
   const std::size_t begin = text.starts_with("\r\n") ? 2 : 0;
   const std::size_t line_end = text.find("\r\n", begin);
-  return max_header_bytes + (line_end == std::string_view::npos ? 0 : line_end);
+  return reader.limits.max_header_bytes +
+         (line_end == std::string_view::npos ? 0 : line_end);
+}
+
+// Parses what is in the buffer. Returns `need_more` if the request is not
+// complete.
+beast::error_code Parse(request_reader& reader) {
+  beast::error_code error = http::error::need_more;
+  if (!ReserveBody(reader))
+    return kOutOfMemory;
+  const std::size_t parsed = reader.parser.put(reader.buffer.data(), error);
+  reader.buffer.consume(parsed);
+  if (!reader.has_head)
+    reader.parsed_head += parsed;
+  if (!reader.has_head && reader.parser.is_header_done()) {
+    reader.has_head = true;
+    if (!HasStrictFraming(reader.parser.get()))
+      return http::error::bad_transfer_encoding;
+    TakeHead(reader.parser.get(), reader.exchange.request);
+    // The header is parsed alone, so that trailers don't become part of it.
+    reader.parser.eager(true);
+    if (!reader.parser.is_done() && reader.buffer.size() > 0)
+      return Parse(reader);
+  }
+  if (reader.parser.is_done())
+    return {};
+  if (error && error != http::error::need_more)
+    return error;
+  if (reader.has_head && reader.buffer.size() > UnparsedLimit(reader))
+    return http::error::header_limit;
+  return http::error::need_more;
+}
+
+// Returns how much is read next, and enlarges the window for a long body.
+std::size_t NextReadSize(request_reader& reader) {
+  detail::http_connection& connection = reader.Connection();
+  if (!reader.has_head)
+    return kHeadReadBytes;
+  connection.load.remaining =
+      reader.parser.content_length_remaining().value_or(0);
+  const bool is_long =
+      connection.load.remaining > kUnreadBytes ||
+      (reader.parser.chunked() && connection.load.received > kUnreadBytes);
+  if (is_long && !connection.is_window_large &&
+      HasRoom(*connection.listener->limits.held, kLargeWindow))
+    SetWindow(connection, kLargeWindow);
+  return kReadBytes;
+}
+
+bool IsClosing(const detail::http_connection& connection) {
+  return connection.load.phase == connection_phase::kClosing;
 }
 
 // Reads one request. After the time limit only what has already arrived is
 // read: a request that was complete in time is not lost if this process stalls.
-asio::awaitable<beast::error_code> ReadMessage(
-    detail::http_connection& connection,
-    beast::flat_buffer& buffer,
-    request_parser& parser,
-    held_share& share,
-    const request_limits& limits) {
+asio::awaitable<beast::error_code> ReadMessage(request_reader& reader) {
+  detail::http_connection& connection = reader.Connection();
+  beast::flat_buffer& buffer = reader.buffer;
   const read_limit limit(connection,
-                         connection.request_began + limits.read_timeout);
+                         connection.request_began + reader.limits.read_timeout);
   asio::ip::tcp::socket& socket = connection.stream.socket();
   std::optional<std::size_t> arrived;
-  parser.eager(true);
   while (true) {
-    beast::error_code parse_error;
-    const std::size_t parsed = parser.put(buffer.data(), parse_error);
-    buffer.consume(parsed);
-    if (parser.is_done())
-      co_return CountBody(connection, parser, share) ? beast::error_code()
-                                                     : kOutOfMemory;
-    if (parse_error && parse_error != http::error::need_more)
-      co_return parse_error;
-    if (parser.is_header_done() &&
-        buffer.size() > UnparsedLimit(buffer, limits.max_header_bytes))
-      co_return beast::error_code(http::error::header_limit);
-    if (!CountBody(connection, parser, share))
-      co_return kOutOfMemory;
+    const beast::error_code parsed = Parse(reader);
+    if (parsed != http::error::need_more)
+      co_return IsClosing(connection) ? kOutOfMemory : parsed;
     if (limit.state->is_over && !arrived) {
       beast::error_code ignored;
       arrived = socket.available(ignored);
     }
     if (arrived == 0U)
       co_return beast::error_code(beast::error::timeout);
+    const std::size_t size = NextReadSize(reader);
+    if (!CountRequest(reader, size))
+      co_return kOutOfMemory;
     auto [error, bytes] = co_await socket.async_read_some(
-        buffer.prepare(std::min(kReadBytes, arrived.value_or(kReadBytes))),
-        kUseTuple);
+        buffer.prepare(std::min(size, arrived.value_or(size))), kUseTuple);
     buffer.commit(bytes);
     connection.report.bytes_read += bytes;
+    RecordArrival(connection.load, bytes, std::chrono::steady_clock::now());
     if (arrived)
       *arrived -= bytes;
+    if (IsClosing(connection))
+      co_return kOutOfMemory;
     if (error == asio::error::eof) {
-      if (!parser.got_some())
+      if (!reader.parser.got_some())
         co_return beast::error_code(http::error::end_of_stream);
       co_return beast::error_code(http::error::partial_message);
     }
@@ -388,52 +581,88 @@
   }
 }
 
+void SetConnectionPhase(detail::http_connection& connection,
+                        connection_phase phase) {
+  SetPhase(*connection.listener->limits.held, connection.load, phase,
+           std::chrono::steady_clock::now());
+}
+
+// Sends the response to a request that was not read, and ends the connection.
+asio::awaitable<void> RefuseRequest(http_exchange& exchange,
+                                    const beast::error_code& error,
+                                    std::size_t& refusals) {
+  detail::http_connection& connection = *exchange.connection;
+  SetConnectionPhase(connection, connection_phase::kClosing);
+  connection.keep_alive = false;
+  if (connection.is_window_large)
+    SetWindow(connection, kSmallWindow);
+  http_response response = ParseFailureResponse(error);
+  co_await WriteResponse(exchange, std::move(response), kRefusalTime);
+  co_await DiscardRest(connection, refusals);
+}
+
+// Counts what the request holds while it is in progress. Returns false if the
+// memory is used up.
+bool CountServing(request_reader& reader) {
+  detail::http_connection& connection = reader.Connection();
+  if (connection.is_window_large)
+    SetWindow(connection, kSmallWindow);
+  if (reader.buffer.size() == 0)
+    reader.buffer.shrink_to_fit();
+  return CountRequest(
+      reader, kServingBytes +
+                  (kHeaderCopies - 1) * HeaderBytes(reader.exchange.request));
+}
+
 // Reads the next request. Returns false if the connection is to be closed;
-// after a parse error, the error response has been sent by then.
+// after an error, the error response has been sent by then.
 asio::awaitable<bool> ReadRequest(http_exchange& exchange,
-                                  beast::flat_buffer& buffer) {
+                                  beast::flat_buffer& buffer,
+                                  std::size_t& refusals) {
   detail::http_connection& connection = *exchange.connection;
   connection.idle_limit = LimitsInForce(*connection.listener).idle_timeout;
   if (buffer.size() == 0) {
     // Idle connections hold no memory.
     buffer.shrink_to_fit();
+    SetHeld(*connection.listener->limits.held, connection.load, 0,
+            std::chrono::steady_clock::now());
+    SetConnectionPhase(connection, connection_phase::kIdle);
     if (!co_await WaitForRequest(connection))
       co_return false;
   }
   connection.busy = true;
   connection.request_began = std::chrono::steady_clock::now();
-  const request_limits limits = LimitsInForce(*connection.listener);
-  request_parser parser;
-  parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
-  parser.body_limit(limits.max_body_bytes);
-  exchange.share.emplace(connection.listener->limits.held);
-  const beast::error_code error =
-      co_await ReadMessage(connection, buffer, parser, *exchange.share, limits);
+  SetConnectionPhase(connection, connection_phase::kReading);
+  request_reader reader{exchange, buffer, LimitsInForce(*connection.listener)};
+  reader.parser.header_limit(
+      static_cast<std::uint32_t>(reader.limits.max_header_bytes));
+  reader.parser.body_limit(reader.limits.max_body_bytes);
+  connection.drop_request = [&reader] {
+    std::string().swap(reader.Body());
+    reader.parser.get().clear();
+    reader.exchange.request = {};
+  };
+  beast::error_code error = co_await ReadMessage(reader);
+  if (!error) {
+    SetConnectionPhase(connection, connection_phase::kServing);
+    connection.load.sends_ahead = buffer.size() > 0;
+    if (!CountServing(reader))
+      error = kOutOfMemory;
+  }
   if (error) {
     // Other requests may need the memory before this connection is closed.
-    std::string().swap(parser.get().body());
-    exchange.share.reset();
-    SetEnd(connection, EndOfRead(parser, error), error);
+    connection.drop_request();
+    buffer.clear();
+    buffer.shrink_to_fit();
+    SetEnd(connection, EndOfRead(reader.parser, error), error);
     if (error != http::error::end_of_stream &&
         error != asio::error::connection_reset &&
-        error != asio::error::operation_aborted) {
-      connection.keep_alive = false;
-      http_response error_response = ParseFailureResponse(error);
-      co_await Respond(exchange, std::move(error_response));
-      co_await DiscardRest(connection.stream);
-    }
+        error != asio::error::operation_aborted)
+      co_await RefuseRequest(exchange, error, refusals);
     co_return false;
   }
-  if (!HasStrictFraming(parser)) {
-    SetEnd(connection, connection_end::kMalformed);
-    connection.keep_alive = false;
-    http_response error_response = ParseFailureResponse({});
-    co_await Respond(exchange, std::move(error_response));
-    co_await DiscardRest(connection.stream);
-    co_return false;
-  }
-  connection.keep_alive = parser.keep_alive();
-  exchange.request = ReleaseRequest(parser);
+  connection.keep_alive = reader.parser.keep_alive();
+  exchange.request.body = std::move(reader.Body());
   connection.report.is_read = true;
   connection.report.limits_at_request = connection.listener->limits.version;
   ++connection.report.requests;
@@ -478,7 +707,7 @@
     exchange.accepted_at = accepted_at;
     connection.busy = false;
     StartRequestReport(connection.report);
-    if (!co_await ReadRequest(exchange, buffer))
+    if (!co_await ReadRequest(exchange, buffer, listener->refusals))
       co_return;
     if (listener->close_after_responses)
       connection.keep_alive = false;
@@ -491,6 +720,54 @@
     SetEnd(connection, connection_end::kStopped);
 }
 
+// Refuses a connection at the limit of connections or of memory, whatever is
+// sent on it.
+asio::awaitable<void> RefuseConnection(const listener_ptr& listener,
+                                       detail::http_connection& connection) {
+  const held_memory& memory = *listener->limits.held;
+  if (MayLog(*listener))
+    LogWarning("connection_refused", {{"connections", memory.open},
+                                      {"held", memory.used},
+                                      {"limit", memory.limit}});
+  SetEnd(connection, connection_end::kRefused);
+  connection.report.limits_now = listener->limits.version;
+  ReportEnd(*listener, connection.report);
+  if (listener->refusals >= kMaxRefusals)
+    co_return;
+  connection.keep_alive = false;
+  http_exchange exchange;
+  exchange.connection = &connection;
+  http_response refusal = JsonResponse(
+      503, R"({"error":{"type":"too_many_connections"},"ran":"no"})");
+  refusal.headers.push_back({"Retry-After", "1"});
+  co_await WriteResponse(exchange, std::move(refusal), kRefusalTime);
+  co_await DiscardRest(connection, listener->refusals);
+}
+
+// Ends a connection so that others find room. Returns false if it is no longer
+// idle.
+bool Displace(detail::http_connection& connection) {
+  if (connection.load.phase == connection_phase::kIdle &&
+      HasArrived(connection.stream.socket()))
+    return false;
+  // A request that is being read gets a refusal.
+  if (connection.load.phase == connection_phase::kReading)
+    connection.drop_request();
+  else
+    SetEnd(connection, connection_end::kDisplaced);
+  connection.busy = true;
+  if (connection.load.phase != connection_phase::kServing) {
+    connection.stream.cancel();
+    return true;
+  }
+  beast::error_code ignored;
+  connection.stream.socket().close(ignored);
+  const auto watch = connection.watch.lock();
+  if (watch && watch->on_disconnect)
+    std::exchange(watch->on_disconnect, nullptr)();
+  return true;
+}
+
 asio::awaitable<void> ServeConnection(listener_ptr listener,
                                       asio::ip::tcp::socket socket) {
   detail::http_connection connection(beast::tcp_stream(std::move(socket)),
@@ -503,6 +780,11 @@
   report.peer =
       remote.address().to_string() + ":" + std::to_string(remote.port());
   connection.request_began = accepted_at;
+  connection.load.close = [&connection] { return Displace(connection); };
+  if (!AddConnection(*listener->limits.held, connection.load, accepted_at)) {
+    co_await RefuseConnection(listener, connection);
+    co_return;
+  }
   listener->connections.insert(&connection);
   try {
     co_await ServeRequests(listener, connection);
@@ -521,7 +803,7 @@
 }
 
 // Reports a connection that is closed before any request was read from it.
-void ReportUnserved(const detail::http_listener& listener,
+void ReportUnserved(detail::http_listener& listener,
                     detail::http_connection& connection,
                     connection_end end) {
   beast::error_code ignored;
@@ -534,41 +816,6 @@
   ReportEnd(listener, report);
 }
 
-// Refuses a connection at the limit of connections, whatever is sent on it.
-asio::awaitable<void> RefuseConnection(listener_ptr listener,
-                                       asio::ip::tcp::socket socket) {
-  ++listener->refusals;
-  detail::http_connection connection(beast::tcp_stream(std::move(socket)),
-                                     *listener);
-  connection.keep_alive = false;
-  http_exchange exchange;
-  exchange.connection = &connection;
-  http_response refusal = JsonResponse(
-      503, R"({"error":{"type":"too_many_connections"},"ran":"no"})");
-  refusal.headers.push_back({"Retry-After", "1"});
-  co_await Respond(exchange, std::move(refusal));
-  ReportUnserved(*listener, connection, connection_end::kRefused);
-  co_await DiscardRest(connection.stream);
-  --listener->refusals;
-}
-
-// Closes one connection that waits for a request to free its slot, so that idle
-// callers can't lock others out. False if all connections are busy.
-bool CloseIdleConnection(detail::http_listener& listener) {
-  for (detail::http_connection* connection : listener.connections) {
-    if (connection->busy || HasArrived(connection->stream.socket()))
-      continue;
-    connection->busy = true;
-    SetEnd(*connection, connection_end::kDisplaced);
-    connection->stream.cancel();
-    return true;
-  }
-  return false;
-}
-
-// Connections above the limit that are sent a refusal at a time.
-constexpr std::size_t kMaxRefusals = 64;
-
 asio::awaitable<void> AcceptLoop(listener_ptr listener) {
   while (!listener->stopping) {
     auto [error, socket] = co_await listener->acceptor.async_accept(kUseTuple);
@@ -587,21 +834,6 @@
       co_await pause.async_wait(kUseTuple);
       continue;
     }
-    if (listener->connections.size() >= listener->limits.max_connections &&
-        !CloseIdleConnection(*listener)) {
-      LogWarning("connection_refused",
-                 {{"connections", listener->connections.size()}});
-      if (listener->refusals < kMaxRefusals) {
-        asio::co_spawn(listener->executor,
-                       RefuseConnection(listener, std::move(socket)),
-                       asio::detached);
-      } else {
-        detail::http_connection connection(beast::tcp_stream(std::move(socket)),
-                                           *listener);
-        ReportUnserved(*listener, connection, connection_end::kRefused);
-      }
-      continue;
-    }
     asio::co_spawn(listener->executor,
                    ServeConnection(listener, std::move(socket)),
                    asio::detached);
@@ -620,25 +852,6 @@
   return out;
 }
 
-// Records a write of `bytes`, which ends the response if `is_last`.
-bool RecordWriteResult(http_exchange& exchange,
-                       const beast::error_code& error,
-                       std::size_t bytes,
-                       bool is_last) {
-  connection_report& report = exchange.connection->report;
-  report.has_response = true;
-  report.bytes_written += bytes;
-  report.is_complete = !error && is_last;
-  if (error) {
-    exchange.broken = true;
-    SetEnd(*exchange.connection,
-           error == beast::error::timeout ? connection_end::kUnread
-                                          : connection_end::kCallerGone,
-           error);
-  }
-  return !error;
-}
-
 }  // namespace
 
 tl::expected<http_server, std::string> StartHttpServer(
@@ -646,11 +859,12 @@
     const endpoint& address,
     const http_limits& limits,
     http_handler handler) {
-  auto acceptor = OpenListener(executor, address);
+  auto acceptor = OpenListener(executor, address, kSmallWindow);
   if (!acceptor)
     return tl::unexpected(acceptor.error());
   auto listener = std::make_shared<detail::http_listener>(
       std::move(*acceptor), limits, std::move(handler));
+  limits.held->max_connections = limits.max_connections;
   const std::uint16_t port = listener->acceptor.local_endpoint().port();
   asio::co_spawn(executor, AcceptLoop(listener), asio::detached);
   return http_server{listener, endpoint{address.host, port}};
@@ -693,19 +907,8 @@
 }
 
 asio::awaitable<bool> Respond(http_exchange& exchange, http_response response) {
-  detail::http_connection& connection = *exchange.connection;
-  exchange.response_started = true;
-  http::response<http::string_body> message;
-  message.result(response.status);
-  for (const http_header& header : response.headers)
-    message.set(header.name, header.value);
-  message.keep_alive(connection.keep_alive);
-  message.body() = std::move(response.body);
-  message.prepare_payload();
-  connection.stream.expires_after(connection.listener->limits.write_timeout);
-  auto [error, bytes] =
-      co_await http::async_write(connection.stream, message, kUseTuple);
-  co_return RecordWriteResult(exchange, error, bytes, true);
+  return WriteResponse(exchange, std::move(response),
+                       exchange.connection->listener->limits.write_timeout);
 }
 
 asio::awaitable<bool> BeginStream(http_exchange& exchange, http_response head) {
@@ -750,6 +953,7 @@
   detail::http_connection& connection = *exchange.connection;
   exchange.watch = std::make_shared<detail::caller_watch>(
       detail::caller_watch{on_disconnect});
+  connection.watch = exchange.watch;
   connection.stream.socket().async_wait(
       asio::ip::tcp::socket::wait_read,
       [watch = exchange.watch, &connection](const beast::error_code& error) {
@@ -761,6 +965,7 @@
             error ? 0
                   : ::recv(connection.stream.socket().native_handle(), &byte, 1,
                            MSG_PEEK | MSG_DONTWAIT);
+        connection.load.sends_ahead = count > 0;
         if (count > 0 || (count < 0 && errno == EAGAIN))
           return;
         SetEnd(connection, connection_end::kCallerGone, error);
--- a/waxwing/http_server.h
+++ b/waxwing/http_server.h
@@ -6,8 +6,8 @@
 // so that every request gets a response.
 //
 // Limits bound the resources of a hostile or slow caller: the number of
-// connections, the size of header and body, the memory of all bodies, and the
-// time each may take.
+// connections, the size of header, trailers and body, the memory of all
+// connections, and the time each may take.
 
 #ifndef WAXWING_HTTP_SERVER_H_
 #define WAXWING_HTTP_SERVER_H_
@@ -18,7 +18,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 
 #include <tl/expected.hpp>
 
@@ -43,7 +42,8 @@
 struct http_limits : request_limits {
   std::size_t max_connections = 4096;
   milliseconds write_timeout{20'000};  // for one write of a response
-  // Requests whose bodies exceed it are refused with status 503.
+  // What connections hold. Servers that share it also share the number of
+  // connections.
   std::shared_ptr<held_memory> held = std::make_shared<held_memory>();
 };
 
@@ -69,8 +69,6 @@
   bool broken = false;
   detail::http_connection* connection = nullptr;
   std::shared_ptr<detail::caller_watch> watch;
-  // What the body of the request holds.
-  std::optional<held_share> share;
 };
 
 using http_handler =
--- a/waxwing/listener.h
+++ b/waxwing/listener.h
@@ -14,10 +14,12 @@
 namespace waxwing {
 
 // Listens on `address`; port 0 selects a free port. The error names the address
-// and the system's message, for the operator.
+// and the system's message, for the operator. Connections receive at most
+// `receive_window` bytes ahead, unless it is 0.
 tl::expected<boost::asio::ip::tcp::acceptor, std::string> OpenListener(
     boost::asio::any_io_executor executor,
-    const endpoint& address);
+    const endpoint& address,
+    int receive_window = 0);
 
 }  // namespace waxwing
 
