Test of requests whose IDs and prompt segments are all different

Within the limits, but of a kind that tables could keep: 4,000 requests with IDs of 7,000 bytes and 64 segments each.

--- a/testing/hostile_clients_test.cc
+++ b/testing/hostile_clients_test.cc
@@ -392,6 +392,54 @@
   ExpectBears(e, e.callers, script);
 }
 
+// Requests within the limits, each with an ID and prompt segments of its own.
+TEST(HostileClients, PromptsAndIdsThatAreAllDifferent) {
+  constexpr int kClients = 40;
+  constexpr int kRequestsEach = 100;
+  constexpr int kSegments = 64;
+  constexpr std::size_t kIdBytes = 7'000;
+  entry_process e;
+  Start(e);
+  const auto engine = StartTarget(e.context, [](const http_request& request) {
+    const auto id = waxwing::FindHeader(request.headers, "Request-Id");
+    if (request.target.starts_with("/api/"))
+      return scripted_response{{PlainResponse(404, "", "{}")}};
+    return scripted_response{
+        {StreamHead(id), StreamEvent(1, "one"), StreamEnd()}};
+  });
+  PutObject(*e.store, "servers", "engine",
+            EntryTargetRecord(engine->Address(), "llm", 1));
+  e.process.target_ports.insert(engine->Address().port);
+  RunFor(e, milliseconds(300));
+  std::vector<std::unique_ptr<client_crowd>> crowds;
+  unsigned next_segment = 1;
+  for (int i = 0; i < kClients; ++i) {
+    client_script script{"", "", "", 0, "", 1};
+    for (int j = 0; j < kRequestsEach; ++j) {
+      std::string segments;
+      for (int k = 0; k < kSegments; ++k) {
+        char text[32];
+        std::snprintf(text, sizeof text, "%s%x:8", k > 0 ? "," : "",
+                      next_segment++);
+        segments += text;
+      }
+      const std::string id = std::to_string(i * kRequestsEach + j);
+      script.beginning +=
+          std::string(j % 2 == 0 ? "POST /chat/x" : "POST /note/x") +
+          " HTTP/1.1\r\nHost: calls.example\r\nRequest-Id: " + id +
+          std::string(kIdBytes, 'x') +
+          "\r\nDeadline-Ms: 20000\r\nAuthorization: Token key-1\r\n"
+          "Model: m\r\nToken-Count: 512,4\r\nPrefix-Hash: " +
+          segments + "\r\nContent-Length: 0\r\n\r\n";
+    }
+    crowds.push_back(StartCrowd(e.context, e.callers, script));
+  }
+  ASSERT_TRUE(RunAndMeasure(e, kMaxCrowdTime)) << "the process has ended";
+  ExpectResponses(e);
+  ExpectWithinLimits(e);
+  EndTarget(*engine);
+}
+
 // More connections than descriptors, spread over all ports.
 TEST(HostileClients, ConnectionsAtAllPorts) {
   for (const std::string& beginning : {std::string(), std::string("G")}) {
