--- a/testing/connection_memory_test.cc
+++ b/testing/connection_memory_test.cc
@@ -19,7 +19,7 @@
 
 namespace asio = boost::asio;
 
-const instant kStart = instant() + std::chrono::hours(1);
+constexpr instant kStart = instant() + std::chrono::hours(1);
 
 connection_load Reading(std::size_t held, duration age, std::uint64_t recent) {
   connection_load out;
@@ -42,6 +42,7 @@
 std::optional<std::size_t> Choose(const std::vector<connection_load>& loads,
                                   const memory_demand& demand) {
   std::vector<const connection_load*> pointers;
+  pointers.reserve(loads.size());
   for (const connection_load& load : loads)
     pointers.push_back(&load);
   return ChooseConnectionToClose(pointers, demand, kStart);
@@ -270,7 +271,7 @@
   }
   callers.clear();
   const auto end = std::chrono::steady_clock::now() + seconds(5);
-  while (limits.held->connections.size() > 0 &&
+  while (!limits.held->connections.empty() &&
          std::chrono::steady_clock::now() < end)
     run();
   RC_ASSERT(limits.held->used == 0u);
--- a/testing/hostile_clients_test.cc
+++ b/testing/hostile_clients_test.cc
@@ -22,7 +22,6 @@
 namespace json = boost::json;
 using waxwing::endpoint;
 using waxwing::http_request;
-using waxwing::http_response;
 using waxwing::milliseconds;
 
 constexpr std::size_t kMegabyte = 1'000'000;
@@ -540,8 +539,9 @@
        with_length("X-Filler: " + std::string(15'900, 'x') + "\r\n", 0)},
       {"head of short lines", with_length(Repeat("a:b\r\n", 3'100), 0)},
   };
-  for (const auto& [name, text] : requests) {
-    SCOPED_TRACE(name);
+  for (const auto& request : requests) {
+    SCOPED_TRACE(request.first);
+    const std::string& text = request.second;
     asio::ip::tcp::socket socket(e.context);
     socket.connect({asio::ip::make_address(e.callers.host), e.callers.port});
     std::string response;
