--- a/waxwing/held_memory.h
+++ b/waxwing/held_memory.h
@@ -3,9 +3,10 @@
 // targets that it relays.
 //
 // When the memory is used up, the connection that holds most and moves least is
-// closed. Requests in progress are never closed for it: a new one is refused
-// instead. What is large may use a part of the memory only, so that small
-// requests are served while large ones have used up that part.
+// closed. Requests in progress are closed for it only if their callers send
+// more behind them; otherwise a new one is refused. What is large may use a
+// part of the memory only, so that small requests are served while large ones
+// have used up that part.
 
 #ifndef WAXWING_HELD_MEMORY_H_
 #define WAXWING_HELD_MEMORY_H_
@@ -55,8 +56,8 @@
   // Bytes that arrived in the current period and in the one before.
   std::array<std::uint64_t, 2> recent{};
   instant period_start;
-  // Closes it; the memory that it holds has been released. Returns false if it
-  // is no longer idle.
+  // Closes it; what it holds is no longer counted afterwards. Returns false,
+  // and changes nothing, if it is no longer idle.
   std::function<bool()> close;
 };
 
@@ -98,7 +99,8 @@
 void RecordArrival(connection_load& load, std::size_t bytes, instant now);
 
 // Sets what the connection holds, and closes other connections until it fits.
-// Returns false if it does not fit; nothing has then been changed.
+// Returns false if it does not fit; what this one holds is then as before, but
+// others may have been closed.
 bool SetHeld(held_memory& memory,
              connection_load& load,
              std::size_t bytes,
