Show that silent connections keep a worker that has left in use

Cause: a watch that ran into its time limit counts as an outage of the store, after which a worker that is missing from the list is kept for 2 s (DRAIN).

--- a/review/cases_2.cc
+++ b/review/cases_2.cc
@@ -408,6 +408,7 @@
   std::mutex mutex;
   // By request; 0 if no whole response arrived.
   std::map<std::string, int> statuses;
+  std::map<std::string, double> sent_at;
   std::vector<std::thread> threads;
 
   plain_clients(const test_case& c, int count) {
@@ -422,9 +423,11 @@
       // The clients are out of step.
       rig::SleepMs((client * 17 + number * 31) % 97);
       const std::string id = MakeId(client, number);
+      const double now = rig::UnixNow();
       const rig::response got = rig::Call(port, RequestText("/start/x", id), 4);
       const std::lock_guard lock(mutex);
       statuses[id] = got.is_complete ? got.status : 0;
+      sent_at[id] = now;
     }
   }
   void Stop() {
@@ -506,6 +509,73 @@
   return late > 0 ? kBroken : kHeld;
 }
 
+// --- The connections to the store go silent, and a worker withdraws.
+int RunSilence(test_case& c) {
+  constexpr int kWorkMs = 300;
+  constexpr int kRounds = 3;
+  constexpr double kContactS = 3.0;
+  constexpr double kDrainS = 2.0;
+  rig::store& platform = *c.system.platform;
+  rig::relay& path = *rig::StartRelay(platform.port);
+  c.system.platform_port = path.port;
+  for (const char* id : {"p-1", "p-2", "p-3", "p-4", "p-5"})
+    AddWorker(c, "portal", {0, id, "", 0, kWorkMs, "chunked", ""});
+  if (!StartVms(c, 2))
+    return kNotRun;
+  plain_clients clients(c, 24);
+  rig::SleepMs(1'500);
+  // By worker: when its entry was removed, and from when on the VMs are in
+  // touch again.
+  std::map<std::string, std::pair<double, double>> limits;
+  for (int i = 0; i < kRounds; ++i) {
+    running_worker& leaving = c.workers[static_cast<std::size_t>(i)];
+    const double began = rig::UnixNow();
+    if (c.has_trouble) {
+      rig::SilenceConnections(path);
+      rig::Record("all open connections to the store go silent");
+    }
+    rig::SleepMs(100);
+    rig::Remove(platform, "servers", leaving.id);
+    limits[leaving.id] = {rig::UnixNow() + kDrainS, began + kContactS};
+    rig::Record("the entry of worker " + leaving.id +
+                " is removed; it serves on for 4 s");
+    rig::SleepMs(4'000);
+    rig::End(leaving.pid, SIGTERM);
+    rig::Record("worker " + leaving.id + " exits");
+    rig::SleepMs(3'370);
+  }
+  clients.Stop();
+  int runs = 0;
+  int late = 0;
+  int lost = 0;
+  for (const std::string& line : ReadLog(c)) {
+    std::istringstream words(line);
+    double at = 0;
+    std::string skipped;
+    std::string worker;
+    std::string what;
+    std::string id;
+    words >> at >> skipped >> worker >> what >> id;
+    runs += what == "runs" ? 1 : 0;
+    const auto limit = limits.find(worker);
+    if (what != "runs" || limit == limits.end() || at < limit->second.first ||
+        clients.sent_at[id] < limit->second.second)
+      continue;
+    const int status = clients.statuses[id];
+    ++late;
+    lost += status == 200 ? 0 : 1;
+    rig::Record("worker " + worker + " runs " + id + " " +
+                std::to_string(at - limit->second.first + kDrainS) +
+                " s after its entry was removed; the client got " +
+                std::to_string(status) + ": RULE BROKEN");
+  }
+  rig::Record(std::to_string(runs) + " requests ran; " + std::to_string(late) +
+              " of VMs in touch at a worker later than drain_ms after it had "
+              "left, " +
+              std::to_string(lost) + " of which were lost at its exit");
+  return late > 0 ? kBroken : kHeld;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -523,6 +593,7 @@
   c.system.project = argv[2];
   c.system.folder = argv[4];
   c.system.platform = rig::StartStore();
+  c.system.platform_port = c.system.platform->port;
   c.log = c.system.folder + "/workers.log";
   const char* trouble = std::getenv("TROUBLE");
   c.has_trouble = !trouble || std::string(trouble) != "0";
@@ -531,6 +602,8 @@
     result = RunDeparture(c);
   else if (name == "drill")
     result = RunDrill(c);
+  else if (name == "silence")
+    result = RunSilence(c);
   else if (name == "event-ids")
     result = RunEventIds(c);
   EndAll(c);
--- a/review/rig_2.cc
+++ b/review/rig_2.cc
@@ -468,6 +468,72 @@
   s.is_away = false;
 }
 
+// --- The relay.
+
+namespace {
+
+// Passes on what arrives at one socket to the other.
+void Pass(int from, int to, const std::atomic<bool>& is_silent) {
+  constexpr int kPollMs = 20;
+  while (true) {
+    pollfd waiting{from, POLLIN, 0};
+    const bool has_data = ::poll(&waiting, 1, kPollMs) > 0;
+    if (is_silent) {
+      SleepMs(kPollMs);
+      continue;
+    }
+    if (!has_data)
+      continue;
+    char bytes[16 * 1024];
+    const ssize_t count = ::recv(from, bytes, sizeof bytes, 0);
+    if (count <= 0 ||
+        !Send(to, std::string_view(bytes, static_cast<std::size_t>(count))))
+      break;
+  }
+  ::shutdown(from, SHUT_RDWR);
+  ::shutdown(to, SHUT_RDWR);
+}
+
+void RelayConnection(relay& r, int fd, int to_port) {
+  const int other = Connect(to_port);
+  if (other < 0) {
+    ::close(fd);
+    return;
+  }
+  auto is_silent = std::make_shared<std::atomic<bool>>(false);
+  {
+    const std::lock_guard lock(r.mutex);
+    r.silent.push_back(is_silent);
+  }
+  std::thread back([=] { Pass(other, fd, *is_silent); });
+  Pass(fd, other, *is_silent);
+  back.join();
+  ::close(fd);
+  ::close(other);
+}
+
+}  // namespace
+
+relay* StartRelay(int to_port) {
+  static relay instance;
+  instance.port = FreePort();
+  const int listener = Listen(instance.port);
+  std::thread([=] {
+    while (true) {
+      const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+      if (fd >= 0)
+        std::thread([=] { RelayConnection(instance, fd, to_port); }).detach();
+    }
+  }).detach();
+  return &instance;
+}
+
+void SilenceConnections(relay& r) {
+  const std::lock_guard lock(r.mutex);
+  for (const auto& each : r.silent)
+    *each = true;
+}
+
 // --- Processes.
 
 pid_t Start(const std::vector<std::string>& command,
@@ -551,7 +617,7 @@
             {"version_all_ms", 11000},
             {"ttl_max_s", 5}}},
           {"platform",
-           {{"address", Address(d.platform->port)},
+           {{"address", Address(d.platform_port)},
             {"form", "objects"},
             {"writes_per_s", 400},
             {"reads_per_s", 2000},
@@ -574,7 +640,7 @@
       {d.project + "/target/waxwing-entry"},
       {"PATH=/usr/bin:/bin", "HOME=/tmp", "LANG=C",
        "WAXWINGPASS_SETTINGS=" + path,
-       "WAXWING_KEY=" + Address(d.platform->port), "WAXWING_LOG_LEVEL=info"});
+       "WAXWING_KEY=" + Address(d.platform_port), "WAXWING_LOG_LEVEL=info"});
   d.vms.push_back(v);
 }
 
--- a/review/rig_2.h
+++ b/review/rig_2.h
@@ -6,11 +6,13 @@
 
 #include <sys/types.h>
 
+#include <atomic>
 #include <boost/json.hpp>
 #include <condition_variable>
 #include <csignal>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
@@ -105,6 +107,19 @@
 // Ends the store's absence with an older content, in the next era.
 void ReturnFrom(store& s, const store::content& copy);
 
+// A relay to a port on loopback.
+struct relay {
+  int port = 0;
+  std::mutex mutex;
+  // One for each connection: nothing passes any more, and its ends stay open.
+  std::vector<std::shared_ptr<std::atomic<bool>>> silent;
+};
+
+// Starts a relay, which runs until the process ends.
+relay* StartRelay(int to_port);
+// Silences all open connections. New ones work.
+void SilenceConnections(relay& r);
+
 // Starts a process that ends with this one at the latest.
 pid_t Start(const std::vector<std::string>& command,
             const std::vector<std::string>& environment);
@@ -126,6 +141,8 @@
   std::string project;
   std::string folder;
   store* platform = nullptr;
+  // Where the VMs reach it.
+  int platform_port = 0;
   std::vector<vm> vms;
 };
 
