--- a/review/cases_2.cc
+++ b/review/cases_2.cc
@@ -470,9 +470,9 @@
     rig::SleepMs(300);
     rig::CutCalls(platform, false);
     rig::Record("the store cuts off the watches that wait");
-    rig::SleepMs(450);
+    rig::SleepMs(300);
   } else {
-    rig::SleepMs(1'350);
+    rig::SleepMs(1'200);
   }
   rig::End(c.workers[0].pid, SIGTERM);
   rig::Record("worker p-1 exits");
