--- a/review/cases_2.cc
+++ b/review/cases_2.cc
@@ -334,7 +334,7 @@
 int RunDeparture(test_case& c) {
   constexpr int kEvents = 60;
   constexpr int kStreams = 12;
-  for (const char* id : {"i-1", "i-2", "i-3"})
+  for (const char* id : {"i-1", "i-2", "i-3", "i-4"})
     AddWorker(c, "llm", {0, id, "", kEvents, 100, "unframed", "id: "});
   if (!StartVms(c, 2))
     return kNotRun;
@@ -373,8 +373,8 @@
 // --- A worker ends in the middle of streams that write "id:7", not "id: 7".
 int RunEventIds(test_case& c) {
   constexpr int kEvents = 30;
-  constexpr int kStreams = 9;
-  for (const char* id : {"i-1", "i-2", "i-3"})
+  constexpr int kStreams = 12;
+  for (const char* id : {"i-1", "i-2", "i-3", "i-4"})
     AddWorker(c, "llm", {0, id, "", kEvents, 100, "chunked", "id:"});
   if (!StartVms(c, 2))
     return kNotRun;
@@ -440,7 +440,7 @@
 int RunDrill(test_case& c) {
   constexpr int kWorkMs = 400;
   rig::store& platform = *c.system.platform;
-  for (const char* id : {"p-1", "p-2", "p-3"})
+  for (const char* id : {"p-1", "p-2", "p-3", "p-4"})
     AddWorker(c, "portal", {0, id, "", 0, kWorkMs, "chunked", ""});
   if (!StartVms(c, 3))
     return kNotRun;
@@ -454,8 +454,8 @@
   rig::Remove(platform, "servers", "p-1");
   const double gone_at = rig::UnixNow();
   rig::Record("the entry of worker p-1 is removed; p-1 serves on");
-  AddWorker(c, "portal", {0, "p-4", "", 0, kWorkMs, "chunked", ""});
-  rig::Record("worker p-4 joins");
+  AddWorker(c, "portal", {0, "p-5", "", 0, kWorkMs, "chunked", ""});
+  rig::Record("worker p-5 joins");
   rig::SleepMs(2'500);
   if (c.has_trouble) {
     rig::Record("drill: the store goes away");
@@ -465,8 +465,8 @@
     rig::Record(
         "the store returns from a copy of 3.4 s before, which lists p-1");
     rig::SleepMs(300);
-    PutRecord(c, c.workers[3], "ready");
-    rig::Record("worker p-4 writes its entry again");
+    PutRecord(c, c.workers[4], "ready");
+    rig::Record("worker p-5 writes its entry again");
     rig::SleepMs(300);
     rig::CutCalls(platform, false);
     rig::Record("the store cuts off the watches that wait");
