Tell an outage of the store from a silent connection

Cause: one failed call counted as an outage, in which records of live targets may expire, so a target missing from the next list was kept for 2 s more. The same held for a list of another VM that arrived between the failed call and the next one.

StoreOutage.TargetThatLeaves... and .TargetMissingFromAPeersList... failed on: t1 was still there after 3 s, and after the other VM's list.

Now a failure that may be of one connection alone shows an outage only if the next call, on a new connection, fails too. An outage that this misses is over within one call, before records expire.

--- a/waxwing/adapter.h
+++ b/waxwing/adapter.h
@@ -229,6 +229,9 @@
   store_failure failure = store_failure::kUnavailable;
   std::string detail;
   std::uint64_t era = 0;
+  // The store may be in service: the call failed on a connection that had been
+  // used before, or that became unresponsive while the call waited for changes.
+  bool may_be_of_connection = false;
 };
 
 struct stored_object {
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -110,6 +110,9 @@
   instant unreachable_at;
   // Since when calls to the store have failed, if they do.
   std::optional<instant> unavailable_since;
+  // The store itself was out of reach at some time since then, not only one
+  // connection to it. Records of live targets may have expired meanwhile.
+  bool is_outage = false;
   // No source has confirmed for some time that this VM has all changes.
   bool is_unconfirmed = false;
 };
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -4,12 +4,15 @@
 // it to this VM (entry_replication.cc). A failed watch is retried after an
 // increasing delay; the known objects stay in use meanwhile. If a list follows
 // an outage, targets that are missing from it are kept for the time in which
-// expired records may be listed again, and then dropped.
+// expired records may be listed again, and then dropped. A connection that
+// becomes unresponsive is not an outage: no record expires because of it.
 
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <set>
 
+#include <tl/expected.hpp>
+
 #include "waxwing/entry_state.h"
 #include "waxwing/log.h"
 
@@ -173,8 +176,15 @@
   DropMissing(state, kind, listed, source);
 }
 
-// Reads all pages of a kind. Returns false if a call failed.
-asio::awaitable<bool> ListAll(entry_ptr state, object_kind kind) {
+using store_status = tl::expected<void, store_error>;
+
+store_status Failed(std::string detail) {
+  return tl::unexpected(
+      store_error{store_failure::kUnavailable, std::move(detail)});
+}
+
+// Reads all pages of a kind.
+asio::awaitable<store_status> ListAll(entry_ptr state, object_kind kind) {
   watch_position& position = state->watches[kind];
   const std::uint64_t known_revision = position.revision;
   const instant began = SuspendAwareNow();
@@ -186,14 +196,13 @@
     const std::uint64_t era = state->store_era;
     const auto page = co_await state->protocol.list(state->store, kind, after);
     if (!ObserveEra(*state, page))
-      co_return false;
-    // Pages of two eras make no list.
+      co_return Failed("the response is of an earlier era");
     if (state->store_era != era && !after.empty())
-      co_return false;
+      co_return Failed("the pages are of two eras");
     if (!page) {
       LogDebug("list_failed",
                {{"kind", NameOf(kind)}, {"error", page.error().detail}});
-      co_return false;
+      co_return tl::unexpected(page.error());
     }
     // Later pages may be newer; the watch starts from the revision of the
     // first.
@@ -215,7 +224,7 @@
   position.confirmed_at = began;
   position.published_at = began;
   PublishSnapshot(*state, kind);
-  co_return true;
+  co_return store_status();
 }
 
 void RecordStoreResponse(watch_position& position, object_kind kind) {
@@ -223,21 +232,29 @@
     return;
   LogInfo("store_regained", {{"kind", NameOf(kind)},
                              {"away_ms", ToMs(std::chrono::steady_clock::now() -
-                                              *position.unavailable_since)}});
+                                              *position.unavailable_since)},
+                             {"outage", position.is_outage}});
   position.unavailable_since.reset();
+  position.is_outage = false;
 }
 
-// Records that a call failed that began at `began`.
+// Records that a call failed that began at `began`. A failure that may be of
+// one connection alone shows an outage if the next call fails as well.
 void RecordStoreFailure(watch_position& position,
                         object_kind kind,
-                        instant began) {
+                        instant began,
+                        const store_error& error) {
   if (position.unavailable_since) {
     position.unreachable_at = began;
+    position.is_outage = true;
     return;
   }
   position.unavailable_since = std::chrono::steady_clock::now();
-  LogWarning("store_lost",
-             {{"kind", NameOf(kind)}, {"revision", position.revision}});
+  position.is_outage = !error.may_be_of_connection;
+  LogWarning("store_lost", {{"kind", NameOf(kind)},
+                            {"revision", position.revision},
+                            {"error", error.detail},
+                            {"outage", position.is_outage}});
 }
 
 // Ends an outage, since a zone watcher replaces the store as the source of this
@@ -247,10 +264,11 @@
     return;
   LogInfo("store_regained", {{"kind", NameOf(kind)}, {"by", "reader"}});
   position.unavailable_since.reset();
+  position.is_outage = false;
 }
 
-// Makes one watch call. Returns false if it failed other than by lost history.
-asio::awaitable<bool> WatchOnce(entry_ptr state, object_kind kind) {
+// Makes one watch call. Lost history is no failure.
+asio::awaitable<store_status> WatchOnce(entry_ptr state, object_kind kind) {
   watch_position& position = state->watches[kind];
   const instant began = SuspendAwareNow();
   const std::uint64_t era = state->store_era;
@@ -259,17 +277,18 @@
   const auto changes = co_await state->protocol.watch(
       state->store, kind, known_revision, WatchWait(kind));
   if (!ObserveEra(*state, changes))
-    co_return false;
+    co_return Failed("the response is of an earlier era");
   // The watched revision was of an earlier era; the list that is due now has
   // all changes since.
   if (state->store_era != era)
-    co_return true;
+    co_return store_status();
   if (!changes) {
-    if (changes.error().failure == store_failure::kHistoryGone)
-      LogInfo("history_gone", {{"kind", NameOf(kind)}});
     // A new list recovers the changes that were missed.
     position.is_listed = false;
-    co_return changes.error().failure == store_failure::kHistoryGone;
+    if (changes.error().failure != store_failure::kHistoryGone)
+      co_return tl::unexpected(changes.error());
+    LogInfo("history_gone", {{"kind", NameOf(kind)}});
+    co_return store_status();
   }
   const instant arrived = EarliestArrival(state->stalls, SuspendAwareNow());
   const instant made_after =
@@ -288,7 +307,7 @@
   position.confirmed_at = arrived;
   position.published_at = arrived;
   PublishChanges(*state, kind, *changes, after, made_after);
-  co_return true;
+  co_return store_status();
 }
 
 }  // namespace
@@ -297,8 +316,8 @@
   return kind == object_kind::kHolds ? kHoldsWatchWait : kWatchWait;
 }
 
-// Targets are dropped at once if the store was available all along and has lost
-// nothing, otherwise after the time in which records may be listed again.
+// Targets are dropped at once if the store was in service all along and has
+// lost nothing, otherwise after the time in which records may be listed again.
 void DropMissing(entry_state& state,
                  object_kind kind,
                  const object_list& listed,
@@ -317,17 +336,22 @@
   if (kind != object_kind::kTargets)
     return;
   const watch_position& position = state.watches[kind];
-  const bool after_outage =
-      position.unavailable_since.has_value() || position.has_lost_changes;
+  const bool after_outage = position.is_outage || position.has_lost_changes;
   const instant now = std::chrono::steady_clock::now();
   std::vector<std::string> gone;
   for (auto& [id, target] : state.targets) {
     if (names.contains(id))
       continue;
-    if (after_outage && !target.drop_at)
-      target.drop_at = now + state.options.bounds.relist_grace;
-    else if (!after_outage)
+    if (!after_outage) {
       gone.push_back(id);
+    } else if (!target.drop_at) {
+      target.drop_at = now + state.options.bounds.relist_grace;
+      LogInfo("target_missing",
+              {{"target", id},
+               {"source", source.name},
+               {"after", position.has_lost_changes ? "lost_changes" : "outage"},
+               {"kept_ms", state.options.bounds.relist_grace.count()}});
+    }
   }
   for (const std::string& id : gone)
     DropTarget(state, id, source);
@@ -422,18 +446,18 @@
       continue;
     }
     const instant began = SuspendAwareNow();
-    bool succeeded = false;
+    store_status status;
     if (!state->watches[kind].is_listed)
-      succeeded = co_await ListAll(state, kind);
+      status = co_await ListAll(state, kind);
     else
-      succeeded = co_await WatchOnce(state, kind);
+      status = co_await WatchOnce(state, kind);
     watch_position& position = state->watches[kind];
-    if (succeeded) {
+    if (status) {
       RecordStoreResponse(position, kind);
       pause = kMinRetryPause;
       continue;
     }
-    RecordStoreFailure(position, kind, began);
+    RecordStoreFailure(position, kind, began, status.error());
     co_await Pause(state->root, pause);
     pause = std::min(pause * 2, kMaxRetryPause);
   }
--- a/waxwing/http.h
+++ b/waxwing/http.h
@@ -45,6 +45,8 @@
   // True if any byte of the request may have reached the peer.
   bool maybe_sent = false;
   std::string detail;
+  // The connection had been used before this call and may have failed alone.
+  bool on_reused_connection = false;
 };
 
 // The value of the first field named `name`; empty if there is none.
--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -303,6 +303,7 @@
       if (response)
         co_return response;
       was_sent = true;
+      response.error().on_reused_connection = true;
       // If the idle connection timed out, the others may be unresponsive too.
       if (response.error().failure == http_failure::kTimeout)
         pool.state->idle.erase(address);
