Drop a missing target that reports newer weights

A target that was missing from the store after an outage was to be dropped after 2 s, but was kept for good once a response had stated newer weights: what the target reports was applied like its record, which ended the wait.

Now only a record that the store lists ends it. StoreOutage.MissingTargetThatReportsNewWeightsIsDropped failed before (kept for the 3 s of the test) and passes.

--- a/testing/store_outage_test.cc
+++ b/testing/store_outage_test.cc
@@ -123,5 +123,18 @@
   EXPECT_TRUE(f.RunUntil([&] { return f.IsKeptForNow("t1"); }));
 }
 
+// A target that was missing from the store was kept for good once it had
+// reported newer weights in a response.
+TEST(StoreOutage, MissingTargetThatReportsNewWeightsIsDropped) {
+  outage_fixture f;
+  f.store->is_down = true;
+  ASSERT_TRUE(f.WaitUntilCallFailed());
+  RemoveObject(*f.store, "servers", "t1");
+  f.store->is_down = false;
+  ASSERT_TRUE(f.RunUntil([&] { return f.IsKeptForNow("t1"); }));
+  RecordTargetWeights(f.State(), "t1", 2);
+  EXPECT_TRUE(f.RunUntil([&] { return !f.HasTarget("t1"); }));
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -94,7 +94,6 @@
       IsSameIncarnation(found->second.record, record)) {
     listed_target& target = found->second;
     target_view& view = state.placement.targets[target.index];
-    target.drop_at.reset();
     ApplyIdentity(view, view.boot_id,
                   std::to_string(std::max(target.record.weights_version,
                                           record.weights_version)));
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -123,6 +123,7 @@
     return;
   }
   AddOrUpdateTarget(state, *parsed, source);
+  state.targets.at(parsed->id).drop_at.reset();
 }
 
 // Applies an announcement of weights. Returns false if a newer one is known.
