Choose the cache salt by the newest configuration

Cause: the salt followed from the run's route table, which a request keeps from start to end.

Now the group of accounts with which a request shares entries follows from the newest table at each choice of a target, and is part of the prefix chain and the cached segments, which are computed anew if it changes.

--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -15,29 +15,31 @@
 // which the response needs to reach the caller.
 constexpr milliseconds kResponseTransitTime{5};
 
-// Accounts that are not isolated share their cache entries, but not with those
-// that the same accounts and others shared before one of them was isolated.
-std::string CacheOwner(const forward_run& run) {
-  if (run.account.is_isolated)
-    return "a-" + run.account.name;
-  std::string out = "shared";
-  if (run.table->isolated_accounts != 0)
-    out.append("-").append(ToHex(run.table->isolated_accounts));
-  return out;
-}
-
 // The salt contains the weights version, so that entries of other weights never
 // match.
 std::string CacheSalt(const forward_run& run, std::string_view weights) {
-  return CacheOwner(run) + "-" + std::string(weights);
+  return run.cache_group + "-" + std::string(weights);
 }
 
 }  // namespace
 
 void PreparePrompt(forward_run& run) {
-  const std::string owner = CacheOwner(run);
+  if (run.cache_group_table == run.state->table)
+    return;
+  run.cache_group_table = run.state->table;
+  std::string group = CacheGroup(*run.cache_group_table, run.account);
+  if (group == run.cache_group)
+    return;
+  if (!run.cache_group.empty())
+    LogInfo("cache_group_changed", {{"request", run.request.id},
+                                    {"account", run.account.name},
+                                    {"config", run.cache_group_table->version},
+                                    {"before", run.cache_group},
+                                    {"group", group}});
+  run.cache_group = std::move(group);
+  run.cached_segments.clear();
   run.chain =
-      ComputeSegmentPrefix({owner, run.request.model, "", ""},
+      ComputeSegmentPrefix({run.cache_group, run.request.model, "", ""},
                            run.request.segments, run.request.prompt_tokens);
 }
 
@@ -88,6 +90,7 @@
 
 std::optional<engine_choice> ChooseEngineFor(forward_run& run,
                                              bool is_last_resort) {
+  PreparePrompt(run);
   engine_request query;
   query.service = run.service;
   query.prompt = {run.chain.tokens, run.chain.head_tokens, run.chain.head,
@@ -358,6 +361,7 @@
         std::chrono::duration_cast<milliseconds>(*attempt.time_to_start),
         milliseconds(1), out.time_left);
   if (run.matched_route->has_prompt) {
+    PreparePrompt(run);
     out.priority = RequestPriority(*run.table, *run.matched_route, run.account);
     const std::int64_t weights = attempt.target.record.weights_version;
     out.cache_salt = CacheSalt(run, std::to_string(weights));
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -72,6 +72,10 @@
   int ends_in_doubt = 0;
   std::optional<send_refusal> refused;
   std::optional<account_charge> charge;
+  // The accounts with which the request shares cache entries, and the
+  // configuration that says so: the newest one at the last choice of a target.
+  std::string cache_group;
+  std::shared_ptr<const route_table> cache_group_table;
   prefix_chain chain;
   // The prompt's segments with their cache keys, by weights version.
   std::map<std::string, std::vector<cached_segment>, std::less<>>
@@ -189,7 +193,9 @@
 
 // --- entry_dispatch.cc
 
-// Computes the prompt's prefix chain, whose head determines the home target.
+// Computes with whom the request shares cache entries, and the prompt's prefix
+// chain, whose head determines the home target. Has an effect again if a newer
+// configuration has come into force: the request may have waited meanwhile.
 void PreparePrompt(forward_run& run);
 
 // Returns the engine that the request would be sent to now.
--- a/waxwing/route_table.cc
+++ b/waxwing/route_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "waxwing/hash.h"
+
 namespace waxwing {
 
 void AddRoute(route_table& table, route added) {
@@ -14,6 +16,24 @@
   list.insert(position, std::move(added));
 }
 
+void SetIsolatedAccounts(route_table& table,
+                         std::set<std::string, std::less<>> names) {
+  table.isolated_accounts = std::move(names);
+  table.isolated_accounts_hash = 0;
+  for (const std::string& name : table.isolated_accounts)
+    table.isolated_accounts_hash =
+        CombineHashes(table.isolated_accounts_hash, Hash64(name));
+}
+
+std::string CacheGroup(const route_table& newest, const account_info& account) {
+  if (account.is_isolated || newest.isolated_accounts.contains(account.name))
+    return "a-" + account.name;
+  std::string out = "shared";
+  if (newest.isolated_accounts_hash != 0)
+    out.append("-").append(ToHex(newest.isolated_accounts_hash));
+  return out;
+}
+
 const route* FindRoute(const route_table& table,
                        std::string_view host,
                        std::string_view path) {
--- a/waxwing/route_table.h
+++ b/waxwing/route_table.h
@@ -3,7 +3,7 @@
 //
 // A route table is one version of the operators' configuration. A new version
 // replaces the table as a whole; a request uses the same table from start to
-// end.
+// end, but the newest one for the isolation of its account.
 
 #ifndef WAXWING_ROUTE_TABLE_H_
 #define WAXWING_ROUTE_TABLE_H_
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -116,8 +117,10 @@
   bool has_accounts = false;
   // By account key.
   std::map<std::string, account_info, std::less<>> account_of_key;
-  // Hash of the names of all isolated accounts; 0 if there are none.
-  std::uint64_t isolated_accounts = 0;
+  // Names of the isolated accounts, and their hash; 0 if there are none. Set by
+  // SetIsolatedAccounts().
+  std::set<std::string, std::less<>> isolated_accounts;
+  std::uint64_t isolated_accounts_hash = 0;
   // By account, of those that have one.
   std::map<std::string, account_limit, std::less<>> limits_by_account;
   caller_limits limits;
@@ -126,6 +129,15 @@
 // Adds a route to its host's list, after all longer path prefixes.
 void AddRoute(route_table& table, route added);
 
+void SetIsolatedAccounts(route_table& table,
+                         std::set<std::string, std::less<>> names);
+
+// Returns the name of the group of accounts with which a request shares cache
+// entries. `account` is as the table in force at the request's arrival had it,
+// and `newest` the table in force now. Accounts that are not isolated do not
+// share the entries that they shared while other accounts were isolated.
+std::string CacheGroup(const route_table& newest, const account_info& account);
+
 // The route for a host, with or without a port, and a path. Null if none
 // matches.
 const route* FindRoute(const route_table& table,
