Forward requests only to VMs with the sender's newest configuration

A request that a VM forwarded after it had learned of a new configuration was served by a VM that still had the older one, under which it had arrived: with that VM's routes, keys and cache salts.

Cause: the statement on a forwarded request had the version of the run's own table, not of the newest one that the sender knows.

VmsWithoutTargets.RequestIsNotForwardedToAVmWithAnOlderConfiguration failed on (the other VM ran the request) and passes: that VM declines.

--- a/testing/vm_without_targets_test.cc
+++ b/testing/vm_without_targets_test.cc
@@ -262,6 +262,26 @@
   }
 }
 
+// A request was served by a VM that still had the configuration under which it
+// had arrived elsewhere, and used cache entries that were shared no longer.
+TEST(VmsWithoutTargets, RequestIsNotForwardedToAVmWithAnOlderConfiguration) {
+  cut_fixture f(2);
+  f.ServedOf(0, milliseconds(300));
+  f.Cut(0, path_cut::kHanging);
+  const std::string id = "r" + std::to_string(f.next_id);
+  bool is_done = false;
+  asio::co_spawn(
+      f.context, f.Call(0, f.MakeRequest(kResumablePath)),
+      [&](const std::exception_ptr&, const auto&) { is_done = true; });
+  entry_state& state = *f.vms[0].state;
+  ASSERT_TRUE(f.RunUntil([&] { return !state.runs.empty(); }));
+  auto newer = std::make_shared<route_table>(*state.table);
+  ++newer->version;
+  state.table = std::move(newer);
+  EXPECT_TRUE(f.RunUntil([&] { return is_done; }));
+  EXPECT_EQ(f.Arrivals()[id], 0);
+}
+
 TEST(VmsWithoutTargets, ForwardedRequestKeepsItsServiceDeadlineAndOrigin) {
   http_request request;
   const stream_origin origin{"llm", "v2", "engine-1", 7};
--- a/waxwing/entry_peers.cc
+++ b/waxwing/entry_peers.cc
@@ -126,7 +126,8 @@
   forwarded_request forwarded;
   forwarded.vm = state.options.vm;
   forwarded.service = run.service;
-  forwarded.config_version = run.table->version;
+  // The other VM must know all changes that this one knows by now.
+  forwarded.config_version = state.table->version;
   forwarded.time_left =
       std::max(milliseconds(1), TimeLeft(run) - kPeerTransitTime);
   forwarded.is_counted = run.is_counted;
