Reject responses without a valid status

A target's response with status 000 and Not-Executed was believed: a request that must not run twice ran at up to four targets, and its caller was told that it had not run (503).

Cause: the parser takes any three digits for a status.

CutResponse.ResponseWithoutAValidStatusIsNoAnswer (four runs instead of one) and Http.ResponseWithoutAValidStatusIsMalformed failed on.

--- a/testing/cut_response_test.cc
+++ b/testing/cut_response_test.cc
@@ -20,18 +20,19 @@
 
 struct cut_fixture : entry_fixture {
   // Sends a request on a connection of its own.
-  received_response SendRaw(std::string_view path) {
+  received_response SendRaw(std::string_view path, std::string_view body = "") {
     asio::ip::tcp::socket caller(context);
     caller.connect({asio::ip::make_address("127.0.0.1"),
                     running.state->caller_server.address.port});
-    asio::write(caller,
-                asio::buffer("POST " + std::string(path) +
-                             " HTTP/1.1\r\nHost: calls.example\r\nRequest-Id: "
-                             "r" +
-                             std::to_string(next_id++) +
-                             "\r\nDeadline-Ms: 1000\r\nAuthorization: Token "
-                             "key-1\r\nConnection: close\r\nContent-Length: "
-                             "0\r\n\r\n"));
+    const std::string request =
+        "POST " + std::string(path) +
+        " HTTP/1.1\r\nHost: calls.example\r\nRequest-Id: r" +
+        std::to_string(next_id++) +
+        "\r\nDeadline-Ms: 1000\r\nAuthorization: Token key-1\r\n"
+        "Connection: close\r\nContent-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+    asio::async_write(caller, asio::buffer(request),
+                      [](const boost::system::error_code&, std::size_t) {});
     received_response out;
     std::array<char, 4096> buffer;
     bool is_closed = false;
@@ -132,5 +133,144 @@
   }
 }
 
+// A response head whose status line states `status`.
+std::string HeadWithStatus(std::string_view status, std::string_view id) {
+  return "HTTP/1.1 " + std::string(status) +
+         " X\r\nRequest-Id: " + std::string(id) + "\r\nServer-Stamp: stamp\r\n";
+}
+
+// A request that must not run twice was sent to further targets, and callers
+// were told that it had not run, after a target had answered with status 000.
+TEST(CutResponse, ResponseWithoutAValidStatusIsNoAnswer) {
+  for (const std::string_view path :
+       {kStreamPath, kResumablePath, kNonIdempotentPath, kIdempotentPath}) {
+    for (const std::string_view status : {"000", "001", "099"}) {
+      for (const std::string_view mark : {"", "Not-Executed: 1\r\n"}) {
+        cut_fixture f;
+        int runs = 0;
+        const auto script =
+            [&](const http_request& request) -> scripted_response {
+          if (request.target.starts_with("/api/"))
+            return {{PlainResponse(404, "", "{}")}};
+          ++runs;
+          return {{HeadWithStatus(status, IdOf(request)) + std::string(mark) +
+                   "Content-Length: 5\r\n\r\nFAULT"}};
+        };
+        for (const char* id : {"1", "2"}) {
+          f.AddTarget("e" + std::string(id), "llm", script);
+          f.AddTarget("t" + std::string(id), "panel", script);
+        }
+        f.Start(4);
+        const received_response response = f.SendRaw(path);
+        const auto context = std::string(path) + ", " + std::string(status) +
+                             " " + std::string(mark);
+        EXPECT_TRUE(response.bytes.starts_with("HTTP/1.1 502"))
+            << context << ": " << response.bytes;
+        EXPECT_EQ(response.bytes.find("FAULT"), std::string::npos) << context;
+        if (path == kStreamPath || path == kNonIdempotentPath) {
+          EXPECT_EQ(runs, 1) << context;
+        }
+      }
+    }
+  }
+}
+
+// A target that answers an upload at once, with a body that ends with its
+// connection, and resets the connection `delay` later.
+struct hasty_target {
+  asio::ip::tcp::acceptor acceptor;
+  milliseconds delay;
+
+  hasty_target(asio::io_context& context, milliseconds reset_delay)
+      : acceptor(context, {asio::ip::make_address("127.0.0.1"), 0}),
+        delay(reset_delay) {
+    asio::co_spawn(context, Serve(), asio::detached);
+  }
+
+  asio::awaitable<void> Serve() {
+    while (true) {
+      auto [error, socket] =
+          co_await acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
+      if (error)
+        co_return;
+      co_await Respond(std::move(socket));
+    }
+  }
+  asio::awaitable<void> Respond(asio::ip::tcp::socket socket) const {
+    constexpr std::string_view kIdField = "Request-Id: ";
+    std::string head(4096, '\0');
+    const auto [read_error, size] = co_await socket.async_read_some(
+        asio::buffer(head), asio::as_tuple(asio::use_awaitable));
+    const std::size_t field = head.find(kIdField);
+    if (read_error || field == std::string::npos)
+      co_return;
+    const std::size_t at = field + kIdField.size();
+    const std::string id = head.substr(at, head.find('\r', at) - at);
+    const std::string response = HeadWithStatus("200", id) +
+                                 "Content-Type: text/event-stream\r\n\r\n"
+                                 "id: 1\ndata: FAULT\n\n";
+    co_await asio::async_write(socket, asio::buffer(response),
+                               asio::as_tuple(asio::use_awaitable));
+    asio::steady_timer timer(socket.get_executor(), delay);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+  }
+};
+
+// Guards against a part of a response that is taken for a whole one because the
+// connection was reset while the request was still being written.
+TEST(CutResponse, UploadThatIsAnsweredAtOnceAndResetIsNotComplete) {
+  constexpr std::size_t kUploadBytes = 3'200'000;
+  const std::string upload(kUploadBytes, 'u');
+  for (const std::string_view path :
+       {kStreamPath, kResumablePath, kNonIdempotentPath, kIdempotentPath}) {
+    for (const int delay_ms : {0, 60, 400}) {
+      cut_fixture f;
+      hasty_target target(f.context, milliseconds(delay_ms));
+      const endpoint address{"127.0.0.1",
+                             target.acceptor.local_endpoint().port()};
+      PutObject(*f.store, "servers", "e1",
+                EntryTargetRecord(address, "llm", 1));
+      PutObject(*f.store, "servers", "t1",
+                EntryTargetRecord(address, "panel", 0));
+      f.Start(2);
+      const received_response response = f.SendRaw(path, upload);
+      EXPECT_FALSE(response.bytes.empty()) << path << ", " << delay_ms;
+      EXPECT_FALSE(response.bytes.starts_with("HTTP/1.1 200") &&
+                   response.is_complete)
+          << path << ", " << delay_ms << ": " << response.bytes;
+      target.acceptor.close();
+    }
+  }
+}
+
+// The same for a response that goes on with a stream that has broken off.
+TEST(CutResponse, StreamTakenUpByAResponseThatIsResetIsNotComplete) {
+  for (const bool has_events : {false, true}) {
+    cut_fixture f;
+    int runs = 0;
+    const auto script = [&](const http_request& request) -> scripted_response {
+      if (request.target.starts_with("/api/"))
+        return {{PlainResponse(404, "", "{}")}};
+      if (++runs == 1)
+        return {{StreamHead(IdOf(request)), StreamEvent(1, "one")}, true};
+      scripted_response out{{HeadWithStatus("200", IdOf(request)) +
+                             "Content-Type: text/event-stream\r\n\r\n"}};
+      if (has_events)
+        out.pieces.push_back("id: 2\ndata: two\n\n");
+      out.resets_connection = true;
+      return out;
+    };
+    f.AddTarget("e1", "llm", script);
+    f.AddTarget("e2", "llm", script);
+    f.Start(2);
+    const received_response response = f.SendRaw(kResumablePath);
+    EXPECT_GE(runs, 2);
+    EXPECT_NE(response.bytes.find("data: one"), std::string::npos);
+    EXPECT_FALSE(response.is_complete) << response.bytes;
+  }
+}
+
 }  // namespace
 }  // namespace waxwing
--- a/testing/http_test.cc
+++ b/testing/http_test.cc
@@ -298,6 +298,58 @@
   EXPECT_EQ(socket.available(), 0u);
 }
 
+// Calls a peer that answers the first call with `response`, as soon as it has
+// received the beginning of it, and then closes or resets the connection.
+tl::expected<http_response, http_error> FetchFromPeer(std::string response,
+                                                      bool resets,
+                                                      std::string body = "") {
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  asio::co_spawn(
+      context,
+      [&]() -> asio::awaitable<void> {
+        auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+        std::string bytes(1024, '\0');
+        co_await socket.async_read_some(asio::buffer(bytes),
+                                        asio::use_awaitable);
+        co_await asio::async_write(socket, asio::buffer(response),
+                                   asio::use_awaitable);
+        if (resets)
+          socket.set_option(asio::socket_base::linger(true, 0));
+        socket.close();
+      },
+      asio::detached);
+  const http_pool pool = MakeHttpPool(context.get_executor(), {});
+  const endpoint address{"127.0.0.1", acceptor.local_endpoint().port()};
+  const http_request request{"POST", "/", {}, std::move(body)};
+  const http_call_options options{milliseconds(1'000), false};
+  return RunToEnd(context, Fetch(pool, address, request, options));
+}
+
+// Callers of the router got answers with status 000, and a write or an order
+// that was answered so counted as not done.
+TEST(Http, ResponseWithoutAValidStatusIsMalformed) {
+  for (const std::string status : {"000", "001", "099"}) {
+    const auto response = FetchFromPeer(
+        "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\n{}", false);
+    ASSERT_FALSE(response) << status;
+    EXPECT_EQ(response.error().failure, http_failure::kMalformed);
+    EXPECT_TRUE(response.error().maybe_sent);
+  }
+}
+
+// Guards all calls of the system itself, to targets, caches and the store.
+TEST(Http, ResponseThatAResetCutsIsNoResponse) {
+  constexpr std::size_t kUploadBytes = 3'200'000;
+  for (const std::size_t size : {std::size_t{0}, kUploadBytes}) {
+    const auto response = FetchFromPeer("HTTP/1.1 200 OK\r\n\r\n{}", true,
+                                        std::string(size, 'u'));
+    ASSERT_FALSE(response) << size;
+    EXPECT_TRUE(response.error().maybe_sent);
+  }
+}
+
 TEST(Http, HandlerThatThrowsGivesStatus500) {
   asio::io_context context;
   auto server = *StartHttpServer(context.get_executor(), {"127.0.0.1", 0}, {},
--- a/waxwing/http_client.cc
+++ b/waxwing/http_client.cc
@@ -138,6 +138,16 @@
   return {http_failure::kMalformed, true, "a response begins within a head"};
 }
 
+// The parser accepts any three digits.
+bool HasValidStatus(const http::response_parser<http::buffer_body>& parser) {
+  constexpr unsigned kMinStatus = 100;
+  return parser.get().result_int() >= kMinStatus;
+}
+
+http_error InvalidStatus() {
+  return {http_failure::kMalformed, true, "the status is invalid"};
+}
+
 // Removes an idle connection from the pool, if there is a recent one.
 std::optional<beast::tcp_stream> TakeIdleConnection(
     detail::http_pool_state& pool,
@@ -264,6 +274,8 @@
     co_return tl::unexpected(MakeError(read_error, true));
   if (IsJoined(*call->parser))
     co_return tl::unexpected(JoinedResponses());
+  if (!HasValidStatus(*call->parser))
+    co_return tl::unexpected(InvalidStatus());
   http_call out;
   out.head = ResponseHead(*call->parser);
   out.ends_with_connection = call->parser->need_eof();
@@ -412,6 +424,8 @@
     co_return tl::unexpected(MakeError(error, true));
   if (IsJoined(*state.parser))
     co_return tl::unexpected(JoinedResponses());
+  if (!HasValidStatus(*state.parser))
+    co_return tl::unexpected(InvalidStatus());
   call.head = ResponseHead(*state.parser);
   call.ends_with_connection = state.parser->need_eof();
   co_return tl::expected<void, http_error>();
