Read event IDs without a space, and never resume without one

Cause: an ID was found only behind "id: ", with the space, which the format makes optional. Events without a known ID were passed on all the same, and the stream was then resumed after event 0.

Now the space may be missing and lines may end with CRLF. A stream with an event that has no readable ID is cut when its target breaks off, since it is not known where it stands; comments don't count.

--- a/testing/http_test.cc
+++ b/testing/http_test.cc
@@ -388,6 +388,28 @@
   EXPECT_EQ(buffer, "data: half");
 }
 
+// Streams were resumed from their beginning as the IDs of events that are
+// written without a space were not recognized.
+TEST(Sse, SpaceAfterAFieldNameIsOptional) {
+  EXPECT_EQ(EventId("id:7\ndata:a\n\n"), 7u);
+  EXPECT_EQ(EventId("data:a\nid:7\n\n"), 7u);
+  EXPECT_EQ(EventId("id:  7\ndata: a\n\n"), std::nullopt);
+  EXPECT_EQ(EventId("id\n\n"), std::nullopt);
+  EXPECT_EQ(EventData("id:7\ndata:a b\n\n"), "a b");
+  EXPECT_EQ(EventData("data: a\n\n"), "a");
+  EXPECT_TRUE(IsDoneEvent("data:[DONE]\n\n"));
+}
+
+TEST(Sse, LinesMayEndWithCarriageReturnAndLineFeed) {
+  std::string_view buffer = "id: 7\r\ndata: a\r\n\r\nid: 8\r\n";
+  const std::string_view first = ConsumeEvent(buffer);
+  EXPECT_EQ(first, "id: 7\r\ndata: a\r\n\r\n");
+  EXPECT_EQ(EventId(first), 7u);
+  EXPECT_EQ(EventData(first), "a");
+  EXPECT_TRUE(ConsumeEvent(buffer).empty());
+  EXPECT_EQ(buffer, "id: 8\r\n");
+}
+
 TEST(Sse, ReadsUsage) {
   const auto usage = EventUsage(
       "data: {\"usage\":{\"prompt_tokens\":10,\"completion_tokens\":2,"
--- a/testing/stream_build_test.cc
+++ b/testing/stream_build_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+
 #include "testing/take_up_fixture.h"
 
 namespace waxwing {
@@ -441,6 +443,65 @@
   EXPECT_EQ(f.targets[0]->requests.size(), 2u);
 }
 
+// Returns the events 1 to 3 that a target sends after the one that the caller
+// has. The first response breaks off after event 2.
+std::vector<std::string> EventsAfter(const http_request& request,
+                                     const std::array<std::string, 3>& events,
+                                     bool is_first) {
+  std::vector<std::string> out{StreamHead(IdOf(request))};
+  const std::string last(FindHeader(request.headers, "Last-Event-Id"));
+  const std::size_t begin = last.empty() ? 0 : std::stoul(last);
+  for (std::size_t i = begin; i < (is_first ? 2 : events.size()); ++i) {
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", events[i].size());
+    out.push_back(size + events[i] + "\r\n");
+  }
+  if (!is_first)
+    out.push_back(StreamEnd());
+  return out;
+}
+
+// What a caller gets of a stream whose first target breaks off. Empty if the
+// response is not complete.
+std::string ResumedStream(const std::array<std::string, 3>& events) {
+  entry_fixture f;
+  int runs = 0;
+  const auto script = [&](const http_request& request) -> scripted_response {
+    if (request.target.starts_with("/api/"))
+      return {{PlainResponse(404, "", "{}")}};
+    const bool is_first = ++runs == 1;
+    return {EventsAfter(request, events, is_first), is_first};
+  };
+  f.AddTarget("e1", "llm", script);
+  f.AddTarget("e2", "llm", script);
+  f.Start(2);
+  const auto response = f.Send(kResumablePath);
+  return response ? response->body : "";
+}
+
+// Callers got the events of a stream twice after its target had ended, since
+// the stream was resumed from its beginning.
+TEST(StreamResume, EventsWithoutASpaceInTheirIdComeOnce) {
+  const std::array<std::string, 3> events = {
+      "id:1\ndata:a\n\n", "id:2\ndata:b\n\n", "id:3\ndata:c\n\n"};
+  EXPECT_EQ(ResumedStream(events), events[0] + events[1] + events[2]);
+}
+
+// Where such a stream stands is not known, so it is cut rather than resumed.
+TEST(StreamResume, StreamWithEventsThatHaveNoIdIsNotResumed) {
+  EXPECT_EQ(ResumedStream({"data: a\n\n", "data: b\n\n", "data: c\n\n"}), "");
+  EXPECT_EQ(ResumedStream(
+                {"id: 1\ndata: a\n\n", "data: b\n\n", "id: 3\ndata: c\n\n"}),
+            "");
+}
+
+TEST(StreamResume, CommentsDoNotKeepAStreamFromBeingResumed) {
+  EXPECT_EQ(ResumedStream(
+                {"id: 1\ndata: a\n\n", ": comment\n\n", "id: 3\ndata: c\n\n"}),
+            "id: 1\ndata: a\n\n: comment\n\n: comment\n\n"
+            "id: 3\ndata: c\n\n");
+}
+
 TEST(StreamResume, StreamThatWasNotResumedAndHasNoEventIsNotComplete) {
   entry_fixture f;
   f.AddTarget("e0", "llm", [](const http_request& request) {
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -165,8 +165,8 @@
 
 // True if another target may be tried after this outcome.
 bool MayRetryElsewhere(forward_run& run, forward_outcome outcome) {
-  if (run.caller_gone || run.is_cut_short || run.sends >= kMaxSends ||
-      run.ends_in_doubt >= kMaxEndsInDoubt ||
+  if (run.caller_gone || run.is_cut_short || run.has_unnumbered_event ||
+      run.sends >= kMaxSends || run.ends_in_doubt >= kMaxEndsInDoubt ||
       std::chrono::steady_clock::now() >= run.deadline)
     return false;
   if (outcome == forward_outcome::kNotRun)
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -246,6 +246,8 @@
         continue;
       if (id)
         run.last_event_id = *id;
+      else if (!IsComment(event))
+        run.has_unnumbered_event = true;
       events += event;
     }
     if (received_events >= kEventsToSurvive)
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -111,6 +111,9 @@
   // `last_event_id`.
   bool stream_started = false;
   std::uint64_t last_event_id = 0;
+  // The caller may have an event without an ID, so it is not known where
+  // another target would have to go on.
+  bool has_unnumbered_event = false;
   // The target that began the stream, once the caller has an event of it.
   std::optional<stream_origin> origin;
   // Before that, the build of the first target of which other VMs may have a
--- a/waxwing/sse.cc
+++ b/waxwing/sse.cc
@@ -8,21 +8,32 @@
 namespace waxwing {
 namespace {
 
-constexpr std::string_view kIdField = "id: ";
-constexpr std::string_view kDataField = "data: ";
+constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kDataField = "data:";
 constexpr std::string_view kContentField = "\"content\":\"";
 constexpr std::string_view kUsageField = "\"usage\":";
 constexpr std::int64_t kMaxTokens = 1'000'000'000;
 
-// The rest of the first line that starts with `prefix`; empty if none does.
+// Removes the first line from `text` and returns it without its end.
+std::string_view ConsumeLine(std::string_view& text) {
+  const std::size_t end = std::min(text.find('\n'), text.size());
+  std::string_view line = text.substr(0, end);
+  text.remove_prefix(std::min(end + 1, text.size()));
+  if (line.ends_with('\r'))
+    line.remove_suffix(1);
+  return line;
+}
+
+// The value of the first line that starts with `prefix`; empty if none does.
 std::string_view ReadField(std::string_view event, std::string_view prefix) {
-  std::size_t pos = 0;
-  while (pos < event.size()) {
-    const std::size_t end = std::min(event.find('\n', pos), event.size());
-    const std::string_view line = event.substr(pos, end - pos);
-    if (line.starts_with(prefix))
-      return line.substr(prefix.size());
-    pos = end + 1;
+  while (!event.empty()) {
+    std::string_view line = ConsumeLine(event);
+    if (!line.starts_with(prefix))
+      continue;
+    line.remove_prefix(prefix.size());
+    if (line.starts_with(' '))
+      line.remove_prefix(1);
+    return line;
   }
   return {};
 }
@@ -36,12 +47,28 @@
 }  // namespace
 
 std::string_view ConsumeEvent(std::string_view& buffer) {
-  const std::size_t end = buffer.find("\n\n");
-  if (end == std::string_view::npos)
-    return {};
-  const std::string_view event = buffer.substr(0, end + 2);
-  buffer.remove_prefix(end + 2);
-  return event;
+  std::size_t end = buffer.find('\n');
+  while (end != std::string_view::npos) {
+    const std::string_view rest = buffer.substr(end + 1);
+    const std::size_t blank =
+        rest.starts_with('\n') ? 1 : (rest.starts_with("\r\n") ? 2 : 0);
+    if (blank > 0) {
+      const std::string_view event = buffer.substr(0, end + 1 + blank);
+      buffer.remove_prefix(event.size());
+      return event;
+    }
+    end = buffer.find('\n', end + 1);
+  }
+  return {};
+}
+
+bool IsComment(std::string_view event) {
+  while (!event.empty()) {
+    const std::string_view line = ConsumeLine(event);
+    if (!line.empty() && !line.starts_with(':'))
+      return false;
+  }
+  return true;
 }
 
 std::optional<std::uint64_t> EventId(std::string_view event) {
--- a/waxwing/sse.h
+++ b/waxwing/sse.h
@@ -3,7 +3,8 @@
 // The event of token N carries "id: N". The last one carries a finish reason
 // and the usage; "data: [DONE]" ends the stream. The router forwards events
 // unchanged and parses only what it needs to check that the stream is complete
-// and in order.
+// and in order. As the format allows, the space after a field's colon may be
+// missing, and lines may end with "\r\n".
 
 #ifndef WAXWING_SSE_H_
 #define WAXWING_SSE_H_
@@ -22,6 +23,9 @@
 // front of `buffer` and returns it; empty if there is none yet.
 std::string_view ConsumeEvent(std::string_view& buffer);
 
+// True if an event consists of comments only, which carry no data.
+bool IsComment(std::string_view event);
+
 // The number in the event's "id" field.
 std::optional<std::uint64_t> EventId(std::string_view event);
 
