Check for the exit of leaving targets behind unframed responses

Cause: whether the end of a connection is that of the response or of the target was found out only for targets that were expected to run on.

--- a/testing/unframed_response_test.cc
+++ b/testing/unframed_response_test.cc
@@ -18,6 +18,9 @@
 constexpr std::string_view kFirstEvent = "id: 1\ndata: one\n\n";
 constexpr std::string_view kSecondEvent = "id: 2\ndata: two\n\n";
 
+// The VM has the news of a target's departure within this time.
+constexpr milliseconds kNewsTime{300};
+
 enum class ending { kClosed, kReset, kTargetEnds };
 
 struct unframed_fixture : entry_fixture {
@@ -83,6 +86,47 @@
   }
 }
 
+// Callers got half of a stream, or of a response, as a whole one from a target
+// that was leaving and exited.
+TEST(UnframedResponse, ResponseOfALeavingTargetIsNotCompletedByItsExit) {
+  for (const std::string_view path : {kStreamPath, kNonIdempotentPath}) {
+    for (const int variant : {0, 1, 2, 3}) {
+      const bool is_removed = variant & 1;
+      const bool exits = variant & 2;
+      entry_fixture f;
+      const auto leave = [&](const http_request& request) -> scripted_response {
+        if (request.target.starts_with("/api/"))
+          return {{PlainResponse(404, "", "{}")}};
+        for (const char* id : {"e1", "t1"}) {
+          const bool is_engine = id[0] == 'e';
+          if (is_removed)
+            RemoveObject(*f.store, "servers", id);
+          else
+            PutObject(*f.store, "servers", id,
+                      EntryTargetRecord(f.targets[is_engine ? 0 : 1]->Address(),
+                                        is_engine ? "llm" : "panel",
+                                        is_engine ? 1 : 0, "draining"));
+        }
+        if (exits) {
+          for (const auto& target : f.targets)
+            target->acceptor.close();
+        }
+        scripted_response out{{UnframedHead(IdOf(request), "text/event-stream"),
+                               std::string(kFirstEvent)}};
+        out.closes_connection = true;
+        out.delay = kNewsTime;
+        return out;
+      };
+      f.AddTarget("e1", "llm", leave);
+      f.AddTarget("t1", "panel", leave);
+      f.Start(2);
+      const auto response = f.Send(path);
+      EXPECT_EQ(response && response->status == 200, !exits)
+          << path << ", removed " << is_removed;
+    }
+  }
+}
+
 TEST(UnframedResponse, StreamCutByTheEndOfItsTargetIsResumed) {
   unframed_fixture f;
   f.StartTargetWith("llm", std::string(kFirstEvent), ending::kTargetEnds);
--- a/waxwing/entry_suspects.cc
+++ b/waxwing/entry_suspects.cc
@@ -377,10 +377,9 @@
 asio::awaitable<bool> IsCutByEnd(forward_run& run,
                                  const dispatch& attempt,
                                  const http_call& call) {
-  const target_record target = attempt.target.record;
-  if (!call.ends_with_connection || !IsExpectedToRun(*run.state, target))
+  if (!call.ends_with_connection)
     co_return false;
-  co_return co_await HasEnded(run.state, target);
+  co_return co_await HasEnded(run.state, attempt.target.record);
 }
 
 namespace {
