Ignore an outdated record in all lists of a returned store

Cause: a listed record was compared with what had been removed only up to the first list of the era.

--- a/testing/store_era_test.cc
+++ b/testing/store_era_test.cc
@@ -200,6 +200,62 @@
   EXPECT_TRUE(f.RunUntil([&] { return state.targets.contains("t2"); }));
 }
 
+// Ends the watches in progress, after which everything is listed again.
+void CutWatches(era_fixture& f) {
+  watch_position& position = f.running.state->watches[object_kind::kTargets];
+  f.store->oldest_revision = f.store->revision + 1;
+  EXPECT_TRUE(f.RunUntil([&] { return !position.is_listed; }));
+  f.store->oldest_revision = 0;
+  EXPECT_TRUE(f.RunUntil([&] { return position.is_listed; }));
+}
+
+// Delivers the store's list of targets as another VM would.
+void ReceiveSnapshot(era_fixture& f) {
+  wire::shared_objectsT told;
+  told.era = f.store->era;
+  told.kind = static_cast<std::uint8_t>(object_kind::kTargets);
+  told.revision = f.store->revision;
+  told.is_whole = true;
+  for (const auto& [name, stored] : f.store->objects_by_kind["servers"]) {
+    auto object = std::make_unique<wire::shared_objectT>();
+    object->name = name;
+    object->revision = stored.revision;
+    object->spec = stored.spec;
+    told.objects.push_back(std::move(object));
+  }
+  wire::messageUnion message;
+  message.Set(std::move(told));
+  f.running.state->membership_agent.state->on_replication_message({}, message);
+}
+
+// Requests were lost at the exit of a target that had left: the first list of
+// the older copy was recognized as outdated, but not the second one.
+TEST(StoreEra, TargetThatHasLeftDoesNotReturnWithALaterListOfTheCopy) {
+  for (const bool is_from_peer : {false, true}) {
+    era_fixture f;
+    f.AddTarget("t1", "panel", RespondOk);
+    f.AddTarget("t2", "panel", RespondOk);
+    f.Start(2);
+    const store_copy copy = CopyStore(*f.store);
+    RemoveObject(*f.store, "servers", "t2");
+    const entry_state& state = *f.running.state;
+    ASSERT_TRUE(f.RunUntil([&] { return !state.targets.contains("t2"); }));
+    f.ReturnFrom(copy);
+    ASSERT_TRUE(f.WaitForEra(2));
+    ASSERT_FALSE(state.targets.contains("t2"));
+    if (is_from_peer) {
+      ++f.store->revision;
+      ReceiveSnapshot(f);
+    } else {
+      CutWatches(f);
+    }
+    EXPECT_FALSE(state.targets.contains("t2")) << is_from_peer;
+    PutObject(*f.store, "servers", "t2",
+              EntryTargetRecord(f.targets[1]->Address(), "panel", 0));
+    EXPECT_TRUE(f.RunUntil([&] { return state.targets.contains("t2"); }));
+  }
+}
+
 TEST(StoreEra, TargetMissingFromTheCopyStaysInUseUntilItMustBeBack) {
   era_fixture f;
   const store_copy copy = CopyStore(*f.store);
--- a/waxwing/entry_era.cc
+++ b/waxwing/entry_era.cc
@@ -25,6 +25,7 @@
     for (auto& [name, object] : objects)
       object.revision = 0;
   }
+  state.outdated_records.clear();
   // Holds are written again where the store has lost them.
   state.stored_holds.clear();
   for (auto& [vm, upstream] : state.upstreams)
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -383,6 +383,9 @@
   std::uint32_t next_cache_store = kFirstCacheStore;
   std::map<std::string, listed_target, std::less<>> targets;
   std::map<std::string, removed_target, std::less<>> removed_targets;
+  // Records that the store has brought back from an older copy, of targets that
+  // had left or started again: the revision in this era, by target.
+  std::map<std::string, std::uint64_t, std::less<>> outdated_records;
   // By model.
   std::map<std::string, weights_history, std::less<>> desired_weights;
   std::set<pending_start*> pending_starts;
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -284,6 +284,25 @@
          !service->second.model.empty() && record.weights_version == 0;
 }
 
+// Forgets targets that were removed long ago. If the store still lists one, it
+// is alive: the record of a target that is gone expires sooner.
+void ForgetRemovals(entry_state& state, instant now) {
+  std::vector<std::string> listed_ids;
+  std::erase_if(state.removed_targets, [&](const auto& entry) {
+    if (now <= entry.second.removed_at + kRemovalMemory)
+      return false;
+    if (state.outdated_records.erase(entry.first) > 0)
+      listed_ids.push_back(entry.first);
+    return true;
+  });
+  for (const std::string& id : listed_ids) {
+    const auto known = state.objects[object_kind::kTargets].find(id);
+    if (known != state.objects[object_kind::kTargets].end())
+      ApplyObject(state, object_kind::kTargets, stored_object(known->second),
+                  false, {"list", {}});
+  }
+}
+
 }  // namespace
 
 void RefreshTargets(entry_state& state, instant now) {
@@ -347,9 +366,7 @@
     AssumeWeights(state, id, version);
   for (const std::string& id : expired_ids)
     DropTarget(state, id, {"outage", {}});
-  std::erase_if(state.removed_targets, [&](const auto& entry) {
-    return now > entry.second.removed_at + kRemovalMemory;
-  });
+  ForgetRemovals(state, now);
   // The assumed versions change the costs.
   if (!assumed_weights.empty())
     RefreshTargets(state, now);
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -116,8 +116,14 @@
   // The copy from which the store returned may still list a target that has
   // left, or an earlier start of one. A live one writes its record again, which
   // is a change.
-  if (state.watches[object_kind::kTargets].has_lost_changes &&
+  const auto outdated = state.outdated_records.find(object.name);
+  const bool is_of_copy =
+      state.watches[object_kind::kTargets].has_lost_changes ||
+      (outdated != state.outdated_records.end() &&
+       object.revision <= outdated->second);
+  if (is_of_copy &&
       (WasRemoved(state, *parsed) || IsEarlierStart(state, *parsed))) {
+    state.outdated_records[object.name] = object.revision;
     LogInfo("target_record_outdated",
             {{"target", object.name}, {"revision", object.revision}});
     return;
@@ -332,10 +338,13 @@
     if (object.revision > listed.revision)
       names.insert(name);
   }
-  std::erase_if(
-      known, [&](const auto& entry) { return !names.contains(entry.first); });
+  const auto is_missing = [&](const auto& entry) {
+    return !names.contains(entry.first);
+  };
+  std::erase_if(known, is_missing);
   if (kind != object_kind::kTargets)
     return;
+  std::erase_if(state.outdated_records, is_missing);
   const watch_position& position = state.watches[kind];
   const bool after_outage = position.is_outage || position.has_lost_changes;
   const instant now = std::chrono::steady_clock::now();
@@ -371,16 +380,18 @@
   // A configuration or an announcement that is older than the one in force is
   // not passed on to peers, since they may have only this copy of it.
   bool is_newest = true;
-  if (kind == object_kind::kConfig && !is_removed)
+  if (kind == object_kind::kConfig && !is_removed) {
     is_newest = ApplyConfigObject(state, object, source);
-  else if (kind == object_kind::kTargets && is_removed)
+  } else if (kind == object_kind::kTargets && is_removed) {
     DropTarget(state, object.name, source);
-  else if (kind == object_kind::kTargets)
+    state.outdated_records.erase(object.name);
+  } else if (kind == object_kind::kTargets) {
     ApplyTargetObject(state, object, source);
-  else if (kind == object_kind::kWeights && !is_removed)
+  } else if (kind == object_kind::kWeights && !is_removed) {
     is_newest = ApplyWeightsObject(state, object, source);
-  else if (kind == object_kind::kHolds && !is_removed)
+  } else if (kind == object_kind::kHolds && !is_removed) {
     ApplyHoldObject(state, object);
+  }
   if (is_removed)
     known.erase(object.name);
   else if (is_newest || older == known.end())
