Hold the ports of cut paths in the tests of VMs without targets

Cause: a path that was cut closed its listener and so gave its port back to the system. A test process that started a listener beside it could get that port, and the VM then found a connection on it.

That a VM connects to itself there is ruled out: 0 of 120,000 connects to such a port.

The check is unchanged: connections to a path that is cut are refused as before.

--- a/testing/target_path.cc
+++ b/testing/target_path.cc
@@ -67,13 +67,13 @@
   }
 }
 
-void Listen(target_path& path, int backlog) {
+// Takes the path's port, at first any free one. Connections to it are refused.
+void Bind(target_path& path) {
   path.acceptor = std::make_unique<tcp::acceptor>(*path.context);
   path.acceptor->open(tcp::v4());
   path.acceptor->set_option(tcp::acceptor::reuse_address(true));
   path.acceptor->bind(
       tcp::endpoint(asio::ip::address_v4::loopback(), path.port));
-  path.acceptor->listen(backlog);
   path.port = path.acceptor->local_endpoint().port();
 }
 
@@ -115,12 +115,14 @@
   path->fillers.clear();
   if (cut == path_cut::kResetting)
     ResetAll(*path);
+  // Without it, another process may listen on the port of a path that is cut.
+  Bind(*path);
   if (cut == path_cut::kHanging) {
-    Listen(*path, 0);
+    path->acceptor->listen(0);
     FillBacklog(*path);
   }
   if (cut == path_cut::kNone) {
-    Listen(*path, tcp::acceptor::max_listen_connections);
+    path->acceptor->listen(tcp::acceptor::max_listen_connections);
     asio::co_spawn(*path->context, Accept(path, path->acceptor.get()),
                    asio::detached);
   }
--- a/testing/target_path.h
+++ b/testing/target_path.h
@@ -24,6 +24,7 @@
   waxwing::endpoint target;
   std::uint16_t port = 0;
   path_cut cut = path_cut::kNone;
+  // Bound to `port` all the time, so that nothing else listens there.
   std::unique_ptr<boost::asio::ip::tcp::acceptor> acceptor;
   // Fills the accept queue while the path is hanging.
   std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> fillers;
