--- a/testing/cache_isolation_test.cc
+++ b/testing/cache_isolation_test.cc
@@ -26,8 +26,8 @@
   int version = 1;
   // Cache salts of the requests, in the order of their arrival.
   std::vector<std::string> salts;
-  // Response to the first request that arrives after the account was isolated,
-  // and the accounts that are isolated as it arrives.
+  // If set, the next request gets this response, and its arrival brings the
+  // next configuration, which isolates the accounts `isolated_next`.
   std::optional<scripted_response> next_response;
   std::set<std::string> isolated_next;
 
@@ -51,6 +51,7 @@
       return StreamTwoEvents(request);
     Isolate(isolated_next);
     scripted_response out = *std::exchange(next_response, std::nullopt);
+    // The response was written before the ID of its request was known.
     for (std::string& piece : out.pieces) {
       constexpr std::string_view kId = "ID";
       if (const auto at = piece.find(kId); at != std::string::npos)
