--- /dev/null
+++ b/review/standin-3/cases.h
@@ -0,0 +1,23 @@
+// The cases of this review that are scripts. Each returns kHeld, kBroken or
+// kNotRun.
+
+#ifndef REVIEW_STANDIN_3_CASES_H_
+#define REVIEW_STANDIN_3_CASES_H_
+
+#include "review/standin-3/world.h"
+
+namespace review {
+
+// The operator adds routes, one of which ranks tenth, drops a route and takes a
+// key away.
+int RunRankCase(world& w);
+
+// New weights are named for the second of two models that each worker serves.
+int RunSecondModelCase(world& w);
+
+// All machines lose power; those whose addresses are the seeds stay away.
+int RunLostSeedsCase(world& w);
+
+}  // namespace review
+
+#endif  // REVIEW_STANDIN_3_CASES_H_
