Add review case 11: streams of two software versions after a cut and a kill

Cause: a machine that reaches no worker records the version that it only tried; the one that begins the stream records another as the same attempt, which is dropped. Change: the case and its stand-ins; the cases of part one get the numbers 13 (lost seeds), 14 (rank) and 15 (second model), the gravest first.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 test -x target/waxwing-entry -a -x target/review-3/review-cases || exit 2
 RECORD=review/11/record.txt timeout -k 2 115 \
-  target/review-3/review-cases rank
+  target/review-3/review-cases take-up
 result=$?
 test $result -le 1 || exit 2
 exit $result
--- a/review/12/run.sh
+++ b/review/14/run.sh
@@ -4,8 +4,8 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 test -x target/waxwing-entry -a -x target/review-3/review-cases || exit 2
-RECORD=review/12/record.txt timeout -k 2 115 \
-  target/review-3/review-cases lost-seeds
+RECORD=review/14/record.txt timeout -k 2 115 \
+  target/review-3/review-cases rank
 result=$?
 test $result -le 1 || exit 2
 exit $result
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,7 +6,8 @@
 cmake -S . -B target -DCMAKE_BUILD_TYPE=Release -DWAXWING_TESTS=OFF >/dev/null
 cmake --build target -j8 --target waxwing-entry
 mkdir -p target/review-3
-for source in review/standin-3/*.cc testing/platform_standin.cc; do
+for source in review/standin-3/*.cc testing/platform_standin.cc \
+  testing/target_path.cc; do
   echo "$source"
 done | xargs -P 8 -I{} sh -c '
   g++ -std=c++20 -O1 -DNDEBUG -DBOOST_LOG_DYN_LINK -DBOOST_ASIO_NO_DEPRECATED \
--- a/review/standin-3/cases.h
+++ b/review/standin-3/cases.h
@@ -18,6 +18,13 @@
 // All machines lose power; those whose addresses are the seeds stay away.
 int RunLostSeedsCase(world& w);
 
+// A machine loses its paths to the workers and then ends, while two versions of
+// the workers' software serve.
+int RunTakeUpCase(world& w);
+
+// All machines end and start again, and clients take their streams up.
+int RunAllEndedCase(world& w);
+
 }  // namespace review
 
 #endif  // REVIEW_STANDIN_3_CASES_H_
--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -13,7 +13,9 @@
   const std::map<std::string, int (*)(world&)> cases{
       {"rank", review::RunRankCase},
       {"second-model", review::RunSecondModelCase},
-      {"lost-seeds", review::RunLostSeedsCase}};
+      {"lost-seeds", review::RunLostSeedsCase},
+      {"take-up", review::RunTakeUpCase},
+      {"all-ended", review::RunAllEndedCase}};
   const auto found = cases.find(argc > 1 ? argv[1] : "");
   if (found == cases.end()) {
     std::fprintf(stderr, "usage: review-cases NAME\n");
--- a/review/standin-3/world.cc
+++ b/review/standin-3/world.cc
@@ -24,12 +24,6 @@
   return text ? text : fallback;
 }
 
-endpoint FindFreeAddress(world& w) {
-  const asio::ip::tcp::acceptor acceptor(
-      w.context, {asio::ip::make_address("127.0.0.1"), 0});
-  return {"127.0.0.1", acceptor.local_endpoint().port()};
-}
-
 // The bounds of the sheet of Vannbrudd Felles.
 json::object SheetBounds() {
   return {{"seed_lag_s", 3},
@@ -88,6 +82,27 @@
   std::filesystem::remove_all(folder, ignored);
 }
 
+// Uses ports below the range that the system assigns to outgoing connections.
+// Each process has its own, chosen by its id, so that cases that run at the
+// same time rarely collide.
+endpoint FindFreeAddress(world& w) {
+  constexpr int kFirstPort = 13'000;
+  constexpr int kPortsPerProcess = 45;
+  constexpr int kProcesses = 400;
+  static int next = 0;
+  while (true) {
+    const int port = kFirstPort + (getpid() % kProcesses) * kPortsPerProcess +
+                     next++ % kPortsPerProcess;
+    asio::ip::tcp::acceptor probe(w.context, asio::ip::tcp::v4());
+    boost::system::error_code error;
+    probe.bind(
+        {asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)},
+        error);
+    if (!error)
+      return {"127.0.0.1", static_cast<std::uint16_t>(port)};
+  }
+}
+
 milliseconds Elapsed(const world& w) {
   return std::chrono::duration_cast<milliseconds>(
       std::chrono::steady_clock::now() - w.began);
@@ -167,13 +182,15 @@
       {"fault_tolerance",
        json::object{{"machines", 2}, {"zones", 0}, {"regions", 0}}},
       {"bounds", std::move(bounds)},
-      {"platform", json::object{{"address", ToText(w.store->server.address)},
-                                {"form", "objects"},
-                                {"writes_per_s", 400},
-                                {"reads_per_s", 2'000},
-                                {"history_s", 20},
-                                {"value_bytes", 1'048'576},
-                                {"ttl_min_ms", 1'000}}}});
+      {"platform",
+       json::object{{"address", ToText(entry.settings.store.value_or(
+                                    w.store->server.address))},
+                    {"form", "objects"},
+                    {"writes_per_s", 400},
+                    {"reads_per_s", 2'000},
+                    {"history_s", 20},
+                    {"value_bytes", 1'048'576},
+                    {"ttl_min_ms", 1'000}}}});
 }
 
 void StartEntry(world& w, entry_process& entry) {
@@ -195,6 +212,7 @@
   posix_spawn_file_actions_addopen(&actions, 1, entry.log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  posix_spawn_file_actions_addclosefrom_np(&actions, 3);
   if (posix_spawn(&entry.pid, kProgram, &actions, nullptr, arguments,
                   environment.data()) != 0)
     entry.pid = 0;
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -13,6 +13,7 @@
 #include <fstream>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +44,8 @@
   bool is_first_start = true;
   // Replaces bounds of the settings file.
   boost::json::object bounds;
+  // The way by which this entry reaches the store, if not the usual one.
+  std::optional<endpoint> store;
 };
 
 // An entry that runs as a process.
@@ -104,6 +107,9 @@
   return std::move(*out);
 }
 
+// Returns a loopback address whose port is free at the time of the call.
+endpoint FindFreeAddress(world& w);
+
 // Chooses the addresses of an entry, which is not started yet.
 entry_process& AddEntry(world& w, const entry_settings& settings);
 
