Record where a stream began with its first event

Cause: a VM recorded the origin of a stream, and told other VMs and the store, when it chose a target. If it got no connection, the request was forwarded; the other VM began the stream at any build and counted its attempt from 1 again, and a record with the number 1 replaced no other one with that number. So the target that was never reached stayed on record.

Change: the record is made and sent ahead of the first event, when nothing else can begin the stream any more; links to the VMs that get it are opened at the choice. Attempts are numbered over all VMs that a request comes to, so the later record wins in any order of arrival, and a query waits 20 ms for the other VMs that were told. Where others have to know a start in advance, the build that it is bound to is forwarded with the request.

--- a/testing/entry_fixture.h
+++ b/testing/entry_fixture.h
@@ -14,6 +14,7 @@
 #include "platform/adapter.h"
 #include "testing/event_loop.h"
 #include "testing/platform_standin.h"
+#include "testing/target_path.h"
 #include "waxwing/agent_state.h"
 #include "waxwing/entry.h"
 #include "waxwing/entry_state.h"
@@ -167,6 +168,16 @@
       });
     });
   }
+  // Makes a VM reach its targets over paths of its own.
+  std::vector<std::shared_ptr<target_path>> RoutePaths(entry_state& vm) {
+    std::vector<std::shared_ptr<target_path>> out;
+    for (auto& [id, target] : vm.targets) {
+      out.push_back(OpenPath(context, target.record.address));
+      target.record.address = out.back()->Address();
+      vm.placement.targets[target.index].address = out.back()->Address();
+    }
+    return out;
+  }
   // Waits until all VMs but those stopped have the configuration.
   bool AllHaveConfig(std::int64_t version) {
     return RunUntil([&] {
--- a/testing/vm_without_targets_test.cc
+++ b/testing/vm_without_targets_test.cc
@@ -32,17 +32,6 @@
       paths.push_back(RoutePaths(*vm.state));
   }
 
-  // Makes a VM reach its targets over paths of its own.
-  std::vector<std::shared_ptr<target_path>> RoutePaths(entry_state& vm) {
-    std::vector<std::shared_ptr<target_path>> out;
-    for (auto& [id, target] : vm.targets) {
-      out.push_back(OpenPath(context, target.record.address));
-      target.record.address = out.back()->Address();
-      vm.placement.targets[target.index].address = out.back()->Address();
-    }
-    return out;
-  }
-
   void Cut(std::size_t vm, path_cut kind) {
     for (const auto& path : paths[vm])
       SetCut(path, kind);
@@ -285,9 +274,10 @@
 TEST(VmsWithoutTargets, ForwardedRequestKeepsItsServiceDeadlineAndOrigin) {
   http_request request;
   const stream_origin origin{"llm", "v2", "engine-1", 7};
-  AddForwarded(request,
-               {"vm-1", "llm", 3, milliseconds(250), true, 2, 12, origin},
-               "key");
+  AddForwarded(
+      request,
+      {"vm-1", "llm", 3, milliseconds(250), true, 2, 12, origin, 5, "v2"},
+      "key");
   const auto read = TakeForwarded(request, "key");
   ASSERT_TRUE(read);
   EXPECT_EQ(read->service, "llm");
@@ -297,6 +287,8 @@
   EXPECT_EQ(read->attempts, 2);
   EXPECT_EQ(read->resume_after, 12u);
   EXPECT_EQ(read->origin, origin);
+  EXPECT_EQ(read->attempt_number, 5u);
+  EXPECT_EQ(read->told_build, "v2");
   EXPECT_EQ(FindHeader(request.headers, kForwardedHeader), "");
   AddForwarded(request, *read, "key");
   request.body = "changed";
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -23,9 +23,6 @@
 // Time limit for a request whose caller sets no deadline; the route may have a
 // shorter one.
 constexpr milliseconds kMaxWaitWithoutDeadline{30'000};
-// Maximum number of times that a request is sent. If that many targets refuse
-// it, the service as a whole has no capacity.
-constexpr int kMaxSends = 4;
 // A request is not sent on after this many targets have ended that may have
 // been running it.
 constexpr int kMaxEndsInDoubt = 3;
@@ -145,6 +142,8 @@
     if (run.table->version < run.forwarded->config_version)
       return refusal{503, kOlderConfig, kNoConfigRetryAfter};
     run.attempts_before = run.forwarded->attempts;
+    run.attempt_number = run.forwarded->attempt_number;
+    run.told_build = run.forwarded->told_build;
     run.request.time_left = run.forwarded->time_left;
     run.request.resume_after = run.forwarded->resume_after;
     run.last_event_id = run.request.resume_after.value_or(0);
@@ -318,9 +317,10 @@
       co_return run.caller_gone ? forward_outcome::kCallerGone : outcome;
     }
     dispatch attempt = BeginDispatch(run, *choice);
-    RecordStreamStart(run, attempt);
+    ++run.attempt_number;
+    ConnectToRecordKeepers(run, attempt);
     if (BeginsEarly(run, attempt) &&
-        !co_await IsStartKnownToOthers(run, attempt)) {
+        !co_await AnnounceStreamStart(run, attempt)) {
       FinishDispatch(run, attempt, forward_outcome::kWithdrawn);
       FinishTrial(run);
       co_return outcome;
--- a/waxwing/entry_peers.cc
+++ b/waxwing/entry_peers.cc
@@ -133,6 +133,8 @@
   forwarded.is_counted = run.is_counted;
   // A target that refuses connections to a VM that is cut off has not ended.
   forwarded.attempts = run.possible_runs;
+  forwarded.attempt_number = run.attempt_number;
+  forwarded.told_build = run.told_build;
   forwarded.resume_after = run.request.resume_after;
   if (run.stream_started)
     forwarded.resume_after = run.last_event_id;
@@ -212,6 +214,8 @@
   options.body = run.exchange.request.body;
   auto call = co_await StartCall(state.pool, peer.router,
                                  MakeForwardedRequest(run), options);
+  // The other VM may have used as many numbers.
+  run.attempt_number += static_cast<std::uint32_t>(kMaxSends);
   if (!call) {
     run.possible_runs += call.error().maybe_sent ? 1 : 0;
     if (run.caller_gone)
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -184,6 +184,7 @@
                                     const http_call& call,
                                     std::string_view events) {
   attempt.has_delivered = true;
+  RecordStreamStart(run, attempt);
   if (!run.origin)
     run.origin = OriginAt(attempt);
   const instant now = std::chrono::steady_clock::now();
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -50,6 +50,10 @@
   double amount = 0;
 };
 
+// Maximum number of times that a VM sends a request to targets. If that many
+// refuse it, the service as a whole has no capacity.
+inline constexpr int kMaxSends = 4;
+
 // A request of a caller while it is being forwarded.
 struct forward_run {
   entry_ptr state;
@@ -94,6 +98,9 @@
   // Of the route's attempts, those that the VM that forwarded the request has
   // used.
   int attempts_before = 0;
+  // Number of the current attempt at a target, counted over all VMs that the
+  // request comes to.
+  std::uint32_t attempt_number = 0;
   // Set if another VM has forwarded the request to this one.
   std::optional<forwarded_request> forwarded;
   // Targets to which no connection came about.
@@ -116,8 +123,8 @@
   bool has_unnumbered_event = false;
   // The target that began the stream, once the caller has an event of it.
   std::optional<stream_origin> origin;
-  // Before that, the build of the first target of which other VMs may have a
-  // record. They may miss a later one, so the stream begins at no other build.
+  // Set if other VMs had to be told before that where the stream would begin.
+  // They may miss a later record, so it begins at no other build.
   std::optional<std::string> told_build;
   // For the log: time to the first byte, the longest pause between events, and
   // the state of the target when it was chosen.
@@ -256,18 +263,23 @@
 // that is not known, so that the request must not be sent.
 boost::asio::awaitable<bool> FindOrigin(forward_run& run);
 
-// Records that a stream begins with this attempt, unless the caller already has
-// a part of it.
+// Call before the attempt is sent. Connects to the VMs that will get the record
+// of the stream that it may begin.
+void ConnectToRecordKeepers(const forward_run& run, const dispatch& attempt);
+
+// Records that a stream begins with this attempt, whose first event is about to
+// be sent to the caller.
 void RecordStreamStart(forward_run& run, const dispatch& attempt);
 
 // True if the attempt begins a stream at a build at which other VMs do not yet
 // expect any, because no other target can be used.
 bool BeginsEarly(const forward_run& run, const dispatch& attempt);
 
-// Waits until another VM has the record of the stream that the attempt begins.
-// Returns false if none confirms that, so that the stream must not begin there.
-boost::asio::awaitable<bool> IsStartKnownToOthers(forward_run& run,
-                                                  const dispatch& attempt);
+// Tells other VMs where the attempt will begin a stream, and waits until one of
+// them has the record. Returns false if none confirms that, so that the stream
+// must not begin there.
+boost::asio::awaitable<bool> AnnounceStreamStart(forward_run& run,
+                                                 const dispatch& attempt);
 
 // True if the target has started again, or has another build, by a record that
 // was read after it was chosen for the attempt.
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -276,7 +276,11 @@
   // VMs that should have the record.
   std::set<std::string> keepers;
   std::size_t other_vms = 0;
+  instant limit;
+  // Of the records in the replies, the one with the highest attempt, and when
+  // the first one arrived.
   std::optional<stream_record> record;
+  instant recorded_at;
   stream_replies replies;
 
   explicit stream_query_waiter(boost::asio::any_io_executor executor)
--- a/waxwing/entry_stored_streams.cc
+++ b/waxwing/entry_stored_streams.cc
@@ -15,7 +15,7 @@
 namespace {
 
 // Time between two writes: the larger of these, the second one for each VM that
-// callers use. A stream's record should be stored before its first event.
+// callers use.
 constexpr milliseconds kMinWriteInterval{150};
 constexpr milliseconds kWriteIntervalPerVm{8};
 constexpr milliseconds kStoreTimeout{600};
--- a/waxwing/entry_streams.cc
+++ b/waxwing/entry_streams.cc
@@ -15,8 +15,10 @@
 
 namespace {
 
-// Time for the responses of record keepers.
+// Time for the responses of record keepers, and for the remaining ones once a
+// record has arrived.
 constexpr milliseconds kQueryTimeout{150};
+constexpr milliseconds kLaterRecordTimeout{20};
 // A target may have restarted this long before its new record is read.
 constexpr milliseconds kRestartNoticeDelay{1'500};
 // A stream lasts at most as long as two attempts of its caller.
@@ -78,6 +80,10 @@
           SuspendAwareNow() - milliseconds(record.age_ms)};
 }
 
+asio::awaitable<void> Dial(entry_ptr state, std::string vm) {
+  co_await EnsureLink(state->membership_agent.state, vm);
+}
+
 template <typename Message>
 asio::awaitable<void> DialAndSend(entry_ptr state,
                                   std::string vm,
@@ -142,6 +148,12 @@
   return record.began + kRestartNoticeDelay > listed->second.listed_at;
 }
 
+// True if the caller has no part of a stream yet that it could take up.
+bool MayBeginStream(const forward_run& run) {
+  return run.matched_route->kind == route_kind::kStream &&
+         run.matched_route->can_resume && !run.origin;
+}
+
 // Returns the number of other VMs that may have begun a stream that can still
 // be taken up.
 std::size_t CountOthers(const entry_state& state) {
@@ -149,13 +161,26 @@
       Members(state), std::chrono::steady_clock::now() - state.stream_lifetime);
 }
 
-// True if replies that are still missing don't matter.
+// True if replies that are still missing don't matter. One with a record does
+// not end the query while another VM that should have the record may know of a
+// later attempt.
 bool IsAnswered(const stream_query_waiter& waiter) {
-  return waiter.record || waiter.awaited.empty() ||
+  if (waiter.record)
+    return std::none_of(
+        waiter.keepers.begin(), waiter.keepers.end(),
+        [&](const auto& vm) { return waiter.awaited_linked.contains(vm); });
+  return waiter.awaited.empty() ||
          (waiter.awaited_linked.empty() &&
           HasEnoughReplies(waiter.replies, waiter.other_vms));
 }
 
+// Returns the time after which a query ends without the missing replies.
+instant QueryLimit(const stream_query_waiter& waiter) {
+  return waiter.record
+             ? std::min(waiter.limit, waiter.recorded_at + kLaterRecordTimeout)
+             : waiter.limit;
+}
+
 // What other VMs know of a stream.
 struct stream_findings {
   std::optional<stream_record> record;
@@ -183,8 +208,10 @@
   state->stream_queries[query.number] = &waiter;
   for (const std::string& vm : vms)
     SendToVm(state, vm, query);
-  if (!vms.empty()) {
-    waiter.wakeup.expires_after(kQueryTimeout);
+  waiter.limit = std::chrono::steady_clock::now() + kQueryTimeout;
+  while (!IsAnswered(waiter) &&
+         std::chrono::steady_clock::now() < QueryLimit(waiter)) {
+    waiter.wakeup.expires_at(QueryLimit(waiter));
     co_await waiter.wakeup.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   state->stream_queries.erase(query.number);
@@ -263,31 +290,43 @@
          run.request.resume_after.value_or(0) > 0;
 }
 
+void ConnectToRecordKeepers(const forward_run& run, const dispatch& attempt) {
+  entry_state& state = *run.state;
+  if (!MayBeginStream(run) ||
+      !NeedsRecordsOf(state, attempt.target.record.service))
+    return;
+  const stream_key key = StreamKey(run.account.name, run.request.id);
+  for (const std::string& vm :
+       ChooseRecordKeepers(Members(state), key, kRecordCopies)) {
+    if (!IsLinked(state, vm))
+      asio::co_spawn(state.executor, Dial(run.state, vm), asio::detached);
+  }
+}
+
 void RecordStreamStart(forward_run& run, const dispatch& attempt) {
-  if (run.matched_route->kind != route_kind::kStream ||
-      !run.matched_route->can_resume || run.origin)
+  if (!MayBeginStream(run))
     return;
   entry_state& state = *run.state;
   const stream_key key = StreamKey(run.account.name, run.request.id);
   const instant now = SuspendAwareNow();
-  const stream_record record{OriginAt(attempt),
-                             static_cast<std::uint32_t>(run.sends + 1), now};
+  const duration sent_for = std::chrono::steady_clock::now() - attempt.started;
+  const stream_record record{OriginAt(attempt), run.attempt_number,
+                             now - sent_for};
   state.running_streams[key] = record;
-  RecordStream(state.stream_records, key, record, now);
-  if (!NeedsRecordsOf(state, record.origin.service))
-    return;
-  run.told_build = record.origin.build;
-  SendToKeepers(run.state, key, record);
+  const bool is_news = RecordStream(state.stream_records, key, record, now);
+  if (is_news && NeedsRecordsOf(state, record.origin.service))
+    SendToKeepers(run.state, key, record);
 }
 
 bool BeginsEarly(const forward_run& run, const dispatch& attempt) {
   const target_view& view = run.state->placement.targets[attempt.chosen.target];
-  return run.matched_route->kind == route_kind::kStream &&
-         run.matched_route->can_resume && !run.origin && view.is_build_new;
+  return MayBeginStream(run) && view.is_build_new;
 }
 
-asio::awaitable<bool> IsStartKnownToOthers(forward_run& run,
-                                           const dispatch& attempt) {
+asio::awaitable<bool> AnnounceStreamStart(forward_run& run,
+                                          const dispatch& attempt) {
+  RecordStreamStart(run, attempt);
+  run.told_build = attempt.target.record.build;
   if (CountOthers(*run.state) == 0)
     co_return true;
   const stream_findings found = co_await AskKeepers(
@@ -356,7 +395,10 @@
   const stream_findings found = co_await AskKeepers(state, key, only_service);
   if (found.record)
     co_return origin_findings{found.record, std::nullopt, true, "keeper"};
-  origin_findings out;
+  // A record may have arrived meanwhile.
+  origin_findings out = FindOriginHere(*state, key, only_service);
+  if (out.record)
+    co_return out;
   out.source = "concluded";
   out.may_conclude = Agree(found.replies);
   if (!only_service.empty())
@@ -433,6 +475,8 @@
            {"source", source},
            {"build", run.origin ? run.origin->build : std::string()},
            {"doubt", record && !run.origin},
+           {"target", record ? record->origin.target : std::string()},
+           {"attempt", record ? record->attempt : 0},
            {"age_ms", record ? ToMs(SuspendAwareNow() - record->began) : -1}});
   co_return is_known;
 }
@@ -473,7 +517,11 @@
     return;
   waiter.awaited_linked.erase(link.peer.vm);
   if (reply.record) {
-    waiter.record = FromWire(*reply.record);
+    const stream_record record = FromWire(*reply.record);
+    if (!waiter.record)
+      waiter.recorded_at = std::chrono::steady_clock::now();
+    if (!waiter.record || record.attempt > waiter.record->attempt)
+      waiter.record = record;
   } else {
     stream_replies& replies = waiter.replies;
     ++replies.count;
@@ -484,7 +532,8 @@
     replies.possible_builds.insert(reply.possible_builds.begin(),
                                    reply.possible_builds.end());
   }
-  if (IsAnswered(waiter))
+  // The query's limit has changed with the first record.
+  if (waiter.record || IsAnswered(waiter))
     waiter.wakeup.cancel();
 }
 
--- a/waxwing/forwarded_request.cc
+++ b/waxwing/forwarded_request.cc
@@ -13,6 +13,8 @@
 namespace json = boost::json;
 
 constexpr std::int64_t kMaxAttempts = 1'000;
+constexpr std::int64_t kMaxAttemptNumber =
+    std::numeric_limits<std::int32_t>::max();
 constexpr std::int64_t kMaxInteger = std::numeric_limits<std::int64_t>::max();
 
 void RemoveHeader(http_headers& headers, std::string_view name) {
@@ -61,8 +63,10 @@
   const auto target = ReadStringOr(*object, "target", "");
   const auto incarnation =
       ReadIntegerOr(*object, "incarnation", 0, kMaxInteger, 0);
+  const auto number =
+      ReadIntegerOr(*object, "attempt_number", 0, kMaxAttemptNumber, 0);
   if (!vm || !service || !config || !left || !counted || !attempts || !resume ||
-      !target || !incarnation)
+      !target || !incarnation || !number)
     return std::nullopt;
   forwarded_request out{*vm,      *service,
                         *config,  milliseconds(*left),
@@ -76,6 +80,13 @@
     out.origin = stream_origin{*service, *build, *target,
                                static_cast<std::uint64_t>(*incarnation)};
   }
+  out.attempt_number = static_cast<std::uint32_t>(*number);
+  if (object->contains("told_build")) {
+    const auto told_build = ReadString(*object, "told_build");
+    if (!told_build)
+      return std::nullopt;
+    out.told_build = *told_build;
+  }
   return out;
 }
 
@@ -98,6 +109,10 @@
     object["incarnation"] =
         static_cast<std::int64_t>(forwarded.origin->incarnation);
   }
+  if (forwarded.attempt_number > 0)
+    object["attempt_number"] = forwarded.attempt_number;
+  if (forwarded.told_build)
+    object["told_build"] = *forwarded.told_build;
   const std::string statement = json::serialize(object);
   RemoveHeader(request.headers, kForwardedHeader);
   request.headers.push_back({std::string(kForwardedHeader),
--- a/waxwing/forwarded_request.h
+++ b/waxwing/forwarded_request.h
@@ -3,8 +3,9 @@
 // only VMs know.
 //
 // The VM that received the request from its caller decides once what the other
-// one must not decide anew: the service, the time left, the attempts left, and
-// the origin of a stream that is continued.
+// one must not decide anew: the service, the time left, the attempts left, the
+// origin of a stream that is continued, and the build of one that other VMs
+// expect to begin.
 
 #ifndef WAXWING_FORWARDED_REQUEST_H_
 #define WAXWING_FORWARDED_REQUEST_H_
@@ -39,6 +40,10 @@
   // Last event that the caller has, and where the stream began, if it is known.
   std::optional<std::uint64_t> resume_after;
   std::optional<stream_origin> origin;
+  // Number of the last attempt at a target so far.
+  std::uint32_t attempt_number = 0;
+  // The only build at which the stream may begin, if there is such a limit.
+  std::optional<std::string> told_build;
 };
 
 // Adds the statement to a request, in place of any that it has.
--- a/waxwing/stream_builds.h
+++ b/waxwing/stream_builds.h
@@ -9,7 +9,9 @@
 // stream lives, every VM knows the build of its streams. Otherwise the VM that
 // begins a stream sends a record of its origin to a few other VMs, the record
 // keepers, chosen by rendezvous hashing, and the VM at which the stream is
-// taken up asks them. A stream whose build nobody knows is not continued.
+// taken up asks them. The record is sent ahead of the first event and not when
+// the target is chosen, since another target, or another VM, may begin the
+// stream. A stream whose build nobody knows is not continued.
 //
 // A VM may conclude that a stream without a record was begun at the only build
 // that it knows, because no VM begins streams at a new build before
@@ -64,7 +66,7 @@
   const stream_origin* origin = nullptr;
   // The request begins a stream that may be taken up later.
   bool begins_resumable = false;
-  // Build of which other VMs were told that the stream begins there, or null.
+  // The only build at which the stream may begin, or null if it may at any.
   const std::string* told_build = nullptr;
 };
 
@@ -153,9 +155,11 @@
 
 struct stream_record {
   stream_origin origin;
-  // Attempt of the VM that began the stream, counted from 1. Of two records the
-  // one with the higher attempt counts.
+  // Number of the attempt that began the stream, counted over all VMs that the
+  // request came to. Of two records the one with the higher number counts: no
+  // event of the attempts before has reached the caller.
   std::uint32_t attempt = 0;
+  // When the request was sent to the target.
   instant began;
   // Read from the store after the VM that began the stream had ended.
   bool is_stored = false;
