Let no single value keep a configuration out of force

After a version with a route that ranked below 9, a key that it took away and a route that it dropped went on to run, and its new route got 404.

Cause: the reader took 9, the bound of the header Request-Priority, for a bound of priorities in the configuration, and rejected the whole version for any field that it could not read, without naming it.

A field that can't be read has a safe default or is refused as not run, and all else is in force. An account whose limit can't be read keeps the one before. Logs name the fields, gauges count them.

--- a/waxwing/adapter.h
+++ b/waxwing/adapter.h
@@ -88,9 +88,9 @@
   std::string request_id;
   int attempt = 0;
   milliseconds time_left{0};
-  // On the target's scale. Targets of the platform take 0 (most urgent) to 9,
-  // native ones prefer larger numbers.
-  std::optional<int> priority;
+  // Targets of the platform run the lowest numbers first, native ones the
+  // highest.
+  std::optional<std::int64_t> priority;
   std::string cache_salt;
   std::optional<std::int64_t> weights_version;
   std::string weights_name;
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -29,6 +29,8 @@
 constexpr milliseconds kMinRetryAfter{100};
 constexpr milliseconds kRetryAfterSpread{300};
 constexpr milliseconds kNoConfigRetryAfter{300};
+// An operator has to change the configuration first.
+constexpr milliseconds kUnreadableRetryAfter{1'000};
 
 // Lists a request as being forwarded for the lifetime of this object.
 struct run_listing {
@@ -53,6 +55,8 @@
 constexpr std::string_view kNoConfig = "no_config";
 constexpr std::string_view kOlderConfig = "older_config";
 constexpr std::string_view kNoTargetReached = "no_target_reached";
+constexpr std::string_view kUnreadableRoute = "unreadable_route";
+constexpr std::string_view kUnreadableAccount = "unreadable_account";
 
 // Returns the time in milliseconds, or -1 if there is none.
 std::int64_t ToMsOrNone(const std::optional<duration>& d) {
@@ -130,12 +134,17 @@
     return refusal{503, kNoConfig, kNoConfigRetryAfter};
   run.matched_route = FindRoute(*run.table, run.request.host,
                                 PathOf(run.exchange.request.target));
-  if (!run.matched_route)
+  if (!run.matched_route && !run.table->has_unreadable_routes)
     return refusal{404, "no_route", {}};
+  if (!run.matched_route || run.matched_route->services.empty())
+    return refusal{503, kUnreadableRoute, kUnreadableRetryAfter};
   if (run.table->has_accounts && !run.matched_route->is_anonymous) {
     const auto found = run.table->account_of_key.find(run.request.account_key);
-    if (found == run.table->account_of_key.end())
+    const bool is_known = found != run.table->account_of_key.end();
+    if (!is_known && !run.table->has_unreadable_accounts)
       return refusal{401, "unknown_key", {}};
+    if (!is_known || found->second.has_unreadable_limit)
+      return refusal{503, kUnreadableAccount, kUnreadableRetryAfter};
     run.account = found->second;
   }
   if (run.forwarded) {
--- a/waxwing/entry_watch.cc
+++ b/waxwing/entry_watch.cc
@@ -59,6 +59,17 @@
   return "unknown";
 }
 
+// Tells operators which fields of a configuration can't be read.
+void ReportProblems(entry_state& state, const route_table& config) {
+  state.stats.gauges["waxwing_config_unreadable_fields"] =
+      static_cast<double>(config.problem_count);
+  for (const config_problem& problem : config.problems)
+    LogError("config_field_unreadable", {{"version", config.version},
+                                         {"field", problem.field},
+                                         {"problem", problem.problem},
+                                         {"of", config.problem_count}});
+}
+
 // Applies a configuration object. Returns false if a newer one is in force.
 bool ApplyConfigObject(entry_state& state,
                        const stored_object& object,
@@ -67,13 +78,18 @@
     return true;
   auto parsed = state.protocol.read_config(object.spec);
   if (!parsed) {
-    LogError("config_unreadable",
-             {{"revision", object.revision}, {"error", parsed.error()}});
+    LogError("config_unreadable", {{"revision", object.revision},
+                                   {"error", parsed.error()},
+                                   {"in_force", state.table->version}});
+    state.stats.gauges["waxwing_config_unreadable"] = 1;
     return true;
   }
+  state.stats.gauges["waxwing_config_unreadable"] = 0;
   if (parsed->version <= state.table->version)
     return parsed->version == state.table->version;
   const std::int64_t version_before = state.table->version;
+  ReportProblems(state, *parsed);
+  KeepUnreadableLimits(*parsed, *state.table);
   state.table = std::make_shared<const route_table>(std::move(*parsed));
   request_limits limits;
   limits.max_header_bytes = state.table->limits.header_bytes;
@@ -107,6 +123,7 @@
   const auto parsed =
       state.protocol.read_target_record(object.name, object.spec);
   if (!parsed) {
+    Count(state.stats, "waxwing_unreadable_total{kind=\"target\"}");
     LogWarning("target_unreadable", {{"target", object.name},
                                      {"revision", object.revision},
                                      {"error", parsed.error()}});
@@ -138,6 +155,7 @@
                         const change_source& source) {
   const auto parsed = state.protocol.read_desired_weights(object.spec);
   if (!parsed) {
+    Count(state.stats, "waxwing_unreadable_total{kind=\"weights\"}");
     LogWarning("weights_unreadable",
                {{"name", object.name}, {"error", parsed.error()}});
     return true;
--- a/waxwing/pacing.cc
+++ b/waxwing/pacing.cc
@@ -117,7 +117,7 @@
   const bool is_late = IsLate(window, request, now);
   const duration age_rank =
       is_late ? duration{} : duration{} - request.arrived.time_since_epoch();
-  const int rank = window.ranks_by_priority ? request.priority : 0;
+  const std::int64_t rank = window.ranks_by_priority ? request.priority : 0;
   return std::tuple(!request.is_continuation, is_late, rank, age_rank,
                     request.objective_deadline, request.priority,
                     request.arrived);
--- a/waxwing/pacing.h
+++ b/waxwing/pacing.h
@@ -54,7 +54,7 @@
 struct queued_request {
   double tokens = 0;
   // 0 is the most urgent.
-  int priority = 0;
+  std::int64_t priority = 0;
   instant arrived;
   // A response that begins by this time meets the objective.
   instant objective_deadline;
--- a/waxwing/route_table.cc
+++ b/waxwing/route_table.cc
@@ -25,6 +25,30 @@
         CombineHashes(table.isolated_accounts_hash, Hash64(name));
 }
 
+void KeepUnreadableLimits(route_table& next, const route_table& before) {
+  const auto is_unreadable = [](const auto& entry) {
+    return entry.second.has_unreadable_limit;
+  };
+  if (std::none_of(next.account_of_key.begin(), next.account_of_key.end(),
+                   is_unreadable))
+    return;
+  std::map<std::string_view, const account_info*> known;
+  for (const auto& entry : before.account_of_key) {
+    if (!is_unreadable(entry))
+      known.emplace(entry.second.name, &entry.second);
+  }
+  for (auto& entry : next.account_of_key) {
+    account_info& account = entry.second;
+    const auto found = known.find(account.name);
+    if (!is_unreadable(entry) || found == known.end())
+      continue;
+    account.has_unreadable_limit = false;
+    account.limit = found->second->limit;
+    if (account.limit)
+      next.limits_by_account[account.name] = *account.limit;
+  }
+}
+
 std::string CacheGroup(const route_table& newest, const account_info& account) {
   if (account.is_isolated || newest.isolated_accounts.contains(account.name))
     return "a-" + account.name;
@@ -70,18 +94,16 @@
   return !table.limits_by_account.empty();
 }
 
-int RequestPriority(const route_table& table,
-                    const route& matched,
-                    const account_info& account) {
-  constexpr int kRoutePriorities = 3;
-  constexpr int kLeastUrgent = 9;
+std::int64_t RequestPriority(const route_table& table,
+                             const route& matched,
+                             const account_info& account) {
+  constexpr std::int64_t kRoutePriorities = 3;
   if (!account.priority)
     return matched.priority;
   if (!RanksByRoute(table))
     return *account.priority;
-  return std::min(kLeastUrgent,
-                  *account.priority * kRoutePriorities +
-                      std::min(matched.priority, kRoutePriorities - 1));
+  return *account.priority * kRoutePriorities +
+         std::min(matched.priority, kRoutePriorities - 1);
 }
 
 }  // namespace waxwing
--- a/waxwing/route_table.h
+++ b/waxwing/route_table.h
@@ -45,7 +45,7 @@
   // Latency objective for the gap between two events of a stream.
   milliseconds gap_objective{1'000};
   // 0 is the most urgent.
-  int priority = 5;
+  std::int64_t priority = 5;
   // Maximum number of targets that may execute one request.
   int max_attempts = 1;
   // Needs no client account.
@@ -53,7 +53,8 @@
   bool can_resume = false;
   // The request has a prompt whose shared segments are identified.
   bool has_prompt = false;
-  // At least one; weights are relative.
+  // Weights are relative. Empty if the services can't be read, so that requests
+  // must be refused.
   std::vector<weighted_service> services;
 };
 
@@ -93,10 +94,18 @@
 struct account_info {
   std::string name;
   // Replaces the route's priority.
-  std::optional<int> priority;
+  std::optional<std::int64_t> priority;
   // Shares no cache entry with any other account.
   bool is_isolated = false;
   std::optional<account_limit> limit;
+  // Whether the account has a limit, and which, is not known.
+  bool has_unreadable_limit = false;
+};
+
+// A field of a configuration that can't be read.
+struct config_problem {
+  std::string field;
+  std::string problem;
 };
 
 // Limits on the requests of callers.
@@ -124,6 +133,13 @@
   // By account, of those that have one.
   std::map<std::string, account_limit, std::less<>> limits_by_account;
   caller_limits limits;
+  // Some routes or account keys can't be read, so that a request without a
+  // known one must not be taken for one that is not allowed.
+  bool has_unreadable_routes = false;
+  bool has_unreadable_accounts = false;
+  // The first fields that can't be read, and their number.
+  std::vector<config_problem> problems;
+  std::size_t problem_count = 0;
 };
 
 // Adds a route to its host's list, after all longer path prefixes.
@@ -132,6 +148,10 @@
 void SetIsolatedAccounts(route_table& table,
                          std::set<std::string, std::less<>> names);
 
+// Gives the accounts of `next` whose limits can't be read the ones that they
+// have in `before`.
+void KeepUnreadableLimits(route_table& next, const route_table& before);
+
 // Returns the name of the group of accounts with which a request shares cache
 // entries. `account` is as the table in force at the request's arrival had it,
 // and `newest` the table in force now. Accounts that are not isolated do not
@@ -155,11 +175,11 @@
 // routes: where accounts have limits, and so compete for too little room.
 bool RanksByRoute(const route_table& table);
 
-// The priority of a request, from 0 (most urgent) to 9. That of the account
-// comes first.
-int RequestPriority(const route_table& table,
-                    const route& matched,
-                    const account_info& account);
+// The priority of a request; 0 is the most urgent. That of the account comes
+// first.
+std::int64_t RequestPriority(const route_table& table,
+                             const route& matched,
+                             const account_info& account);
 
 }  // namespace waxwing
 
