Follow the weights of all models that a target serves

Targets that serve two models were never ordered to load new weights of the second one in their lists, and requests for it began on the old ones for good. Once the first had new weights, all targets refused requests for the second with 421, and their callers got 503.

Cause: the reader of a target's record took the first model of the list for the only one. Rollout, choice of target, Expect-Version, cache salt, limits on old weights and reported versions knew no other, whichever model a request named.

Change: a record has all its models with their versions, and all that depends on weights is asked by the model that the request names. A target that does not list it gets no such request, unless none of the service does: the name may be an adapter's, and targets with a single model run it as before. A target loads one model at a time. Cache salts contain the model.

--- a/testing/entry_fixture.h
+++ b/testing/entry_fixture.h
@@ -36,6 +36,15 @@
   return std::string(FindHeader(request.headers, "Request-Id"));
 }
 
+// The version of model m that a target has, as far as an entry knows; 0 if it
+// knows none.
+inline std::int64_t WeightsOf(const entry_state& state,
+                              const std::string& target) {
+  const model_weights* served =
+      FindModel(state.targets.at(target).record.models, "m");
+  return served ? served->version : 0;
+}
+
 struct entry_fixture {
   asio::io_context context;
   std::unique_ptr<object_store_standin> store = StartObjectStore(context);
--- a/testing/entry_test.cc
+++ b/testing/entry_test.cc
@@ -451,9 +451,7 @@
   ASSERT_TRUE(f.RunUntil([&] { return orders == 1; }));
   PutObject(*f.store, "servers", "e1",
             EntryTargetRecord(target->Address(), "llm", 2));
-  f.RunUntil([&] {
-    return f.running.state->targets.at("e1").record.weights_version == 2;
-  });
+  f.RunUntil([&] { return WeightsOf(*f.running.state, "e1") == 2; });
   EXPECT_FALSE(f.RunUntil([&] { return orders > 1; }));
 }
 
@@ -535,9 +533,7 @@
   });
   f.Start(1);
   f.running.state->options.bounds.outdated_weights_limit = milliseconds(2'000);
-  const auto version = [&] {
-    return f.running.state->targets.at("e1").record.weights_version;
-  };
+  const auto version = [&] { return WeightsOf(*f.running.state, "e1"); };
   PutObject(*f.store, "versions", "m", R"({"model":"m","version":2})");
   ASSERT_TRUE(f.RunUntil(
       [&] { return f.running.state->desired_weights.contains("m"); }));
@@ -566,8 +562,7 @@
   }));
   const instant announced = SuspendAwareNow() - seconds(7);
   RecordAnnouncement(state.desired_weights["m"], 2, announced, announced);
-  ASSERT_TRUE(f.RunUntil(
-      [&] { return state.targets.at("e1").record.weights_version == 2; }));
+  ASSERT_TRUE(f.RunUntil([&] { return WeightsOf(state, "e1") == 2; }));
   EXPECT_EQ(f.Send(kResumablePath)->status, 503u);
   EXPECT_EQ(target->requests.size(), 1u);
 }
@@ -585,9 +580,8 @@
   EXPECT_TRUE(target->requests.empty());
   PutObject(*f.store, "servers", "e1",
             EntryTargetRecord(target->Address(), "llm", 1));
-  ASSERT_TRUE(f.RunUntil([&] {
-    return f.running.state->targets.at("e1").record.weights_version == 1;
-  }));
+  ASSERT_TRUE(
+      f.RunUntil([&] { return WeightsOf(*f.running.state, "e1") == 1; }));
   EXPECT_EQ(f.Send(kResumablePath)->status, 200u);
 }
 
--- a/testing/platform_test.cc
+++ b/testing/platform_test.cc
@@ -183,8 +183,7 @@
   ASSERT_TRUE(read) << read.error();
   EXPECT_TRUE(read->is_draining);
   EXPECT_EQ(read->incarnation, 17);
-  EXPECT_EQ(read->model, "m");
-  EXPECT_EQ(read->weights_version, 4);
+  EXPECT_EQ(read->models, (std::vector<model_weights>{{"m", 4}}));
 }
 
 TEST(PlatformRecords, RejectsInvalidTargetRecords) {
--- a/testing/store_outage_test.cc
+++ b/testing/store_outage_test.cc
@@ -132,7 +132,7 @@
   RemoveObject(*f.store, "servers", "t1");
   f.store->is_down = false;
   ASSERT_TRUE(f.RunUntil([&] { return f.IsKeptForNow("t1"); }));
-  RecordTargetWeights(f.State(), "t1", 2);
+  RecordTargetWeights(f.State(), "t1", "m", 2);
   EXPECT_TRUE(f.RunUntil([&] { return !f.HasTarget("t1"); }));
 }
 
--- a/waxwing/adapter.h
+++ b/waxwing/adapter.h
@@ -24,6 +24,7 @@
 
 #include "waxwing/http.h"
 #include "waxwing/http_client.h"
+#include "waxwing/model_weights.h"
 #include "waxwing/prefix.h"
 #include "waxwing/route_table.h"
 #include "waxwing/types.h"
@@ -156,9 +157,8 @@
   bool is_draining = false;
   // Version of the target's software; empty if the record states none.
   std::string build;
-  // The model that the target serves and the version of its weights.
-  std::string model;
-  std::int64_t weights_version = 0;
+  // The models that the target serves, as far as it states their versions.
+  std::vector<model_weights> models;
 };
 
 // How a target treats its running requests before it loads other weights.
@@ -201,7 +201,7 @@
 
 // A target's report of its own state.
 struct target_state {
-  std::int64_t weights_version = 0;
+  std::vector<model_weights> models;
   std::int64_t incarnation = 0;
   bool is_busy = false;
   std::int64_t orders_accepted = 0;
@@ -295,12 +295,6 @@
 template <typename T>
 using store_task = boost::asio::awaitable<tl::expected<T, store_error>>;
 
-// The weights version that all targets of a model should serve.
-struct desired_weights {
-  std::string model;
-  std::int64_t version = 0;
-};
-
 // --- The adapter.
 
 // Functions that read and write one protocol. An adapter leaves those null that
@@ -336,7 +330,6 @@
       *fetch_target_state)(const http_pool&,
                            endpoint,
                            std::string target,
-                           std::string model,
                            milliseconds timeout) = nullptr;
   boost::asio::awaitable<tl::expected<cache_events, http_error>> (
       *fetch_cache_events)(const http_pool&,
@@ -371,7 +364,8 @@
       nullptr;
   tl::expected<target_record, std::string> (
       *read_target_record)(std::string_view name, std::string_view) = nullptr;
-  tl::expected<desired_weights, std::string> (*read_desired_weights)(
+  // The version that all targets of a model should serve.
+  tl::expected<model_weights, std::string> (*read_desired_weights)(
       std::string_view) = nullptr;
 };
 
--- a/waxwing/crash_suspects.cc
+++ b/waxwing/crash_suspects.cc
@@ -386,6 +386,8 @@
     known.facts.trial_keys.clear();
     known.at = now;
   }
+  known.facts.weights_version =
+      std::max(known.facts.weights_version, end.weights_version);
   for (const suspect_key& key : end.keys) {
     if (known.facts.keys.size() >= kMaxKeysPerEnd ||
         !known.facts.keys.insert(key).second)
--- a/waxwing/crash_suspects.h
+++ b/waxwing/crash_suspects.h
@@ -72,6 +72,7 @@
   std::string target;
   std::int64_t incarnation = 0;
   std::string service;
+  // The newest weights on which these requests may have run.
   std::int64_t weights_version = 0;
   // Keys of the requests that the target may have been running, and those of
   // them that were on trial there.
--- a/waxwing/engine_choice.cc
+++ b/waxwing/engine_choice.cc
@@ -95,12 +95,13 @@
                                 const cache_map& caches,
                                 const engine_request& request,
                                 const target_view& view) {
+  const std::string_view version = WeightsVersion(view, request.model);
   for (version_state& known : versions) {
-    if (known.version == view.version)
+    if (known.version == version)
       return known;
   }
   version_state& added = versions.emplace_back();
-  added.version = view.version;
+  added.version = version;
   added.prefixes = FindCachedPrefixes(caches, request.segments_at(view));
   return added;
 }
@@ -135,7 +136,7 @@
               CachedTokensAt(state, request, i, view.epoch));
     const std::uint64_t weight =
         RendezvousWeight(request.prompt.home_key, view.name_hash);
-    if (view.is_load_pending || weight <= state.home_weight)
+    if (IsLoadPending(view, request.model) || weight <= state.home_weight)
       continue;
     state.home_weight = weight;
     state.home_zone = view.zone;
@@ -155,9 +156,10 @@
 // weight for the prompt. Targets with a pending load are no homes.
 bool IsHome(const version_state& state,
             const target_view& view,
-            std::uint64_t key) {
-  return !view.is_load_pending &&
-         RendezvousWeight(key, view.name_hash) >= state.home_weight;
+            const engine_request& request) {
+  return !IsLoadPending(view, request.model) &&
+         RendezvousWeight(request.prompt.home_key, view.name_hash) >=
+             state.home_weight;
 }
 
 // Chooses the source of the tokens that the target lacks: the holder of the
@@ -272,6 +274,7 @@
                                ? IsUsableIgnoringBackoff(targets[i], now)
                                : IsUsable(targets[i], now);
     if (is_usable && targets[i].serves == request.service &&
+        MayRunModel(targets[i], request.model, true) &&
         FitsStream(request.stream, targets[i], request.ignore_backoff))
       usable.push_back(i);
   }
@@ -294,11 +297,12 @@
         TokensToPrefill(request.prompt, option);
     const duration prefill =
         PrefillTime(view, PrefillBacklog(view, now) + prefill_tokens);
-    option.cost = view.added_cost + ErrorPenalty(view, now) +
+    option.cost = view.added_cost + ModelCost(view, request.model) +
+                  ErrorPenalty(view, now) +
                   Scale(prefill, SlowdownFactor(view, now)) +
                   request.transfer_time_per_token * option.fetched_tokens *
                       (is_cross_zone ? kCrossZoneFactor : 1);
-    if (!IsHome(state, view, request.prompt.home_key))
+    if (!IsHome(state, view, request))
       option.cost += kReplicationCostPerToken *
                      (request.prompt.shared_tokens - option.cached_tokens);
     const double needed = request.prompt.tokens + request.prompt.output_tokens;
--- a/waxwing/engine_choice.h
+++ b/waxwing/engine_choice.h
@@ -50,6 +50,7 @@
 
 struct engine_request {
   std::string_view service;
+  std::string_view model;
   prompt_shape prompt;
   // Returns the segments with their cache keys for the weights of a target.
   std::function<std::span<const cached_segment>(const target_view&)>
--- a/waxwing/entry_caches.cc
+++ b/waxwing/entry_caches.cc
@@ -219,7 +219,7 @@
     co_await Pause(state->root, kSubscribeDelay);
   while (!IsStopping(state->root)) {
     for (const auto& [id, target] : state->targets) {
-      if (!target.record.model.empty() && !target.record.is_draining)
+      if (!target.record.models.empty() && !target.record.is_draining)
         StartSubscription(
             state, {MaxSubscribers(*state, target.record.service), target.index,
                     id, target.record.address, 0, 0});
--- a/waxwing/entry_dispatch.cc
+++ b/waxwing/entry_dispatch.cc
@@ -15,10 +15,13 @@
 // which the response needs to reach the caller.
 constexpr milliseconds kResponseTransitTime{5};
 
-// The salt contains the weights version, so that entries of other weights never
-// match.
-std::string CacheSalt(const forward_run& run, std::string_view weights) {
-  return run.cache_group + "-" + std::string(weights);
+// The salt contains the model and the version of its weights, so that entries
+// of others never match.
+std::string CacheSalt(const forward_run& run,
+                      std::string_view model,
+                      std::string_view version) {
+  return run.cache_group + "-" + ToHex(Hash64(model)) + "-" +
+         std::string(version);
 }
 
 }  // namespace
@@ -57,12 +60,13 @@
 
 std::span<const cached_segment> SegmentsAt(forward_run& run,
                                            const target_view& view) {
-  const auto found = run.cached_segments.find(view.version);
-  if (found != run.cached_segments.end())
-    return found->second;
-  auto& segments = run.cached_segments[view.version];
-  segments = CachedSegments(CacheSalt(run, view.version), run.request.segments);
-  return segments;
+  const served_model* served = FindServedModel(view, run.model);
+  const std::string salt = CacheSalt(run, served ? served->name : run.model,
+                                     WeightsVersion(view, run.model));
+  const auto [entry, is_new] = run.cached_segments.try_emplace(salt);
+  if (is_new)
+    entry->second = CachedSegments(salt, run.request.segments);
+  return entry->second;
 }
 
 double BytesPerToken(const forward_run& run) {
@@ -86,13 +90,29 @@
           run.told_build ? &*run.told_build : nullptr};
 }
 
+// Sets the model by which targets are chosen. If no target of the service lists
+// the one that the request names, which may be an adapter, those with a single
+// model may run it.
+void UpdateModel(forward_run& run) {
+  const auto& targets = run.state->targets;
+  const bool is_listed =
+      std::any_of(targets.begin(), targets.end(), [&](const auto& entry) {
+        const target_record& record = entry.second.record;
+        return record.service == run.service &&
+               FindModel(record.models, run.request.model);
+      });
+  run.model = is_listed ? run.request.model : std::string();
+}
+
 }  // namespace
 
 std::optional<engine_choice> ChooseEngineFor(forward_run& run,
                                              bool is_last_resort) {
   PreparePrompt(run);
+  UpdateModel(run);
   engine_request query;
   query.service = run.service;
+  query.model = run.model;
   query.prompt = {run.chain.tokens, run.chain.head_tokens, run.chain.head,
                   run.request.output_tokens};
   query.segments_at = [&run](const target_view& view) {
@@ -119,6 +139,7 @@
                                          bool is_last_resort) {
   entry_state& state = *run.state;
   const instant now = std::chrono::steady_clock::now();
+  UpdateModel(run);
   if (run.matched_route->has_prompt) {
     const auto chosen = ChooseEngineFor(run, is_last_resort);
     if (!chosen)
@@ -128,8 +149,9 @@
                      chosen->cached_tokens + chosen->fetched_tokens, now, true};
   }
   const placement_request query{
-      &run.chain,     run.service,     "", run.failed_target, state.random(),
-      is_last_resort, StreamNeeds(run)};
+      &run.chain,        run.service,    "",
+      run.failed_target, state.random(), is_last_resort,
+      StreamNeeds(run),  run.model};
   return Place(state.placement, query, now);
 }
 
@@ -139,15 +161,14 @@
 
 // Notes for the log which weights the target is expected to have.
 void NoteWeights(forward_run& run, const dispatch& attempt) {
-  const target_record& record = attempt.target.record;
-  run.weights_version = record.weights_version;
+  run.weights_version = attempt.weights.version;
   run.outdated_for.reset();
   run.time_to_start.reset();
-  const auto history = run.state->desired_weights.find(record.model);
+  const auto history = run.state->desired_weights.find(attempt.weights.model);
   if (history == run.state->desired_weights.end())
     return;
   if (const auto since =
-          LearnedOutdatedAt(history->second, record.weights_version))
+          LearnedOutdatedAt(history->second, attempt.weights.version))
     run.outdated_for = SuspendAwareNow() - *since;
 }
 
@@ -172,6 +193,9 @@
   out.has_permit = choice.has_permit;
   target_view& view = state.placement.targets[choice.chosen.target];
   out.target = state.targets.at(view.name);
+  if (const model_weights* served =
+          FindRequestedModel(out.target.record.models, run.model))
+    out.weights = *served;
   out.uncached_tokens = run.chain.tokens -
                         std::min(run.chain.tokens, choice.chosen.cached_tokens);
   out.epoch = view.epoch;
@@ -184,8 +208,8 @@
   out.started = std::chrono::steady_clock::now();
   run.targets_age = KnowledgeAge(state, object_kind::kTargets);
   if (DependsOnWeights(run, out))
-    out.time_to_start = TimeToStart(state, out.target.record.model,
-                                    out.target.record.weights_version);
+    out.time_to_start =
+        TimeToStart(state, out.weights.model, out.weights.version);
   NoteWeights(run, out);
   RecordDispatch(state.placement, out.chosen, out.uncached_tokens);
   RecordSent(view, out.started);
@@ -200,8 +224,7 @@
 }
 
 bool DependsOnWeights(const forward_run& run, const dispatch& attempt) {
-  return run.matched_route->has_prompt &&
-         attempt.target.record.weights_version > 0;
+  return run.matched_route->has_prompt && attempt.weights.version > 0;
 }
 
 bool IsCurrent(const entry_state& state, const dispatch& attempt) {
@@ -300,8 +323,8 @@
   } else if (outcome == forward_outcome::kFailed) {
     // The target is working; errors that it returns count in its error rate.
     ClearFailures(view);
-  } else if ((!was_aborted || was_unresponsive) && !view.is_load_pending &&
-             !IsPaused(view, now)) {
+  } else if ((!was_aborted || was_unresponsive) &&
+             !IsLoadPending(view, run.model) && !IsPaused(view, now)) {
     RecordFailure(view, attempt.started, now);
   }
 }
@@ -340,7 +363,7 @@
       !IsWorthSaving(run.chain.head_tokens, run.chain.tokens))
     return;
   const std::uint64_t save_key =
-      CombineHashes(run.chain.head, Hash64(view.version));
+      CombineHashes(run.chain.head, Hash64(WeightsVersion(view, run.model)));
   const double bytes = BytesPerToken(run) * (run.chain.tokens - stored);
   if (TryStartSave(store.saves, save_key, bytes, now))
     out.cache_store = address;
@@ -363,11 +386,13 @@
   if (run.matched_route->has_prompt) {
     PreparePrompt(run);
     out.priority = RequestPriority(*run.table, *run.matched_route, run.account);
-    const std::int64_t weights = attempt.target.record.weights_version;
-    out.cache_salt = CacheSalt(run, std::to_string(weights));
+    const model_weights& weights = attempt.weights;
+    out.cache_salt =
+        CacheSalt(run, weights.model.empty() ? run.model : weights.model,
+                  std::to_string(weights.version));
     // Without a version, a cached segment could belong to any weights.
-    if (weights > 0) {
-      out.weights_version = weights;
+    if (weights.version > 0) {
+      out.weights_version = weights.version;
       AddCacheTransfers(run, attempt, out);
     }
   }
--- a/waxwing/entry_relay.cc
+++ b/waxwing/entry_relay.cc
@@ -57,8 +57,8 @@
     run.start.abort = &run.abort;
     run.start.may_repeat = MayRepeat(*run.matched_route);
     if (DependsOnWeights(run, attempt)) {
-      run.start.model = record.model;
-      run.start.weights_version = record.weights_version;
+      run.start.model = attempt.weights.model;
+      run.start.weights_version = attempt.weights.version;
       run.start.has_target_deadline =
           attempt.time_to_start && !run.start.may_repeat;
     }
@@ -408,7 +408,7 @@
                       *facts, attempt.started);
   UpdateTargetLoad(*run.state, attempt, *facts);
   if (facts->weights_version && IsCurrent(*run.state, attempt))
-    RecordTargetWeights(*run.state, attempt.target.record.id,
+    RecordTargetWeights(*run.state, attempt.target.record.id, run.model,
                         *facts->weights_version);
   if (facts->not_run) {
     run.possible_runs += call->was_sent_before ? 1 : 0;
--- a/waxwing/entry_rollout.cc
+++ b/waxwing/entry_rollout.cc
@@ -60,10 +60,11 @@
     std::vector<rollout_target> list;
     std::vector<const target_record*> records;
     for (const auto& [id, target] : state.targets) {
-      if (target.record.model != model || target.record.is_draining)
+      const model_weights* served = FindModel(target.record.models, model);
+      if (!served || target.record.is_draining)
         continue;
       const target_view& view = state.placement.targets[target.index];
-      list.push_back({view.name_hash, target.record.weights_version});
+      list.push_back({view.name_hash, served->version});
       records.push_back(&target.record);
     }
     for (const std::size_t i : ChooseTargetsToLoad(list, desired_version)) {
@@ -75,6 +76,40 @@
   return out;
 }
 
+// Returns the loads to order now. A target loads the weights of one model at a
+// time; the one that was ordered longest ago comes first.
+std::vector<pending_load> ChooseDueLoads(const entry_state& state,
+                                         std::span<const pending_load> loads,
+                                         instant now) {
+  struct candidate {
+    const pending_load* load = nullptr;
+    instant ordered_at;
+    bool is_busy = false;
+  };
+  std::map<std::string_view, candidate> by_target;
+  for (const pending_load& load : loads) {
+    candidate& best = by_target[load.target];
+    const auto progress = state.rollouts.find(load.model);
+    const bool is_due =
+        progress == state.rollouts.end() ||
+        IsOrderDue(progress->second, load.target, load.desired_version, now);
+    best.is_busy = best.is_busy || !is_due;
+    const instant ordered_at = progress == state.rollouts.end()
+                                   ? instant::min()
+                                   : LastOrderAt(progress->second, load.target);
+    if (!best.load || ordered_at < best.ordered_at) {
+      best.load = &load;
+      best.ordered_at = ordered_at;
+    }
+  }
+  std::vector<pending_load> out;
+  for (const auto& [target, chosen] : by_target) {
+    if (!chosen.is_busy)
+      out.push_back(*chosen.load);
+  }
+  return out;
+}
+
 asio::awaitable<void> RefreshLease(entry_ptr state) {
   const auto object = co_await state->protocol.get(
       state->store, object_kind::kLease, std::string(kLeaseName));
@@ -137,13 +172,19 @@
   progress.orders[load.target] = {load.desired_version,
                                   std::chrono::steady_clock::now()};
   const auto current = co_await state->protocol.fetch_target_state(
-      state->pool, load.address, load.target, load.model, kOrderTimeout);
+      state->pool, load.address, load.target, kOrderTimeout);
   if (!current) {
     LogInfo("target_state_unknown",
             {{"target", load.target}, {"error", current.error().detail}});
     co_return;
   }
-  if (current->weights_version >= load.desired_version || current->is_busy)
+  const model_weights* served = FindModel(current->models, load.model);
+  if (!served) {
+    LogInfo("model_not_served",
+            {{"target", load.target}, {"model", load.model}});
+    co_return;
+  }
+  if (served->version >= load.desired_version || current->is_busy)
     co_return;
   const auto desired = state->desired_weights.find(load.model);
   const bool is_current =
@@ -169,8 +210,9 @@
       state->pool, load.address, order, kOrderTimeout);
   LogInfo("weights_ordered",
           {{"target", load.target},
+           {"model", load.model},
            {"version", load.desired_version},
-           {"from", current->weights_version},
+           {"from", served->version},
            {"fence", order.fence},
            {"running", current->running},
            {"finish", order.load_mode == weights_load_mode::kDrain},
@@ -256,12 +298,8 @@
       write_after = std::chrono::steady_clock::now() + kLeaseRetryPause;
     if (!HoldsLease(state->lease, SuspendAwareNow()))
       continue;
-    for (const pending_load& load : loads) {
-      if (IsOrderDue(state->rollouts[load.model], load.target,
-                     load.desired_version, now))
-        asio::co_spawn(state->executor, LoadTarget(state, load),
-                       asio::detached);
-    }
+    for (const pending_load& load : ChooseDueLoads(*state, loads, now))
+      asio::co_spawn(state->executor, LoadTarget(state, load), asio::detached);
   }
 }
 
--- a/waxwing/entry_run.h
+++ b/waxwing/entry_run.h
@@ -67,6 +67,9 @@
   // Equal for the copies of a request that a caller sends under several IDs.
   hash128 fingerprint;
   std::string service;
+  // The model by which targets are chosen; empty if any of them may run the
+  // request on its only one.
+  std::string model;
   std::vector<suspect_key> suspect_keys;
   // The current attempt is a trial.
   std::optional<trial_permit> trial;
@@ -81,7 +84,7 @@
   std::string cache_group;
   std::shared_ptr<const route_table> cache_group_table;
   prefix_chain chain;
-  // The prompt's segments with their cache keys, by weights version.
+  // The prompt's segments with their cache keys, by cache salt.
   std::map<std::string, std::vector<cached_segment>, std::less<>>
       cached_segments;
   instant arrived;
@@ -172,6 +175,9 @@
   placement chosen;
   engine_choice engine;
   listed_target target;
+  // The model that the target runs the request on, and the version of its
+  // weights. Empty and 0 if that is not known.
+  model_weights weights;
   std::uint32_t uncached_tokens = 0;
   std::uint32_t epoch = 0;
   instant started;
--- a/waxwing/entry_state.h
+++ b/waxwing/entry_state.h
@@ -53,14 +53,15 @@
 
 // A target as listed in the store, and its index in the placement list.
 struct listed_target {
-  // Its weights version may be an assumption, see `reported_weights`.
+  // The versions of its weights may be assumptions, see `reported_weights`.
   target_record record;
   std::uint32_t index = 0;
-  // The newest weights version that the store or the target itself has stated.
-  // An assumed version is newer.
-  std::int64_t reported_weights = 0;
-  // After the target has refuted an assumption, the next one is made no sooner.
-  instant next_assumption_at;
+  // By model: the newest weights version that the store or the target itself
+  // has stated. An assumed version is newer.
+  std::map<std::string, std::int64_t, std::less<>> reported_weights;
+  // By model: after the target has refuted an assumption, the next one is made
+  // no sooner.
+  std::map<std::string, instant, std::less<>> next_assumption_at;
   // When this start of the target was first listed, on a clock that keeps
   // running while the VM is suspended.
   instant listed_at;
@@ -241,6 +242,7 @@
   std::int64_t incarnation = 0;
   std::vector<suspect_key> keys;
   std::vector<suspect_key> trial_keys;
+  std::int64_t weights_version = 0;
   bool has_survived = false;
 };
 
@@ -464,9 +466,11 @@
                        const target_record& record,
                        const change_source& source = {});
 
-// Records the weights version that a target states itself.
+// Records the weights version that a target states itself for a request that
+// names `requested`, which may be empty.
 void RecordTargetWeights(entry_state& state,
                          std::string_view target,
+                         std::string_view requested,
                          std::int64_t version);
 
 // True if this incarnation of the target was removed recently.
--- a/waxwing/entry_suspects.cc
+++ b/waxwing/entry_suspects.cc
@@ -274,6 +274,7 @@
   listed.target = attempt.target.record.id;
   listed.incarnation = attempt.target.record.incarnation;
   listed.keys = run.suspect_keys;
+  listed.weights_version = attempt.weights.version;
   if (run.trial)
     listed.trial_keys = run.trial->keys;
   run.doubt = &listed;
@@ -288,7 +289,7 @@
 void MarkSurvived(forward_run& run, const dispatch& attempt) {
   if (!run.doubt || std::exchange(run.doubt->has_survived, true))
     return;
-  const std::int64_t weights = attempt.target.record.weights_version;
+  const std::int64_t weights = attempt.weights.version;
   const auto cleared =
       RecordSurvival(run.state->suspects, run.suspect_keys, weights,
                      std::chrono::steady_clock::now());
@@ -334,7 +335,6 @@
   end.target = target.id;
   end.incarnation = target.incarnation;
   end.service = target.service;
-  end.weights_version = target.weights_version;
   for (const doubtful_attempt* attempt : state.doubtful_attempts) {
     if (attempt->has_survived || attempt->target != target.id ||
         attempt->incarnation != target.incarnation)
@@ -342,6 +342,8 @@
     end.keys.insert(attempt->keys.begin(), attempt->keys.end());
     end.trial_keys.insert(attempt->trial_keys.begin(),
                           attempt->trial_keys.end());
+    end.weights_version =
+        std::max(end.weights_version, attempt->weights_version);
   }
   LearnEnd(state, end, "");
 }
--- a/waxwing/entry_targets.cc
+++ b/waxwing/entry_targets.cc
@@ -57,12 +57,45 @@
   return static_cast<std::uint32_t>(placement.targets.size() - 1);
 }
 
+// Lists the models of the record; those that stay keep their costs.
+void UpdateModels(target_view& view, const target_record& record) {
+  std::vector<served_model> models;
+  for (const model_weights& served : record.models) {
+    const auto known = std::find_if(
+        view.models.begin(), view.models.end(),
+        [&](const served_model& other) { return other.name == served.model; });
+    models.push_back(known == view.models.end() ? served_model{served.model}
+                                                : *known);
+    models.back().version = std::to_string(served.version);
+  }
+  view.models = std::move(models);
+}
+
+// Applies the versions of a record, of which any may have changed.
+void ApplyWeights(target_view& view, const target_record& record) {
+  UpdateModels(view, record);
+  ApplyIdentity(view, view.boot_id, ToText(record.models));
+}
+
+// Returns the models of a target's next record. It may lag behind the versions
+// that the target itself has stated.
+std::vector<model_weights> MergeModels(const target_record& known,
+                                       const target_record& next) {
+  std::vector<model_weights> out = next.models;
+  for (model_weights& served : out) {
+    if (const model_weights* before = FindModel(known.models, served.model))
+      served.version = std::max(served.version, before->version);
+  }
+  return out;
+}
+
 target_view MakeView(const entry_state& state, const target_record& record) {
   target_view view;
   view.name = record.id;
   view.name_hash = Hash64(record.id);
   view.serves = record.service;
-  view.version = std::to_string(record.weights_version);
+  view.version = ToText(record.models);
+  UpdateModels(view, record);
   view.build = record.build;
   view.boot_id = static_cast<std::uint64_t>(record.incarnation);
   view.zone = record.zone;
@@ -84,6 +117,16 @@
          a.address == b.address;
 }
 
+void RecordReportedWeights(listed_target& target, const target_record& record) {
+  std::erase_if(target.reported_weights, [&](const auto& entry) {
+    return !FindModel(record.models, entry.first);
+  });
+  for (const model_weights& served : record.models) {
+    std::int64_t& reported = target.reported_weights[served.model];
+    reported = std::max(reported, served.version);
+  }
+}
+
 }  // namespace
 
 void AddOrUpdateTarget(entry_state& state,
@@ -94,9 +137,8 @@
       IsSameIncarnation(found->second.record, record)) {
     listed_target& target = found->second;
     target_view& view = state.placement.targets[target.index];
-    ApplyIdentity(view, view.boot_id,
-                  std::to_string(std::max(target.record.weights_version,
-                                          record.weights_version)));
+    const std::vector<model_weights> models =
+        MergeModels(target.record, record);
     // A target that is leaving does not return to service, whatever an older
     // copy of its record says.
     const bool is_draining = record.is_draining || target.record.is_draining;
@@ -107,20 +149,16 @@
                                  {"source", source.name},
                                  {"late_ms", LatenessMs(source)},
                                  {"era", state.store_era}});
-    if (record.weights_version != target.record.weights_version)
+    if (record.models != target.record.models)
       LogInfo("target_weights",
-              {{"target", record.id}, {"version", record.weights_version}});
-    if (record.weights_version > target.record.weights_version)
+              {{"target", record.id}, {"weights", ToText(record.models)}});
+    if (models != target.record.models)
       ClearFailures(view);
-    // The record may lag behind the version that the target itself has
-    // reported.
-    const std::int64_t known_version = target.record.weights_version;
-    target.reported_weights =
-        std::max(target.reported_weights, record.weights_version);
+    RecordReportedWeights(target, record);
     target.record = record;
     target.record.is_draining = is_draining;
-    target.record.weights_version =
-        std::max(known_version, record.weights_version);
+    target.record.models = models;
+    ApplyWeights(view, target.record);
     return;
   }
   if (found != state.targets.end())
@@ -131,7 +169,8 @@
   view = MakeView(state, record);
   view.epoch = epoch + 1;
   listed_target& added = state.targets[record.id];
-  added = {record, index, record.weights_version};
+  added = {record, index};
+  RecordReportedWeights(added, record);
   added.listed_at = SuspendAwareNow();
   state.removed_targets.erase(record.id);
   LogInfo("target_listed", {{"target", record.id},
@@ -139,7 +178,7 @@
                             {"address", ToText(record.address)},
                             {"build", record.build},
                             {"incarnation", record.incarnation},
-                            {"weights", record.weights_version},
+                            {"weights", ToText(record.models)},
                             {"leaving", record.is_draining},
                             {"source", source.name}});
 }
@@ -148,57 +187,78 @@
 
 void SetWeights(entry_state& state,
                 listed_target& target,
+                std::string_view model,
                 std::int64_t version) {
-  target_view& view = state.placement.targets[target.index];
-  target.record.weights_version = version;
-  ApplyIdentity(view, view.boot_id, std::to_string(version));
+  for (model_weights& served : target.record.models) {
+    if (served.model == model)
+      served.version = version;
+  }
+  ApplyWeights(state.placement.targets[target.index], target.record);
 }
 
-bool IsAssumed(const listed_target& target) {
-  return target.record.weights_version > target.reported_weights;
+std::int64_t ReportedWeights(const listed_target& target,
+                             std::string_view model) {
+  const auto found = target.reported_weights.find(model);
+  return found == target.reported_weights.end() ? 0 : found->second;
 }
 
-// Assumes that a target has loaded `version`, which it has not reported.
+bool IsAssumed(const listed_target& target, const model_weights& served) {
+  return served.version > ReportedWeights(target, served.model);
+}
+
+// Assumes that a target has loaded a version, which it has not reported.
 void AssumeWeights(entry_state& state,
                    std::string_view id,
-                   std::int64_t version) {
-  LogInfo("target_weights_assumed", {{"target", id}, {"version", version}});
-  SetWeights(state, state.targets.find(id)->second, version);
+                   const model_weights& weights) {
+  LogInfo(
+      "target_weights_assumed",
+      {{"target", id}, {"model", weights.model}, {"version", weights.version}});
+  SetWeights(state, state.targets.find(id)->second, weights.model,
+             weights.version);
 }
 
 void DropAssumedWeights(entry_state& state,
                         std::string_view id,
-                        listed_target& target) {
-  LogInfo("target_weights_assumption_dropped",
-          {{"target", id},
-           {"assumed", target.record.weights_version},
-           {"version", target.reported_weights}});
-  SetWeights(state, target, target.reported_weights);
+                        listed_target& target,
+                        const model_weights& assumed) {
+  const std::int64_t reported = ReportedWeights(target, assumed.model);
+  LogInfo("target_weights_assumption_dropped", {{"target", id},
+                                                {"model", assumed.model},
+                                                {"assumed", assumed.version},
+                                                {"version", reported}});
+  SetWeights(state, target, assumed.model, reported);
 }
 
 }  // namespace
 
 void RecordTargetWeights(entry_state& state,
                          std::string_view id,
+                         std::string_view requested,
                          std::int64_t version) {
   const auto found = state.targets.find(id);
   if (found == state.targets.end())
     return;
   listed_target& target = found->second;
-  const bool is_refuted =
-      IsAssumed(target) && version < target.record.weights_version;
-  if (version <= target.reported_weights && !is_refuted)
+  const model_weights* listed =
+      FindRequestedModel(target.record.models, requested);
+  if (!listed)
+    return;
+  const model_weights served = *listed;
+  const bool is_refuted = IsAssumed(target, served) && version < served.version;
+  std::int64_t& reported = target.reported_weights[served.model];
+  if (version <= reported && !is_refuted)
     return;
-  LogInfo("target_weights_reported", {{"target", id}, {"version", version}});
-  target.reported_weights = std::max(target.reported_weights, version);
+  LogInfo("target_weights_reported",
+          {{"target", id}, {"model", served.model}, {"version", version}});
+  reported = std::max(reported, version);
   const instant now = std::chrono::steady_clock::now();
   if (is_refuted) {
-    DropAssumedWeights(state, id, target);
-    target.next_assumption_at = now + kAssumptionPause;
+    DropAssumedWeights(state, id, target, served);
+    target.next_assumption_at[served.model] = now + kAssumptionPause;
+  } else if (version > served.version) {
+    ClearFailures(state.placement.targets[target.index]);
+    SetWeights(state, target, served.model, version);
   }
-  target_record updated = target.record;
-  updated.weights_version = std::max(updated.weights_version, version);
-  AddOrUpdateTarget(state, updated, {"target", {}});
   RefreshTargets(state, now);
 }
 
@@ -277,11 +337,11 @@
 
 namespace {
 
-// True if the target is a model engine whose record states no weights version.
+// True if the target is a model engine whose record states no weights.
 bool LacksWeights(const entry_state& state, const target_record& record) {
   const auto service = state.table->services.find(record.service);
-  return service != state.table->services.end() &&
-         !service->second.model.empty() && record.weights_version == 0;
+  return service != state.table->services.end() && service->second.has_models &&
+         record.models.empty();
 }
 
 // Forgets targets that were removed long ago. If the store still lists one, it
@@ -303,6 +363,38 @@
   }
 }
 
+// The targets that serve a model, in three lists of the same order.
+struct model_targets {
+  std::vector<rollout_target> list;
+  std::vector<std::string_view> ids;
+  std::vector<served_model*> views;
+};
+
+void DropAllAssumedWeights(entry_state& state,
+                           std::string_view id,
+                           listed_target& target) {
+  const std::vector<model_weights> models = target.record.models;
+  for (const model_weights& served : models) {
+    if (IsAssumed(target, served))
+      DropAssumedWeights(state, id, target, served);
+  }
+}
+
+bool MayAssumeWeights(const listed_target& target,
+                      std::string_view model,
+                      instant now) {
+  const auto found = target.next_assumption_at.find(model);
+  return found == target.next_assumption_at.end() || now >= found->second;
+}
+
+// Sets whether the target is of no use to any request.
+void MarkWhollyOutdated(target_view& view) {
+  if (!view.models.empty())
+    view.has_outdated_weights = std::all_of(
+        view.models.begin(), view.models.end(),
+        [](const served_model& served) { return served.has_outdated_weights; });
+}
+
 }  // namespace
 
 void RefreshTargets(entry_state& state, instant now) {
@@ -310,17 +402,17 @@
   const bool is_store_unavailable =
       state.watches[object_kind::kTargets].unavailable_since.has_value();
   // By model, in the order of the map of targets.
-  std::map<std::string, std::vector<rollout_target>> models;
-  std::map<std::string, std::vector<target_view*>> views;
+  std::map<std::string, model_targets> models;
   for (auto& [id, target] : state.targets) {
     if (target.drop_at && now >= *target.drop_at)
       expired_ids.push_back(id);
-    if (IsAssumed(target) && !is_store_unavailable)
-      DropAssumedWeights(state, id, target);
+    if (!is_store_unavailable)
+      DropAllAssumedWeights(state, id, target);
     target_view& view = state.placement.targets[target.index];
     view.added_cost =
         view.zone == state.options.zone ? duration{} : kOtherZoneCost;
-    view.is_load_pending = false;
+    for (served_model& served : view.models)
+      served = {served.name, served.version};
     // No version can be expected of an engine that states none, so it might run
     // a request on any weights.
     view.has_outdated_weights = LacksWeights(state, target.record);
@@ -328,15 +420,19 @@
       view.added_cost += kUnresponsiveCost;
     if (now < view.others_paused_until)
       view.added_cost += kOthersPausedCost;
-    if (target.record.model.empty() || target.record.is_draining)
+    if (target.record.is_draining)
       continue;
-    models[target.record.model].push_back(
-        {view.name_hash, target.record.weights_version});
-    views[target.record.model].push_back(&view);
+    for (std::size_t i = 0; i < view.models.size(); ++i) {
+      model_targets& served = models[view.models[i].name];
+      served.list.push_back({view.name_hash, target.record.models[i].version});
+      served.ids.push_back(id);
+      served.views.push_back(&view.models[i]);
+    }
   }
   const instant weights_now = SuspendAwareNow();
-  std::vector<std::pair<std::string, std::int64_t>> assumed_weights;
-  for (const auto& [model, list] : models) {
+  std::vector<std::pair<std::string, model_weights>> assumed_weights;
+  for (const auto& [model, served] : models) {
+    const std::vector<rollout_target>& list = served.list;
     const auto desired = state.desired_weights.find(model);
     if (desired == state.desired_weights.end())
       continue;
@@ -347,23 +443,27 @@
     for (std::size_t i = 0; i < list.size(); ++i) {
       const bool is_past_limit =
           IsTooStale(desired->second, list[i].version, bounds, weights_now);
-      views[model][i]->has_outdated_weights = is_past_limit;
+      served.views[i]->has_outdated_weights = is_past_limit;
       // Without the store, completed loads are not reported. The target itself
       // refuses a request if the assumption is wrong.
       if (is_past_limit && is_store_unavailable &&
-          now >= state.targets.at(views[model][i]->name).next_assumption_at)
-        assumed_weights.emplace_back(views[model][i]->name, desired_version);
+          MayAssumeWeights(state.targets.find(served.ids[i])->second, model,
+                           now))
+        assumed_weights.emplace_back(served.ids[i],
+                                     model_weights{model, desired_version});
       if (list[i].version < desired_version)
-        views[model][i]->added_cost += kOutdatedWeightsCost;
+        served.views[i]->added_cost += kOutdatedWeightsCost;
     }
     for (const std::size_t i :
          ChooseTargetsToLoad(list, desired_version, kSteeredLoadRounds)) {
-      views[model][i]->added_cost += kLoadingCost;
-      views[model][i]->is_load_pending = true;
+      served.views[i]->added_cost += kLoadingCost;
+      served.views[i]->is_load_pending = true;
     }
   }
-  for (const auto& [id, version] : assumed_weights)
-    AssumeWeights(state, id, version);
+  for (const auto& [id, target] : state.targets)
+    MarkWhollyOutdated(state.placement.targets[target.index]);
+  for (const auto& [id, weights] : assumed_weights)
+    AssumeWeights(state, id, weights);
   for (const std::string& id : expired_ids)
     DropTarget(state, id, {"outage", {}});
   ForgetRemovals(state, now);
--- a/waxwing/placement.cc
+++ b/waxwing/placement.cc
@@ -33,6 +33,7 @@
                              : IsUsable(view, now);
   return is_usable && view.serves == request.serves &&
          (request.version.empty() || view.version == request.version) &&
+         MayRunModel(view, request.model, false) &&
          FitsStream(request.stream, view, request.ignore_backoff);
 }
 
@@ -102,7 +103,8 @@
       std::max(0.0, request.chain->tokens - cached_tokens);
   double cost =
       ToSeconds(ExpectedWait(view, queued)) +
-      ToSeconds(view.added_cost + ErrorPenalty(view, now)) +
+      ToSeconds(view.added_cost + ModelCost(view, request.model) +
+                ErrorPenalty(view, now)) +
       kRecomputeWeight * uncached_tokens / view.prefill_tokens_per_second;
   // The target that has just failed is chosen only if there is no other.
   if (static_cast<int>(target) == request.failed_target)
--- a/waxwing/placement.h
+++ b/waxwing/placement.h
@@ -70,6 +70,8 @@
   // Also considers targets in backoff, because no other target is usable.
   bool ignore_backoff = false;
   stream_needs stream;
+  // Model that the request names, if any.
+  std::string_view model;
 };
 
 struct placement {
--- a/waxwing/rollout.cc
+++ b/waxwing/rollout.cc
@@ -119,6 +119,13 @@
   return longest_other > longest_resumable;
 }
 
+instant LastOrderAt(const rollout_progress& progress,
+                    const std::string& target) {
+  const auto found = progress.orders.find(target);
+  return found == progress.orders.end() ? instant::min()
+                                        : found->second.sent_at;
+}
+
 bool IsOrderDue(const rollout_progress& progress,
                 const std::string& target,
                 std::int64_t desired_version,
--- a/waxwing/rollout.h
+++ b/waxwing/rollout.h
@@ -117,6 +117,10 @@
 // and, if needed, sent the order again.
 inline constexpr milliseconds kOrderRetryInterval{2'000};
 
+// When the target was last sent an order; instant::min() if it never was.
+instant LastOrderAt(const rollout_progress& progress,
+                    const std::string& target);
+
 // True if the target should be queried and, if needed, sent an order now.
 bool IsOrderDue(const rollout_progress& progress,
                 const std::string& target,
--- a/waxwing/route_table.h
+++ b/waxwing/route_table.h
@@ -66,7 +66,8 @@
   // For model engines: requests in a batch, and cache capacity in tokens.
   int engine_slots = 0;
   std::uint32_t engine_cache_tokens = 0;
-  std::string model;
+  // Its targets serve models, whose weights have versions.
+  bool has_models = false;
   // VMs that may subscribe to one target's cache events at a time; 0:
   // unspecified.
   int max_event_subscribers = 0;
--- a/waxwing/target_view.cc
+++ b/waxwing/target_view.cc
@@ -33,6 +33,53 @@
 
 }  // namespace
 
+const served_model* FindServedModel(const target_view& view,
+                                    std::string_view requested) {
+  if (requested.empty() && view.models.size() == 1)
+    return &view.models.front();
+  const auto found = std::find_if(
+      view.models.begin(), view.models.end(),
+      [&](const served_model& served) { return served.name == requested; });
+  return found == view.models.end() ? nullptr : &*found;
+}
+
+bool MayRunModel(const target_view& view,
+                 std::string_view requested,
+                 bool depends_on_weights) {
+  if (view.models.empty())
+    return true;
+  if (const served_model* served = FindServedModel(view, requested))
+    return !served->has_outdated_weights;
+  return !depends_on_weights &&
+         std::none_of(view.models.begin(), view.models.end(),
+                      [](const served_model& served) {
+                        return served.has_outdated_weights;
+                      });
+}
+
+std::string_view WeightsVersion(const target_view& view,
+                                std::string_view requested) {
+  const served_model* served = FindServedModel(view, requested);
+  return served ? served->version : view.version;
+}
+
+bool IsLoadPending(const target_view& view, std::string_view requested) {
+  if (const served_model* served = FindServedModel(view, requested))
+    return served->is_load_pending;
+  return std::any_of(
+      view.models.begin(), view.models.end(),
+      [](const served_model& served) { return served.is_load_pending; });
+}
+
+duration ModelCost(const target_view& view, std::string_view requested) {
+  if (const served_model* served = FindServedModel(view, requested))
+    return served->added_cost;
+  duration out{};
+  for (const served_model& served : view.models)
+    out = std::max(out, served.added_cost);
+  return out;
+}
+
 bool ApplyIdentity(target_view& view,
                    std::uint64_t boot_id,
                    const std::string& version) {
--- a/waxwing/target_view.h
+++ b/waxwing/target_view.h
@@ -52,11 +52,27 @@
   instant time;
 };
 
+// One of the models that a target serves.
+struct served_model {
+  std::string name;
+  // Version of its weights.
+  std::string version;
+  // These are too old for any new request.
+  bool has_outdated_weights = false;
+  // About to load other weights, which aborts its running requests.
+  bool is_load_pending = false;
+  // Added to the placement cost.
+  duration added_cost{};
+};
+
 struct target_view {
   std::string name;
   std::uint64_t name_hash = 0;
   std::string serves;
+  // Of its weights; of those of all models if there are several.
   std::string version;
+  // Empty if it serves no models, or one without a name.
+  std::vector<served_model> models;
   // Version of the target's software; empty if it is not known.
   std::string build;
   std::string zone;
@@ -126,10 +142,8 @@
   // Its build is new to this VM, so no stream that can be taken up again begins
   // there yet.
   bool is_build_new = false;
-  // Its weights are too old for any new request.
+  // All of its weights are too old for any new request, or not known.
   bool has_outdated_weights = false;
-  // About to load other weights, which aborts its running requests.
-  bool is_load_pending = false;
   // Requests sent whose response has not begun, and the time since which the
   // target has sent nothing while there were any.
   int awaiting_response = 0;
@@ -145,6 +159,30 @@
 inline constexpr int kSlotsPerReservedSlot = 8;
 inline constexpr int kSlotsPerRouterShare = 4;
 
+// Returns the model on which the target runs a request that names `requested`:
+// the only one if the request names none. Null if there is none.
+const served_model* FindServedModel(const target_view& view,
+                                    std::string_view requested);
+
+// True if the target serves the model and its weights are not outdated. A
+// request that does not depend on weights may also name no model, or another
+// one.
+bool MayRunModel(const target_view& view,
+                 std::string_view requested,
+                 bool depends_on_weights);
+
+// Version of the weights with which the target runs such a request.
+std::string_view WeightsVersion(const target_view& view,
+                                std::string_view requested);
+
+// True if the model, or any if `requested` is none of the target's, is about to
+// load other weights.
+bool IsLoadPending(const target_view& view, std::string_view requested);
+
+// What the model adds to the placement cost; the most that any does if
+// `requested` is none of the target's.
+duration ModelCost(const target_view& view, std::string_view requested);
+
 // Applies a load report. Returns true if the epoch has increased.
 bool ApplyReport(target_view& view, const target_report& report);
 
