Decline forwarded requests of a newer configuration first

Callers of a VM that reached no target got 404 for a new route, or 401 for a new key, although that VM knew them.

Cause: the VM to which the request was forwarded looked up route and key in its older configuration before it compared the versions. Its refusal lacked the header by which a VM declines, so it was relayed as the response.

Change: the versions are compared first. The request goes to the next VM, or is refused with 503 as not run.

Result: the test passes.

--- a/testing/vm_without_targets_test.cc
+++ b/testing/vm_without_targets_test.cc
@@ -271,6 +271,35 @@
   EXPECT_EQ(f.Arrivals()[id], 0);
 }
 
+// A VM that had not learned of a new route or key refused forwarded requests
+// with 404 or 401, which callers got from a VM that knew them.
+TEST(VmsWithoutTargets, VmThatLacksANewRouteOrKeyDeclinesForwardedRequests) {
+  for (const auto& [path, key] :
+       {std::pair<std::string_view, std::string>{"/new/x", "key-1"},
+        {kIdempotentPath, "key-2"}}) {
+    cut_fixture f(2);
+    f.Cut(0, path_cut::kResetting);
+    f.ServedOf(0, milliseconds(500));
+    entry_state& state = *f.vms[0].state;
+    auto newer = std::make_shared<route_table>(*state.table);
+    ++newer->version;
+    route added = *FindRoute(*newer, "calls.example", kIdempotentPath);
+    added.path_prefix = "/new/";
+    AddRoute(*newer, added);
+    newer->account_of_key["key-2"] = newer->account_of_key.at("key-1");
+    state.table = std::move(newer);
+    http_request request = f.MakeRequest(path);
+    std::erase_if(request.headers, [](const http_header& header) {
+      return header.name == "Authorization";
+    });
+    request.headers.push_back({"Authorization", "Token " + key});
+    const auto response = RunToEnd(f.context, f.Call(0, request));
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 503u) << path;
+    EXPECT_FALSE(FindHeader(response->headers, "Retry-After").empty());
+  }
+}
+
 TEST(VmsWithoutTargets, ForwardedRequestKeepsItsServiceDeadlineAndOrigin) {
   http_request request;
   const stream_origin origin{"llm", "v2", "engine-1", 7};
--- a/waxwing/entry_forward.cc
+++ b/waxwing/entry_forward.cc
@@ -132,6 +132,9 @@
     return refusal{503, kLeaving, kMinRetryAfter};
   if (!CanServe(*run.state))
     return refusal{503, kNoConfig, kNoConfigRetryAfter};
+  // An older configuration may lack the route or the key.
+  if (run.forwarded && run.table->version < run.forwarded->config_version)
+    return refusal{503, kOlderConfig, kNoConfigRetryAfter};
   run.matched_route = FindRoute(*run.table, run.request.host,
                                 PathOf(run.exchange.request.target));
   if (!run.matched_route && !run.table->has_unreadable_routes)
@@ -148,8 +151,6 @@
     run.account = found->second;
   }
   if (run.forwarded) {
-    if (run.table->version < run.forwarded->config_version)
-      return refusal{503, kOlderConfig, kNoConfigRetryAfter};
     run.attempts_before = run.forwarded->attempts;
     run.attempt_number = run.forwarded->attempt_number;
     run.told_build = run.forwarded->told_build;
