--- a/waxwing/target_view.h
+++ b/waxwing/target_view.h
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "waxwing/target_rate.h"
 #include "waxwing/types.h"
